--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Two commands set everything up on a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(sort $(wildcard packages/*))
+EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
+
+.PHONY: demo test lint format generate golden bench capacity install
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt $(foreach package,$(PACKAGES),$(package)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
+	touch $@
+
+demo: install
+	$(BIN)/python scripts/demo.py
+
+test: lint
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# The generator is Debian's thrift-compiler. Its output is committed, so that
+# neither `make demo` nor `make test` needs it.
+generate:
+	thrift --gen py:package_prefix=cairnferry.peers._generated. \
+		-out packages/peers/src/cairnferry/peers/_generated packages/peers/peer.thrift
--- /dev/null
+++ b/packages/coordination/src/cairnferry/coordination/__init__.py
@@ -0,0 +1,70 @@
+"""Coordination parts that need no consensus of their own.
+
+Everything that must be agreed or must last goes through a table with
+conditional transactions; everything else is done by rank, with duplicates that
+do no harm. Clock and random source are passed in, and nothing here opens a
+socket, so that others can embed each part.
+"""
+
+from cairnferry.coordination._budgets import TokenBucket
+from cairnferry.coordination._changelog import (
+    Appended,
+    AppendError,
+    ChangeIdReused,
+    ChangeLog,
+    ChangeStatus,
+    HeadMoved,
+    LogRow,
+    LogTooLarge,
+    OutcomeUnknown,
+)
+from cairnferry.coordination._confirmation import HeadConfirmation
+from cairnferry.coordination._groupcommit import GroupCommit, Pending
+from cairnferry.coordination._membership import (
+    Member,
+    Membership,
+    MembershipTimes,
+    MemberState,
+)
+from cairnferry.coordination._notes import Note, NoteBoard
+from cairnferry.coordination._rendezvous import lowest_ranked, rank
+from cairnferry.coordination._table import (
+    ConditionFailed,
+    Item,
+    Table,
+    TableError,
+    TableUnavailable,
+    Write,
+    WriteUnknown,
+)
+
+__all__ = [
+    "AppendError",
+    "Appended",
+    "ChangeIdReused",
+    "ChangeLog",
+    "ChangeStatus",
+    "ConditionFailed",
+    "GroupCommit",
+    "HeadConfirmation",
+    "HeadMoved",
+    "Item",
+    "LogRow",
+    "LogTooLarge",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MembershipTimes",
+    "Note",
+    "NoteBoard",
+    "OutcomeUnknown",
+    "Pending",
+    "Table",
+    "TableError",
+    "TableUnavailable",
+    "TokenBucket",
+    "Write",
+    "WriteUnknown",
+    "lowest_ranked",
+    "rank",
+]
--- /dev/null
+++ b/packages/coordination/src/cairnferry/coordination/_budgets.py
@@ -0,0 +1,39 @@
+"""Budgets that fill with time."""
+
+import attrs
+
+
+@attrs.define
+class TokenBucket:
+    """Tokens that come at a rate and are spent one by one.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens a second; may be changed at any time.
+    burst : float
+        Most tokens held.
+    now : float
+        Monotonic time in seconds at the start; the bucket starts empty.
+    """
+
+    rate: float
+    burst: float
+    now: float
+    tokens: float = 0.0
+
+    def take(self, now: float) -> bool:
+        """Spend one token, if there is one.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds. A clock that went back adds nothing.
+        """
+        elapsed = max(0.0, now - self.now)
+        self.now = max(self.now, now)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/packages/coordination/src/cairnferry/coordination/_notes.py
@@ -0,0 +1,93 @@
+"""Notes that spread from member to member and lapse by themselves.
+
+A note holds for a limited time and is renewed by whoever still observes the
+fact. So no withdrawal has to reach every member, and none can overtake a note.
+"""
+
+import math
+from collections.abc import Callable
+
+import attrs
+
+SPREAD_FACTOR = 2
+MAX_NOTES = 16
+# A renewal is worth passing on only if it extends the note by this many seconds.
+MIN_EXTENSION_S = 0.5
+MAX_LIFE_S = 60.0
+
+
+@attrs.frozen
+class Note:
+    """A fact about a subject.
+
+    Attributes
+    ----------
+    subject : str
+        What it is about.
+    source : str
+        How the fact is known.
+    remaining : float
+        Seconds for which it holds; clocks of machines differ, so that times
+        are not sent.
+    """
+
+    subject: str
+    source: str
+    remaining: float
+
+
+@attrs.define
+class NoteBoard:
+    """Notes that are in force, and how often each is still to be told.
+
+    Parameters
+    ----------
+    on_note : callable
+        Called with subject, source and the local time to which the note holds,
+        whenever that is extended.
+    """
+
+    on_note: Callable[[str, str, float], None]
+    _until: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _tell: dict[tuple[str, str], int] = attrs.field(factory=dict)
+
+    def post(self, note: Note, now: float, members: int) -> bool:
+        """Take in a note; give back whether it told something new.
+
+        Parameters
+        ----------
+        note : Note
+            The note.
+        now : float
+            Local time in seconds.
+        members : int
+            Number of members it has to reach.
+        """
+        key = (note.subject, note.source)
+        until = now + min(note.remaining, MAX_LIFE_S)
+        known = self._until.get(key, 0.0)
+        if until < known + MIN_EXTENSION_S or until <= now:
+            return False
+        self._until[key] = until
+        self._tell[key] = SPREAD_FACTOR * math.ceil(math.log2(members + 2))
+        self.on_note(note.subject, note.source, until)
+        return known <= now
+
+    def to_tell(self, now: float) -> tuple[Note, ...]:
+        """Give the notes for the next message."""
+        chosen = sorted(self._tell, key=self._tell.get, reverse=True)[:MAX_NOTES]
+        told = []
+        for key in chosen:
+            self._tell[key] -= 1
+            if self._tell[key] <= 0:
+                del self._tell[key]
+            remaining = self._until[key] - now
+            if remaining > 0:
+                told.append(Note(*key, remaining))
+        return tuple(told)
+
+    def in_force(self, now: float) -> list[Note]:
+        """List the notes that hold, and drop those that lapsed."""
+        self._until = {key: t for key, t in self._until.items() if t > now}
+        self._tell = {key: n for key, n in self._tell.items() if key in self._until}
+        return [Note(*key, until - now) for key, until in self._until.items()]
--- /dev/null
+++ b/packages/ctl/src/cairnferry/ctl/__init__.py
@@ -0,0 +1,5 @@
+"""The tool of the operators."""
+
+from cairnferry.ctl._api import Api, ApiError, Unreachable
+
+__all__ = ["Api", "ApiError", "Unreachable"]
--- /dev/null
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -0,0 +1,200 @@
+"""What each command does."""
+
+import json
+import sys
+import time
+import uuid
+
+from cairnferry.ctl._api import Api
+from cairnferry.ctl._exits import ExitCode, fail
+from cairnferry.ctl._files import read_records
+from cairnferry.ctl._tables import print_records, print_status
+
+POLL_S = 0.2
+
+
+def load_files(paths: list[str]):
+    """Read record files; on a fault print all of them and exit."""
+    records = read_records(paths)
+    if records.is_error():
+        for fault in records.error:
+            print(f"cairnferry: {fault}", file=sys.stderr)
+        sys.exit(ExitCode.REFUSED)
+    return records.ok
+
+
+def submit(api: Api, paths, change_id, or_replace, as_json) -> None:
+    """Submit new records, as one atomic change."""
+    records = load_files(paths)
+    known = _known_revisions(api, as_json) if or_replace else {}
+    edits = []
+    for record in records:
+        revision = known.get((record.kind, record.name))
+        if revision is None:
+            edits.append({"op": "submit", "record": record.document})
+        else:
+            edits.append(_replace_edit(record, record.revision or revision))
+    _send(api, edits, change_id, as_json)
+
+
+def replace(api: Api, paths, change_id, as_json) -> None:
+    """Replace records, as one atomic change."""
+    records = load_files(paths)
+    known = _known_revisions(api, as_json)
+    edits = []
+    for record in records:
+        revision = record.revision or known.get((record.kind, record.name))
+        if revision is None:
+            print(
+                f"cairnferry: {record.path}: {record.kind}/{record.name} does not "
+                "exist; submit it",
+                file=sys.stderr,
+            )
+            sys.exit(ExitCode.CONFLICT)
+        edits.append(_replace_edit(record, revision))
+    _send(api, edits, change_id, as_json)
+
+
+def withdraw(api: Api, names, change_id, as_json) -> None:
+    """Withdraw records named as kind/name, as one atomic change."""
+    known = _known_revisions(api, as_json)
+    edits = []
+    for text in names:
+        kind, _, name = text.partition("/")
+        revision = known.get((kind, name))
+        if revision is None:
+            print(f"cairnferry: {text} does not exist", file=sys.stderr)
+            sys.exit(ExitCode.CONFLICT)
+        edit = {"op": "withdraw", "kind": kind, "name": name}
+        edits.append({**edit, "expected_revision": revision})
+    _send(api, edits, change_id, as_json)
+
+
+def list_records(api: Api, kind, as_json) -> None:
+    """List the records in force."""
+    path = f"/v1/records?kind={kind}" if kind else "/v1/records"
+    document = _get(api, path, as_json)
+    if as_json:
+        print(json.dumps(document, indent=1))
+    else:
+        print_records(document)
+
+
+def show(api: Api, text, as_json) -> None:
+    """Show one record in the form that `replace` takes."""
+    kind, _, name = text.partition("/")
+    print(json.dumps(_get(api, f"/v1/records/{kind}/{name}", as_json), indent=1))
+
+
+def diff(api: Api, paths, as_json) -> None:
+    """Compare record files with what is in force."""
+    records = load_files(paths)
+    document = _get(api, "/v1/records", as_json)
+    in_force = {(r["kind"], r["name"]): r for r in document["records"]}
+    differences = []
+    for record in records:
+        entry = in_force.get((record.kind, record.name))
+        if entry is None:
+            state = "new"
+        elif entry["record"] == record.document:
+            state = "same"
+        else:
+            state = "different"
+        differences.append({"record": f"{record.kind}/{record.name}", "state": state})
+    if as_json:
+        print(json.dumps(differences, indent=1))
+        return
+    for difference in differences:
+        print(f"{difference['state']:10} {difference['record']}")
+
+
+def change(api: Api, change_id, as_json) -> None:
+    """Say what became of a change."""
+    document = _get(api, f"/v1/changes/{change_id}", as_json)
+    if as_json:
+        print(json.dumps(document, indent=1))
+        return
+    if document["revision"] is None:
+        print(f"{change_id}: not accepted so far")
+    else:
+        print(f"{change_id}: accepted at revision {document['revision']}")
+
+
+def status(api: Api, wait_for, timeout, as_json) -> None:
+    """Show all instances; wait until a revision is in force at each live one."""
+    deadline = time.monotonic() + timeout
+    while True:
+        document = _get(api, "/v1/status", as_json)
+        missing = _missing(document, wait_for)
+        if not missing or time.monotonic() >= deadline:
+            break
+        if not as_json:
+            names = ", ".join(missing)
+            print(f"revision {wait_for} is not yet in force at: {names}")
+        time.sleep(POLL_S)
+    if as_json:
+        print(json.dumps(document, indent=1))
+    else:
+        print_status(document)
+    if missing:
+        sys.exit(ExitCode.UNAVAILABLE)
+
+
+def dump(api: Api) -> None:
+    """Print the state of one daemon."""
+    print(json.dumps(_get(api, "/v1/dump", True), indent=1))
+
+
+def drain(api: Api, as_json) -> None:
+    """Make one daemon leave."""
+    result = api.post("/v1/drain", {})
+    if result.is_error():
+        fail(result.error, None, as_json)
+    print("leaving")
+
+
+def _missing(document, revision):
+    """List the live instances that are not known to have a revision."""
+    if revision is None:
+        return []
+    missing = []
+    if document["revision"] < revision:
+        missing.append(document["instance"])
+    for member in document["members"]:
+        if member["state"] != "alive" or member["name"] == document["instance"]:
+            continue
+        if (member["revision"] or 0) < revision:
+            missing.append(member["name"])
+    return missing
+
+
+def _replace_edit(record, revision):
+    return {
+        "op": "replace",
+        "record": record.document,
+        "expected_revision": revision,
+    }
+
+
+def _known_revisions(api, as_json):
+    document = _get(api, "/v1/records", as_json)
+    return {(r["kind"], r["name"]): r["revision"] for r in document["records"]}
+
+
+def _get(api, path, as_json):
+    result = api.get(path)
+    if result.is_error():
+        fail(result.error, None, as_json)
+    return result.ok
+
+
+def _send(api, edits, change_id, as_json):
+    change_id = change_id or uuid.uuid4().hex
+    result = api.post("/v1/changes", {"change_id": change_id, "edits": edits})
+    if result.is_error():
+        fail(result.error, change_id, as_json)
+    if as_json:
+        print(json.dumps(result.ok, indent=1))
+    else:
+        revision = result.ok["revision"]
+        print(f"accepted at revision {revision} (change {change_id})")
--- /dev/null
+++ b/packages/ctl/src/cairnferry/ctl/_files.py
@@ -0,0 +1,103 @@
+"""Record files: one record, a list of records, or a folder of such files."""
+
+import json
+import pathlib
+
+import attrs
+from expression import Error, Ok, Result
+
+from cairnferry.records import MalformedRecord, parse_record
+
+
+@attrs.frozen
+class FileFault:
+    """A file that cannot be used.
+
+    Attributes
+    ----------
+    path : str
+        The file.
+    reason : str
+        What is wrong with it.
+    """
+
+    path: str
+    reason: str
+
+    def __str__(self):
+        return f"{self.path}: {self.reason}"
+
+
+@attrs.frozen
+class RecordFile:
+    """A record from a file.
+
+    Attributes
+    ----------
+    path : str
+        Where it stands.
+    document : dict
+        The record.
+    kind, name : str
+        Its key.
+    revision : int or None
+        Revision that the file was made from, as `show --json` writes it.
+    """
+
+    path: str
+    document: dict
+    kind: str
+    name: str
+    revision: int | None
+
+
+def read_records(paths: list[str]) -> Result[list[RecordFile], list[FileFault]]:
+    """Read and check all records, and give them or every fault."""
+    records = []
+    faults = []
+    for path in _expand(paths):
+        _read_file(path, records, faults)
+    if not records and not faults:
+        faults.append(FileFault(", ".join(paths) or "-", "no record files"))
+    return Error(faults) if faults else Ok(records)
+
+
+def _expand(paths):
+    for path in map(pathlib.Path, paths):
+        if path.is_dir():
+            yield from sorted(path.rglob("*.json"))
+        else:
+            yield path
+
+
+def _read_file(path, records, faults):
+    try:
+        document = json.loads(path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        faults.append(FileFault(str(path), f"cannot be read: {exc.strerror}"))
+        return
+    except ValueError as exc:
+        faults.append(FileFault(str(path), f"is not JSON: {exc}"))
+        return
+    entries = document if isinstance(document, list) else [document]
+    for entry in entries:
+        _read_entry(str(path), entry, records, faults)
+
+
+def _read_entry(path, entry, records, faults):
+    revision = None
+    if isinstance(entry, dict) and isinstance(entry.get("record"), dict):
+        revision = entry.get("revision")
+        entry = entry["record"]
+    parsed = parse_record(entry)
+    if parsed.is_error():
+        faults.append(FileFault(path, _described(parsed.error)))
+        return
+    key = parsed.ok.key
+    records.append(RecordFile(path, entry, str(key.kind), key.name, revision))
+
+
+def _described(error):
+    if isinstance(error, MalformedRecord):
+        return f"{error.record}: field {error.field}: {error.expected}"
+    return str(error)
--- /dev/null
+++ b/packages/ctl/src/cairnferry/ctl/_tables.py
@@ -0,0 +1,53 @@
+"""Tables for people."""
+
+from rich.console import Console
+from rich.table import Table
+
+WIDTH = 110
+
+
+def print_records(document: dict) -> None:
+    """Print the records in force."""
+    table = _table("kind", "name", "revision", "schema")
+    for record in document["records"]:
+        table.add_row(
+            record["kind"],
+            record["name"],
+            str(record["revision"]),
+            str(record["schema"]),
+        )
+    _print(table)
+    print(f"revision {document['revision']}")
+
+
+def print_status(document: dict) -> None:
+    """Print all instances as one of them sees them."""
+    table = _table("instance", "zone", "state", "revision", "callers")
+    for member in document["members"]:
+        revision = member["revision"]
+        if member["name"] == document["instance"]:
+            revision = document["revision"]
+        table.add_row(
+            member["name"],
+            member["zone"],
+            member["state"],
+            "?" if revision is None else str(revision),
+            member["callers"],
+        )
+    _print(table)
+    age = document["confirmed_head_age_s"]
+    shown = "never" if age is None else f"{age:.1f} s ago"
+    print(f"seen by {document['instance']}; head confirmed {shown}")
+    if document["behind"]:
+        print(f"this instance is behind: {document['behind']}")
+
+
+def _table(*columns):
+    table = Table(box=None, pad_edge=False)
+    for column in columns:
+        table.add_column(column)
+    return table
+
+
+def _print(table):
+    Console(width=WIDTH, highlight=False).print(table)
--- /dev/null
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -0,0 +1,235 @@
+"""Command line of the tool."""
+
+import sys
+import typing
+
+import attrs
+import cappa
+
+from cairnferry.ctl import _commands
+from cairnferry.ctl._api import Api
+from cairnferry.ctl._exits import ExitCode
+from cairnferry.settings import parse_address
+from cairnferry.wire import Client
+
+SERVER_VARIABLE = "CAIRNFERRY_SERVER"
+TOKEN_VARIABLE = "CAIRNFERRY_TOKEN_FILE"
+DEFAULT_TIMEOUT_S = 30.0
+
+_Json = typing.Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
+_ChangeId = typing.Annotated[
+    str | None,
+    cappa.Arg(long="--change-id", help="ID of the change; made up if left out"),
+]
+_Paths = typing.Annotated[
+    list[str], cappa.Arg(help="record files, or folders of them", required=True)
+]
+
+
+@cappa.command(name="submit", help="Submit new records as one atomic change.")
+@attrs.define
+class Submit:
+    """Arguments of `submit`."""
+
+    paths: _Paths
+    or_replace: typing.Annotated[
+        bool, cappa.Arg(long="--or-replace", help="replace those that exist")
+    ] = False
+    change_id: _ChangeId = None
+    json: _Json = False
+
+
+@cappa.command(name="replace", help="Replace records as one atomic change.")
+@attrs.define
+class Replace:
+    """Arguments of `replace`."""
+
+    paths: _Paths
+    change_id: _ChangeId = None
+    json: _Json = False
+
+
+@cappa.command(name="withdraw", help="Withdraw records as one atomic change.")
+@attrs.define
+class Withdraw:
+    """Arguments of `withdraw`."""
+
+    names: typing.Annotated[list[str], cappa.Arg(help="kind/name", required=True)]
+    change_id: _ChangeId = None
+    json: _Json = False
+
+
+@cappa.command(name="list", help="List the records in force.")
+@attrs.define
+class ListRecords:
+    """Arguments of `list`."""
+
+    kind: typing.Annotated[
+        str | None, cappa.Arg(long="--kind", help="service, target or route")
+    ] = None
+    json: _Json = False
+
+
+@cappa.command(name="show", help="Show one record.")
+@attrs.define
+class Show:
+    """Arguments of `show`."""
+
+    name: typing.Annotated[str, cappa.Arg(help="kind/name")]
+    json: _Json = False
+
+
+@cappa.command(name="diff", help="Compare record files with what is in force.")
+@attrs.define
+class Diff:
+    """Arguments of `diff`."""
+
+    paths: _Paths
+    json: _Json = False
+
+
+@cappa.command(name="check", help="Check record files without a daemon.")
+@attrs.define
+class Check:
+    """Arguments of `check`."""
+
+    paths: _Paths
+
+
+@cappa.command(name="change", help="Say what became of a change.")
+@attrs.define
+class Change:
+    """Arguments of `change`."""
+
+    change_id: typing.Annotated[str, cappa.Arg(help="ID of the change")]
+    json: _Json = False
+
+
+@cappa.command(name="status", help="Show all instances.")
+@attrs.define
+class Status:
+    """Arguments of `status`."""
+
+    wait: typing.Annotated[
+        int | None,
+        cappa.Arg(long="--wait", help="wait until this revision is in force"),
+    ] = None
+    timeout: typing.Annotated[
+        float, cappa.Arg(long="--timeout", help="seconds to wait at most")
+    ] = DEFAULT_TIMEOUT_S
+    json: _Json = False
+
+
+@cappa.command(name="dump", help="Print the state of one daemon as JSON.")
+@attrs.define
+class Dump:
+    """Arguments of `dump`."""
+
+
+@cappa.command(name="drain", help="Make one daemon leave.")
+@attrs.define
+class Drain:
+    """Arguments of `drain`."""
+
+    json: _Json = False
+
+
+_Subcommand = (
+    Submit
+    | Replace
+    | Withdraw
+    | ListRecords
+    | Show
+    | Diff
+    | Check
+    | Change
+    | Status
+    | Dump
+    | Drain
+)
+
+
+@cappa.command(name="cairnferry", help="Tool of the operators.")
+@attrs.define
+class Cairnferry:
+    """Arguments before the command."""
+
+    command: cappa.Subcommands[_Subcommand]
+    server: typing.Annotated[
+        str,
+        cappa.Arg(
+            long="--server",
+            default=cappa.Env(SERVER_VARIABLE, default=""),
+            help=f"IP:port of a daemon's operators' listener ({SERVER_VARIABLE})",
+        ),
+    ] = ""
+    token_file: typing.Annotated[
+        str,
+        cappa.Arg(
+            long="--token-file",
+            default=cappa.Env(TOKEN_VARIABLE, default=""),
+            help=f"file that holds the token ({TOKEN_VARIABLE})",
+        ),
+    ] = ""
+
+
+def main() -> None:
+    """Run the command line."""
+    args = cappa.parse(Cairnferry)
+    match args.command:
+        case Check(paths):
+            records = _commands.load_files(paths)
+            print(f"{len(records)} records are good")
+        case command:
+            _run(command, _api(args))
+
+
+def _run(command, api):
+    match command:
+        case Submit(paths, or_replace, change_id, as_json):
+            _commands.submit(api, paths, change_id, or_replace, as_json)
+        case Replace(paths, change_id, as_json):
+            _commands.replace(api, paths, change_id, as_json)
+        case Withdraw(names, change_id, as_json):
+            _commands.withdraw(api, names, change_id, as_json)
+        case ListRecords(kind, as_json):
+            _commands.list_records(api, kind, as_json)
+        case Show(name, as_json):
+            _commands.show(api, name, as_json)
+        case Diff(paths, as_json):
+            _commands.diff(api, paths, as_json)
+        case Change(change_id, as_json):
+            _commands.change(api, change_id, as_json)
+        case Status(wait, timeout, as_json):
+            _commands.status(api, wait, timeout, as_json)
+        case Dump():
+            _commands.dump(api)
+        case Drain(as_json):
+            _commands.drain(api, as_json)
+
+
+def _api(args):
+    try:
+        address = parse_address(args.server)
+    except ValueError:
+        _usage(f"--server: expected IP:port, not {args.server!r}")
+    return Api(Client(address.host, address.port), _token(args.token_file))
+
+
+def _token(path):
+    if not path:
+        return None
+    try:
+        with open(path, encoding="ascii") as file:
+            return file.readline().strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        _usage(f"--token-file: {path}: {type(exc).__name__}")
+
+
+def _usage(message):
+    print(f"cairnferry: {message}", file=sys.stderr)
+    sys.exit(ExitCode.USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_answers.py
@@ -0,0 +1,172 @@
+"""Answers that the system makes itself.
+
+The body is problem details (RFC 9457), Proxy-Status (RFC 9209) names the cause,
+Retry-After (RFC 9110) says when to come back. Cairnferry-Outcome says what is
+known of the request: no published header does.
+"""
+
+import enum
+import json
+
+import attrs
+
+from cairnferry.policy import Cause
+
+OUTCOME_HEADER = "Cairnferry-Outcome"
+PROBLEM_TYPE = "application/problem+json"
+PROXY_NAME = "cairnferry"
+
+
+class RequestOutcome(enum.StrEnum):
+    """What is known of a request that got no answer of a target."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Problem(enum.Enum):
+    """Faults that are found before a service is chosen.
+
+    Values are the HTTP status, its phrase, the name of the fault, the error
+    type of Proxy-Status and the seconds of Retry-After.
+    """
+
+    MALFORMED = (400, "Bad Request", "malformed", "http_request_error", None)
+    AMBIGUOUS_FRAMING = (
+        400,
+        "Bad Request",
+        "ambiguous-framing",
+        "http_request_error",
+        None,
+    )
+    HEAD_TOO_LARGE = (
+        431,
+        "Request Header Fields Too Large",
+        "head-too-large",
+        "http_request_error",
+        None,
+    )
+    BODY_TOO_LARGE = (
+        413,
+        "Content Too Large",
+        "body-too-large",
+        "http_request_error",
+        None,
+    )
+    BODY_INCOMPLETE = (
+        400,
+        "Bad Request",
+        "body-incomplete",
+        "http_request_error",
+        None,
+    )
+    SLOW_SENDER = (
+        408,
+        "Request Timeout",
+        "slow-sender",
+        "http_request_error",
+        1,
+    )
+    BAD_DEADLINE = (400, "Bad Request", "bad-deadline", "http_request_error", None)
+    NO_ROUTE = (404, "Not Found", "no-route", "destination_not_found", None)
+    NOT_READY = (
+        503,
+        "Service Unavailable",
+        "not-ready",
+        "destination_unavailable",
+        1,
+    )
+    TOO_MANY_CONNECTIONS = (
+        503,
+        "Service Unavailable",
+        "too-many-connections",
+        "connection_limit_reached",
+        1,
+    )
+
+    @property
+    def status_line(self) -> str:
+        """Status and phrase."""
+        return f"{self.value[0]} {self.value[1]}"
+
+
+@attrs.frozen
+class Answer:
+    """An answer for a caller.
+
+    Attributes
+    ----------
+    status : str
+        Status and phrase.
+    headers : list of (str, str)
+        Without Content-Length.
+    body : bytes
+        Whole body.
+    """
+
+    status: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+_NOT_RUN_CAUSES = {
+    Cause.DEADLINE: "http_response_timeout",
+    Cause.OVERLOAD: "connection_limit_reached",
+    Cause.NO_TARGET: "destination_unavailable",
+    Cause.RETRIES_EXHAUSTED: "destination_unavailable",
+    Cause.TARGET_LOST: "destination_unavailable",
+    Cause.CALLER_GONE: "http_request_error",
+}
+
+_UNKNOWN_CAUSES = {
+    Cause.DEADLINE: ("504 Gateway Timeout", "http_response_timeout"),
+}
+_UNKNOWN_DEFAULT = ("502 Bad Gateway", "http_response_incomplete")
+
+
+def not_run(cause: Cause, retry_after: float) -> Answer:
+    """Tell that the request was not run anywhere."""
+    error = _NOT_RUN_CAUSES[cause]
+    status = "503 Service Unavailable"
+    return _own(status, str(cause), error, RequestOutcome.NOT_RUN, retry_after)
+
+
+def unknown(cause: Cause, retry_after: float) -> Answer:
+    """Tell that it is unknown whether the request ran."""
+    status, error = _UNKNOWN_CAUSES.get(cause, _UNKNOWN_DEFAULT)
+    return _own(status, str(cause), error, RequestOutcome.UNKNOWN, retry_after)
+
+
+def problem_answer(problem: Problem) -> Answer:
+    """Tell of a fault found before a service was chosen: not run."""
+    _, _, name, error, retry_after = problem.value
+    return _own(problem.status_line, name, error, RequestOutcome.NOT_RUN, retry_after)
+
+
+def _own(status, cause, error, outcome, retry_after):
+    document = {
+        "type": f"urn:cairnferry:problem:{cause}",
+        "title": status[4:],
+        "status": int(status[:3]),
+        "cause": cause,
+        "outcome": str(outcome),
+    }
+    headers = [
+        ("Content-Type", PROBLEM_TYPE),
+        (OUTCOME_HEADER, str(outcome)),
+        ("Proxy-Status", f"{PROXY_NAME}; error={error}"),
+    ]
+    if retry_after is not None:
+        seconds = max(1, round(retry_after))
+        document["retry_after_s"] = seconds
+        headers.append(("Retry-After", str(seconds)))
+    return Answer(status, headers, json.dumps(document).encode())
+
+
+def encode_raw(problem: Problem) -> bytes:
+    """Encode a whole answer that ends its connection."""
+    answer = problem_answer(problem)
+    lines = [f"HTTP/1.1 {answer.status}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    lines += [f"Content-Length: {len(answer.body)}", "Connection: close"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + answer.body
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -0,0 +1,180 @@
+"""WSGI application for callers: steering answers and forwarded requests."""
+
+import json
+import logging
+import time
+import urllib.parse
+
+import attrs
+
+from cairnferry.entry._answers import Answer, Problem, problem_answer
+from cairnferry.entry._caller_watch import CallerGone, CallerWatch
+from cairnferry.entry._forward import Forwarder
+from cairnferry.entry._headers import BadDeadline, RequestHead, read_request_head
+from cairnferry.entry._http_server import HANDLER_KEY, BadRequest, Handler
+from cairnferry.entry._logs import RateLimit
+from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._services import Services
+from cairnferry.entry._steering import Steering
+from cairnferry.entry._upstreams import OutboundRequest
+from cairnferry.policy import Call, GiveUp, Relay
+from cairnferry.records import Priority, Route
+from cairnferry.wire import HeaderInvalid
+
+STEERING_PATH = "/.well-known/cairnferry/entries"
+MS_PER_S = 1000
+GONE = "499 Caller Gone"
+
+log = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class BodyLimits:
+    """Limits of request bodies.
+
+    Attributes
+    ----------
+    size : int
+        Bytes.
+    seconds : float
+        Time for a body to arrive.
+    """
+
+    size: int
+    seconds: float
+
+
+@attrs.define
+class CallersApp:
+    """Serves callers.
+
+    Parameters
+    ----------
+    services : Services
+        Routes and policies.
+    forwarder : Forwarder
+        Brings requests to targets.
+    steering : Steering
+        Says which entry instances to use.
+    metrics : Metrics
+        Counts.
+    limits : BodyLimits
+        Limits of bodies.
+    """
+
+    services: Services
+    forwarder: Forwarder
+    steering: Steering
+    metrics: Metrics
+    limits: BodyLimits
+    _log_limit: RateLimit = attrs.field(factory=RateLimit)
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        handler = environ[HANDLER_KEY]
+        try:
+            answer = self._answer(handler)
+        except BadRequest as exc:
+            answer = self._problem(exc.problem)
+        except CallerGone:
+            self.metrics.note_cause("caller-gone")
+            handler.close_connection = True
+            start_response(GONE, [])
+            return []
+        return _write(handler, answer, start_response)
+
+    def _answer(self, handler):
+        arrived = time.monotonic()
+        path = handler.path
+        if path.startswith(STEERING_PATH):
+            return self.steering_answer(path)
+        if not path.startswith("/"):
+            raise BadRequest(Problem.MALFORMED)
+        if self.services.records.revision == 0:
+            raise BadRequest(Problem.NOT_READY)
+        route = self.services.route(path)
+        runtime = route and self.services.runtime(route.service)
+        if runtime is None:
+            raise BadRequest(Problem.NO_ROUTE)
+        return self._forward(handler, route, runtime, arrived)
+
+    def _forward(self, handler: Handler, route: Route, runtime, arrived):
+        try:
+            head = read_request_head(handler.header_pairs())
+        except BadDeadline as exc:
+            raise BadRequest(Problem.BAD_DEADLINE) from exc
+        body = handler.read_body(self.limits.size, self.limits.seconds)
+        headers = [*head.forwarded, ("Via", head.via)]
+        req = OutboundRequest(handler.command, handler.path, headers, body)
+        call = _call(handler.command, route, head, runtime.policy.service, arrived)
+        try:
+            with CallerWatch(handler.socket):
+                forwarded = self.forwarder.forward(req, call, runtime)
+        except HeaderInvalid as exc:
+            raise BadRequest(Problem.MALFORMED) from exc
+        self._note(route.service, call, forwarded)
+        return forwarded.answer
+
+    def _note(self, service, call, forwarded):
+        elapsed = time.monotonic() - call.arrived
+        decision = forwarded.decision
+        if isinstance(decision, Relay):
+            self.metrics.note_answer(service, "relayed", elapsed)
+            return
+        outcome = "unknown" if isinstance(decision, GiveUp) else "not-run"
+        self.metrics.note_answer(service, outcome, elapsed)
+        self.metrics.note_cause(str(decision.cause))
+        if self._log_limit.allows():
+            log.warning(
+                "request given up",
+                extra={
+                    "service": service,
+                    "outcome": outcome,
+                    "cause": str(decision.cause),
+                    "attempts": [a.target_name for a in call.attempts],
+                    "after_ms": round(elapsed * MS_PER_S, 1),
+                    "left_out": self._log_limit.take_left_out(),
+                },
+            )
+
+    def steering_answer(self, path: str) -> Answer:
+        """Say which entry instances to use for a service."""
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(path).query)
+        service = query.get("service", [""])[0]
+        zone = query.get("zone", [None])[0]
+        document = self.steering.answer(service, zone)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Cache-Control", f"max-age={int(document['ttl_ms'] // MS_PER_S)}"),
+        ]
+        return Answer("200 OK", headers, json.dumps(document).encode())
+
+    def _problem(self, problem):
+        answer = problem_answer(problem)
+        self.metrics.note_cause(problem.value[2])
+        return answer
+
+
+def _call(method, route, head: RequestHead, service, arrived):
+    timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
+    priority = route.priority
+    if head.priority is Priority.BACKGROUND:
+        priority = Priority.BACKGROUND
+    return Call(
+        arrived=arrived,
+        deadline=arrived + timeout_ms / MS_PER_S,
+        idempotent=method in route.idempotent_methods,
+        priority=priority,
+        may_retry=not head.is_repeated,
+    )
+
+
+def _write(handler, answer, start_response):
+    headers = list(answer.headers)
+    has_body = answer.status[:3] not in ("204", "304")
+    if has_body and not (handler.command == "HEAD" and not answer.body):
+        headers.append(("Content-Length", str(len(answer.body))))
+    start_response(answer.status, headers)
+    if handler.command == "HEAD" or not has_body:
+        return []
+    return [answer.body]
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_cluster.py
@@ -0,0 +1,218 @@
+"""View of all daemons that one of them has: membership, and how each fares."""
+
+import random
+import time
+
+import attrs
+
+from cairnferry.coordination import (
+    HeadConfirmation,
+    Member,
+    Membership,
+    MemberState,
+    Note,
+    NoteBoard,
+)
+from cairnferry.entry._configuration import Configuration
+from cairnferry.peers import Heartbeat
+
+# A daemon whose last confirmed head is older than this may miss accepted
+# changes; callers are steered to others.
+STALE_HEAD_S = 10.0
+FULL_SPARE = 1000
+STEER_AWAY = -1
+
+
+@attrs.define
+class PeerHealth:
+    """What a peer last said of itself.
+
+    Attributes
+    ----------
+    revision : int
+        Revision in force there.
+    spare : int
+        Thousandths of its capacity that are free.
+    confirmed_at : float
+        Local time in seconds to which its head was confirmed.
+    """
+
+    revision: int
+    spare: int
+    confirmed_at: float
+
+
+@attrs.frozen
+class Listed:
+    """What the platform's list says of a daemon.
+
+    Attributes
+    ----------
+    zone : str
+        Availability zone.
+    leaving : bool
+        Whether its instance is about to be taken away.
+    """
+
+    zone: str
+    leaving: bool
+
+
+@attrs.define
+class Cluster:
+    """Membership, the age of the head, and notes on targets.
+
+    Parameters
+    ----------
+    membership : Membership
+        Who is there.
+    configuration : Configuration
+        Records in force here.
+    notes : NoteBoard
+        Notes on targets.
+    spare : callable
+        Gives the share of the own capacity that is free, 0 to 1.
+    """
+
+    membership: Membership
+    configuration: Configuration
+    notes: NoteBoard
+    spare: object
+    confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
+    listed: dict[str, Listed] = attrs.field(factory=dict)
+    _health: dict[str, PeerHealth] = attrs.field(factory=dict)
+
+    def heartbeat(self) -> Heartbeat:
+        """Give what this daemon tells others now."""
+        now = time.monotonic()
+        return Heartbeat(
+            sender=self.membership.me,
+            revision=self.configuration.revision,
+            confirmed_age=self.confirmation.age(now),
+            spare=self._own_spare(now),
+            news=tuple(self.membership.news()),
+            notes=self.notes.to_tell(now),
+        )
+
+    def _own_spare(self, now):
+        """Give the free thousandths; STEER_AWAY if callers shall go elsewhere."""
+        if not self.is_sound(now):
+            return STEER_AWAY
+        return int(self.spare() * FULL_SPARE)
+
+    def take_in(self, theirs: Heartbeat) -> bool:
+        """Learn from a heartbeat; give back whether there is news to pass on."""
+        now = time.monotonic()
+        fresh = self.membership.merge(theirs.sender, now)
+        for member in theirs.news:
+            fresh = self.membership.merge(member, now) or fresh
+        for note in theirs.notes:
+            fresh = self.post(note) or fresh
+        confirmed_at = now - theirs.confirmed_age
+        health = PeerHealth(theirs.revision, theirs.spare, confirmed_at)
+        self._health[theirs.sender.name] = health
+        if theirs.revision == self.configuration.revision:
+            self.confirmation.confirm(now, theirs.confirmed_age)
+        return fresh
+
+    def post(self, note: Note) -> bool:
+        """Take in a note on a target; give back whether it was new."""
+        members = len(self.membership.others())
+        return self.notes.post(note, time.monotonic(), members)
+
+    def is_sound(self, now: float) -> bool:
+        """Tell whether callers may be sent to this daemon."""
+        config = self.configuration
+        if self.membership.me.state is not MemberState.ALIVE:
+            return False
+        return config.revision > 0 and not config.behind and not self._is_cut_off(now)
+
+    def _is_cut_off(self, now):
+        """Tell whether others know a younger head than this daemon.
+
+        While nobody reaches the table nothing can be accepted, so that an old
+        head is no fault of one daemon.
+        """
+        own_age = self.confirmation.age(now)
+        if own_age < STALE_HEAD_S:
+            return False
+        ages = [now - health.confirmed_at for health in self._health.values()]
+        reached = any(age < STALE_HEAD_S for age in ages)
+        return reached or not self._has_peers()
+
+    def _has_peers(self):
+        return any(m.name != self.membership.me.name for m in self.membership.live())
+
+    def usable(self, now: float) -> list[Member]:
+        """List the members to which callers may be sent.
+
+        If there is none, this daemon is better than no answer.
+        """
+        usable = [m for m in self.membership.live() if self._is_usable(m, now)]
+        return usable or [self.membership.me]
+
+    def _is_usable(self, member, now):
+        if member.name == self.membership.me.name:
+            return self.is_sound(now)
+        listed = self.listed.get(member.name)
+        if listed is not None and listed.leaving:
+            return False
+        health = self._health.get(member.name)
+        if health is None:
+            return True
+        return health.spare != STEER_AWAY
+
+    def spare_of(self, name: str) -> int:
+        """Give the thousandths of a member's capacity that are free."""
+        if name == self.membership.me.name:
+            return int(self.spare() * FULL_SPARE)
+        health = self._health.get(name)
+        return max(0, health.spare) if health else FULL_SPARE
+
+    def snapshot(self) -> dict:
+        """Give the state for a dump, as plain values."""
+        now = time.monotonic()
+        age = self.confirmation.age(now)
+        members = [self.membership.me, *self.membership.others()]
+        return {
+            "sound": self.is_sound(now),
+            "confirmed_head_age_s": None if age == float("inf") else round(age, 3),
+            "members": [self._member_snapshot(m) for m in members],
+            "notes": [
+                {
+                    "target": note.subject,
+                    "source": note.source,
+                    "remaining_s": round(note.remaining, 1),
+                }
+                for note in self.notes.in_force(now)
+            ],
+        }
+
+    def _member_snapshot(self, member):
+        health = self._health.get(member.name)
+        return {
+            "name": member.name,
+            "zone": member.zone,
+            "state": member.state.name.lower(),
+            "incarnation": member.incarnation,
+            "callers": member.caller_address,
+            "peers": member.peer_address,
+            "revision": health.revision if health else None,
+        }
+
+
+def new_membership(name, zone, peer_address, caller_address) -> Membership:
+    """Start the membership of this daemon.
+
+    The incarnation is the time of the start, so that it is higher than that of
+    an earlier process of the same name.
+    """
+    me = Member(
+        name=name,
+        zone=zone,
+        peer_address=peer_address,
+        caller_address=caller_address,
+        incarnation=time.time_ns() // 1_000_000,
+        state=MemberState.ALIVE,
+    )
+    return Membership(me, random.Random())
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_forward.py
@@ -0,0 +1,181 @@
+"""One request from a caller, through the policy, to targets and back."""
+
+import time
+from http.client import responses
+
+import attrs
+import gevent
+from gevent.queue import Empty, SimpleQueue
+
+from cairnferry.entry._answers import Answer, not_run, unknown
+from cairnferry.entry._exchange_result import classify
+from cairnferry.entry._headers import answer_headers
+from cairnferry.entry._runtime import ServiceRuntime
+from cairnferry.entry._upstreams import OutboundRequest, Upstreams
+from cairnferry.policy import (
+    Abandoned,
+    Attempt,
+    Call,
+    Decision,
+    GiveUp,
+    Refuse,
+    Relay,
+    Send,
+    Wait,
+)
+from cairnferry.wire import Outcome, Reply
+
+
+@attrs.frozen
+class Forwarded:
+    """What became of a request.
+
+    Attributes
+    ----------
+    answer : Answer
+        For the caller.
+    decision : Relay, Refuse or GiveUp
+        How it ended.
+    """
+
+    answer: Answer
+    decision: Relay | Refuse | GiveUp
+
+
+@attrs.define
+class Forwarder:
+    """Does what the policy decides.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        Connections to targets.
+    """
+
+    upstreams: Upstreams
+
+    def forward(
+        self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
+    ) -> Forwarded:
+        """Bring a request to its end.
+
+        Any exception, such as the caller's departure, gives up what is left of
+        the request: attempts in flight are cut and their connections closed.
+        """
+        decision = runtime.arrive(call)
+        reply = None
+        try:
+            while True:
+                match decision:
+                    case Send(attempt):
+                        decision, reply = self._attempt(req, attempt, runtime)
+                    case Wait():
+                        decision = runtime.wait(call)
+                    case Relay():
+                        return Forwarded(_relayed(reply), decision)
+                    case Refuse(cause, retry_after):
+                        return Forwarded(not_run(cause, retry_after), decision)
+                    case GiveUp(cause, retry_after):
+                        return Forwarded(unknown(cause, retry_after), decision)
+        except BaseException:
+            runtime.abandon(call)
+            raise
+
+    def _attempt(self, req, attempt, runtime):
+        call = attempt.call
+        delay = runtime.policy.hedge_delay() if call.idempotent else None
+        if delay is None or not call.may_retry:
+            return self._single(req, attempt, runtime)
+        return _Race(self, req, runtime).run(attempt, delay)
+
+    def _single(self, req, attempt, runtime):
+        try:
+            outcome = self.upstreams.send(req, attempt)
+        except BaseException:
+            runtime.cancelled(attempt)
+            raise
+        return self.conclude(attempt, outcome, runtime)
+
+    def conclude(
+        self, attempt: Attempt, outcome: Outcome, runtime: ServiceRuntime
+    ) -> tuple[Decision, Reply | None]:
+        """Tell the policy of an attempt's end; give its decision and the reply."""
+        result = classify(outcome, attempt.refusal)
+        reply = outcome if isinstance(outcome, Reply) else None
+        return runtime.finished(attempt, result), reply
+
+
+@attrs.define
+class _Race:
+    """Attempts of one idempotent request, the later ones sent early.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Concludes the attempts.
+    req : OutboundRequest
+        The request.
+    runtime : ServiceRuntime
+        The service.
+    """
+
+    forwarder: Forwarder
+    req: OutboundRequest
+    runtime: ServiceRuntime
+    _results: SimpleQueue = attrs.field(factory=SimpleQueue)
+    _running: dict[Attempt, gevent.Greenlet] = attrs.field(factory=dict)
+
+    def run(self, first, delay):
+        """Run until something is decided; give the decision and the reply."""
+        try:
+            self._start(first)
+            timeout = delay
+            while True:
+                try:
+                    attempt, outcome = self._results.get(timeout=timeout)
+                except Empty:
+                    timeout = None
+                    self._hedge(first.call)
+                    continue
+                del self._running[attempt]
+                if isinstance(outcome, BaseException):
+                    self.runtime.cancelled(attempt)
+                    raise outcome
+                decision, reply = self.forwarder.conclude(
+                    attempt, outcome, self.runtime
+                )
+                if not isinstance(decision, Abandoned):
+                    return decision, reply
+        finally:
+            self._cut_losers()
+
+    def _start(self, attempt):
+        self._running[attempt] = gevent.spawn(self._send, attempt)
+
+    def _send(self, attempt):
+        try:
+            outcome = self.forwarder.upstreams.send(self.req, attempt)
+        except Exception as exc:
+            outcome = exc
+        self._results.put((attempt, outcome))
+
+    def _hedge(self, call):
+        decision = self.runtime.policy.hedge(call, time.monotonic())
+        if decision is not None:
+            self._start(decision.attempt)
+
+    def _cut_losers(self):
+        """Cut what still runs.
+
+        An answer that comes after its request was given up must find its
+        connection closed, or it would be taken for the next request's.
+        """
+        for attempt, greenlet in self._running.items():
+            greenlet.kill(block=False)
+            self.runtime.cancelled(attempt)
+
+
+def _relayed(reply):
+    phrase = responses.get(reply.status, "Status")
+    headers = answer_headers(reply.headers)
+    return Answer(f"{reply.status} {phrase}", headers, reply.body)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -0,0 +1,249 @@
+"""HTTP listener on gevent's WSGI server, with limits and strict framing."""
+
+import logging
+import re
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer, headers_factory
+
+from cairnferry.entry._answers import Problem, encode_raw
+from cairnferry.wire import is_quiet, set_no_delay
+
+MAX_HEAD_BYTES = 32 * 1024
+HANDLER_KEY = "cairnferry.handler"
+_LENGTH = re.compile(r"^[0-9]{1,15}\Z")
+
+log = logging.getLogger(__name__)
+
+
+class BadRequest(ValueError):
+    """A request whose framing is ambiguous, or whose head is too large.
+
+    Parameters
+    ----------
+    problem : Problem
+        What to tell the caller.
+    """
+
+    def __init__(self, problem):
+        super().__init__(problem)
+        self.problem = problem
+
+
+class _HeadReader:
+    """Reader of header lines that stops at a total size."""
+
+    def __init__(self, rfile):
+        self._rfile = rfile
+        self._left = MAX_HEAD_BYTES
+
+    def readline(self, limit=-1):
+        line = self._rfile.readline(limit)
+        self._left -= len(line)
+        if self._left < 0:
+            raise BadRequest(Problem.HEAD_TOO_LARGE)
+        if line[:1] in (b" ", b"\t"):
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        return line
+
+
+class Handler(WSGIHandler):
+    """Handler of one connection."""
+
+    busy = False
+
+    def MessageClass(self, *args):  # noqa: N802 - the library's name
+        """Parse the header lines and refuse ambiguous framing.
+
+        Notes
+        -----
+        Two lengths, or a length beside chunks, are read in one way here and
+        perhaps in another at the target. The rest of one request would be taken
+        for the next one, of another caller.
+        """
+        message = headers_factory(_HeadReader(self.rfile))
+        if message.defects:
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        lengths = message.get_all("content-length", [])
+        codings = message.get_all("transfer-encoding", [])
+        if len(lengths) > 1 or (lengths and codings):
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        if lengths and not _LENGTH.match(lengths[0]):
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        if codings and [coding.lower() for coding in codings] != ["chunked"]:
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        return message
+
+    def read_requestline(self):
+        """Wait for the next request, at most for the idle time."""
+        self.busy = False
+        self.socket.settimeout(self.server.limits.idle_s)
+        line = super().read_requestline()
+        self.busy = True
+        return line
+
+    def read_request(self, raw_requestline):
+        """Read the head, within its time."""
+        with gevent.Timeout(self.server.limits.head_s, BadRequest(Problem.SLOW_SENDER)):
+            good = super().read_request(raw_requestline)
+        if self.request_version not in ("HTTP/1.1", "HTTP/1.0"):
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
+        if self.server.closing:
+            self.close_connection = True
+        return good
+
+    def get_environ(self):
+        """Add the handler itself, for the raw path and headers."""
+        environ = super().get_environ()
+        environ[HANDLER_KEY] = self
+        return environ
+
+    def header_pairs(self):
+        """Give the request's headers as received, in order."""
+        return self.headers.items()
+
+    def read_body(self, limit: int, seconds: float) -> bytes:
+        """Read the whole request body.
+
+        Raises
+        ------
+        BadRequest
+            If it is longer than `limit` bytes or takes longer than `seconds`.
+        """
+        if not self.content_length and not self.headers.get("transfer-encoding"):
+            return b""
+        if self.content_length and self.content_length > limit:
+            self._leave_body()
+            raise BadRequest(Problem.BODY_TOO_LARGE)
+        try:
+            with gevent.Timeout(seconds, BadRequest(Problem.SLOW_SENDER)):
+                body = self.wsgi_input.read(limit + 1)
+        except BadRequest:
+            self._leave_body()
+            raise
+        except OSError as exc:
+            self._leave_body()
+            raise BadRequest(Problem.BODY_INCOMPLETE) from exc
+        if len(body) > limit:
+            self._leave_body()
+            raise BadRequest(Problem.BODY_TOO_LARGE)
+        return body
+
+    def _leave_body(self):
+        """Close after the answer instead of reading a body that is not wanted."""
+        self.close_connection = True
+        self.wsgi_input = Input(self.rfile, 0)
+
+    def finalize_headers(self):
+        """Tell the caller when the connection ends with this answer."""
+        if self.server.closing:
+            self.close_connection = True
+        super().finalize_headers()
+        if self.close_connection and self.request_version == "HTTP/1.1":
+            self.response_headers.append((b"Connection", b"close"))
+
+    def _handle_client_error(self, ex):
+        problem = Problem.MALFORMED
+        if isinstance(ex, BadRequest):
+            problem = ex.problem
+        return problem.status_line, encode_raw(problem)
+
+    def log_request(self):
+        """Leave it out: decisions are logged where they are made."""
+
+
+class HttpServer(WSGIServer):
+    """Listener whose connections are counted, bounded and closed in order.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where to listen.
+    application : callable
+        WSGI application.
+    limits : Limits
+        Limits of connections.
+    """
+
+    handler_class = Handler
+
+    def __init__(self, address, application, limits):
+        super().__init__(
+            address,
+            application,
+            spawn=Pool(),
+            log=None,
+            error_log=log,
+            handler_class=Handler,
+            environ={"SERVER_NAME": address[0]},
+        )
+        self.limits = limits
+        self.closing = False
+        self.refused_connections = 0
+        self._handlers = set()
+
+    def handle(self, sock, address):
+        """Serve one connection."""
+        set_no_delay(sock)
+        if len(self._handlers) >= self.limits.max_connections:
+            self._refuse(sock)
+            return
+        handler = self.handler_class(sock, address, self)
+        self._handlers.add(handler)
+        try:
+            handler.handle()
+        finally:
+            self._handlers.discard(handler)
+
+    def _refuse(self, sock):
+        # Left in the backlog the caller would wait and learn nothing.
+        self.refused_connections += 1
+        try:
+            sock.settimeout(self.limits.head_s)
+            sock.sendall(encode_raw(Problem.TOO_MANY_CONNECTIONS))
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._handlers)
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request in progress."""
+        return sum(handler.busy for handler in self._handlers)
+
+    def finish(self, seconds: float) -> bool:
+        """Take no new connections, end idle ones and wait for the others.
+
+        Parameters
+        ----------
+        seconds : float
+            Longest time to wait.
+
+        Returns
+        -------
+        bool
+            Whether every request in progress was answered.
+        """
+        self.closing = True
+        self.stop_accepting()
+        with gevent.Timeout(seconds, False):
+            while self._close_idle():
+                gevent.sleep(0.01)
+        unanswered = self.busy
+        self.stop(timeout=0)
+        return unanswered == 0
+
+    def _close_idle(self):
+        """Close idle connections; give back how many are left."""
+        for handler in list(self._handlers):
+            sock = handler.socket
+            # A request that is just arriving is answered, not cut.
+            if not handler.busy and sock is not None and is_quiet(sock):
+                sock.close()
+        return len(self._handlers)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_operators.py
@@ -0,0 +1,238 @@
+"""WSGI application for operators: JSON over HTTP."""
+
+import hmac
+import json
+import urllib.parse
+from collections.abc import Callable
+
+import attrs
+
+from cairnferry.coordination import (
+    Appended,
+    ChangeIdReused,
+    HeadMoved,
+    LogTooLarge,
+    OutcomeUnknown,
+    TableUnavailable,
+)
+from cairnferry.entry._answers import Answer, Problem
+from cairnferry.entry._callers import BodyLimits
+from cairnferry.entry._configuration import Configuration
+from cairnferry.entry._http_server import HANDLER_KEY, BadRequest
+from cairnferry.entry._submissions import Submissions
+from cairnferry.records import (
+    Change,
+    Kind,
+    MalformedChange,
+    MalformedRecord,
+    RecordExists,
+    RecordKey,
+    RevisionConflict,
+    UnknownReference,
+    UnknownSchemaVersion,
+)
+
+SUBMIT_TIMEOUT_S = 10.0
+BODY_LIMITS = BodyLimits(size=4 * 1024 * 1024, seconds=10.0)
+MAX_TOKEN_FILE = 65536
+
+_STATUS_BY_ERROR = {
+    MalformedChange: "400 Bad Request",
+    MalformedRecord: "422 Unprocessable Content",
+    UnknownSchemaVersion: "422 Unprocessable Content",
+    UnknownReference: "422 Unprocessable Content",
+    LogTooLarge: "413 Content Too Large",
+    RecordExists: "409 Conflict",
+    RevisionConflict: "409 Conflict",
+    ChangeIdReused: "409 Conflict",
+    HeadMoved: "503 Service Unavailable",
+    TableUnavailable: "503 Service Unavailable",
+    OutcomeUnknown: "504 Gateway Timeout",
+}
+
+
+@attrs.define
+class TokenFile:
+    """Tokens of operators, one on each line; read again for each request.
+
+    Parameters
+    ----------
+    path : str or None
+        The file; None lets everyone in.
+    """
+
+    path: str | None
+
+    def admits(self, header: str | None) -> bool:
+        """Tell whether an Authorization header carries a known token."""
+        if self.path is None:
+            return True
+        scheme, _, token = (header or "").partition(" ")
+        if scheme.lower() != "bearer":
+            return False
+        given = token.strip().encode()
+        return any(hmac.compare_digest(given, known) for known in self._tokens())
+
+    def _tokens(self):
+        try:
+            with open(self.path, "rb") as file:
+                lines = file.read(MAX_TOKEN_FILE).splitlines()
+        except OSError:
+            # Without its tokens the listener admits nobody.
+            return []
+        return [line.strip() for line in lines if line.strip()]
+
+
+@attrs.define
+class OperatorsApp:
+    """Serves operators.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        What is in force here.
+    submissions : Submissions
+        Takes changes.
+    tokens : TokenFile
+        Who may do so.
+    status : callable
+        Gives this daemon's view of all, as plain values.
+    dump : callable
+        Gives this daemon's state, as plain values.
+    metrics : callable
+        Gives the metrics as text.
+    drain : callable
+        Makes this daemon leave.
+    """
+
+    configuration: Configuration
+    submissions: Submissions
+    tokens: TokenFile
+    status: Callable[[], dict]
+    dump: Callable[[], dict]
+    metrics: Callable[[], str]
+    drain: Callable[[], None]
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        handler = environ[HANDLER_KEY]
+        try:
+            answer = self._answer(handler)
+        except BadRequest as exc:
+            name = exc.problem.value[2]
+            answer = _json(exc.problem.status_line, {"error": name})
+        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        start_response(answer.status, headers)
+        return [answer.body] if handler.command != "HEAD" else []
+
+    def _answer(self, handler):
+        if not self.tokens.admits(handler.headers.get("authorization")):
+            return _json("401 Unauthorized", {"error": "unauthorized"})
+        url = urllib.parse.urlsplit(handler.path)
+        parts = tuple(urllib.parse.unquote(p) for p in url.path.split("/")[1:])
+        match handler.command, parts:
+            case "POST", ("v1", "changes"):
+                return self._submit(handler)
+            case "GET", ("v1", "changes", change_id):
+                return self._change_status(change_id)
+            case "GET", ("v1", "records"):
+                return self._records(url.query)
+            case "GET", ("v1", "records", kind, name):
+                return self._record(kind, name)
+            case "GET", ("v1", "status"):
+                return _json("200 OK", self.status())
+            case "GET", ("v1", "dump"):
+                return _json("200 OK", self.dump())
+            case "GET", ("metrics",):
+                headers = [("Content-Type", "text/plain; version=0.0.4")]
+                return Answer("200 OK", headers, self.metrics().encode())
+            case "POST", ("v1", "drain"):
+                self.drain()
+                return _json("202 Accepted", {"state": "leaving"})
+        return _json("404 Not Found", {"error": "no-such-page"})
+
+    def _submit(self, handler):
+        body = handler.read_body(BODY_LIMITS.size, BODY_LIMITS.seconds)
+        try:
+            document = json.loads(body)
+        except (ValueError, RecursionError) as exc:
+            raise BadRequest(Problem.MALFORMED) from exc
+        parsed = Change.from_json(document)
+        if parsed.is_error():
+            return _refusal(parsed.error, None)
+        change = parsed.ok
+        result = self.submissions.submit(change, SUBMIT_TIMEOUT_S)
+        if result.is_error():
+            return _refusal(result.error, change.change_id)
+        match result.ok:
+            case Appended(revision):
+                document = {
+                    "outcome": "accepted",
+                    "revision": revision,
+                    "change_id": change.change_id,
+                }
+                return _json("201 Created", document)
+
+    def _change_status(self, change_id):
+        found = self.submissions.distribution.changes.status(change_id)
+        if found.is_error():
+            return _refusal(OutcomeUnknown(found.error.reason), change_id)
+        revision = found.ok.revision
+        outcome = "accepted" if revision is not None else "not-accepted-so-far"
+        document = {
+            "change_id": change_id,
+            "outcome": outcome,
+            "revision": revision,
+            "in_force_here": revision is not None
+            and self.configuration.revision >= revision,
+        }
+        return _json("200 OK", document)
+
+    def _records(self, query):
+        kind = urllib.parse.parse_qs(query).get("kind", [None])[0]
+        entries = sorted(self.configuration.records.entries.items())
+        document = {
+            "revision": self.configuration.revision,
+            "records": [
+                _record_json(key, entry)
+                for key, entry in entries
+                if kind is None or key.kind == kind
+            ],
+        }
+        return _json("200 OK", document)
+
+    def _record(self, kind, name):
+        if kind not in tuple(Kind):
+            return _json("404 Not Found", {"error": "no-such-kind"})
+        key = RecordKey(Kind(kind), name)
+        entry = self.configuration.records.entries.get(key)
+        if entry is None:
+            return _json("404 Not Found", {"error": "no-such-record"})
+        return _json("200 OK", _record_json(key, entry))
+
+
+def _record_json(key, entry):
+    return {
+        "kind": str(key.kind),
+        "name": key.name,
+        "revision": entry.revision,
+        "schema": entry.document["schema"],
+        "record": entry.document,
+    }
+
+
+def _refusal(error, change_id):
+    document = {
+        "outcome": "unknown" if isinstance(error, OutcomeUnknown) else "refused",
+        "error": type(error).__name__,
+        "message": str(error),
+        "change_id": change_id,
+    }
+    if hasattr(error, "field"):
+        document["field"] = error.field
+    return _json(_STATUS_BY_ERROR[type(error)], document)
+
+
+def _json(status, document):
+    body = json.dumps(document, indent=1).encode() + b"\n"
+    return Answer(status, [("Content-Type", "application/json")], body)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_probing.py
@@ -0,0 +1,107 @@
+"""Probes of targets' health, within a budget that load does not raise."""
+
+import json
+import logging
+import time
+
+import attrs
+from gevent.pool import Pool
+
+from cairnferry.coordination import Note, rank
+from cairnferry.entry._cluster import Cluster
+from cairnferry.entry._exchange_result import DRAINING_VALUE
+from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._services import Services
+from cairnferry.policy import DrainSource, PolicySettings, ProbePlan, probe_share
+from cairnferry.records import Target
+from cairnferry.wire import Client, Reply
+
+PROBE_TIMEOUT_S = 0.5
+MAX_PROBES = 64
+HEALTH_NOTE_S = 8.0
+HTTP_OK = 200
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define
+class Probing:
+    """Probes the targets that fall to this daemon and notes what it learns.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        Who else may probe, and where notes go.
+    services : Services
+        The targets, and the policies that want the results.
+    metrics : Metrics
+        Counts probes.
+    """
+
+    cluster: Cluster
+    services: Services
+    metrics: Metrics
+    _plan: ProbePlan = attrs.field(
+        factory=lambda: ProbePlan(PolicySettings().probe_interval_s)
+    )
+    _shared_basis: tuple = ()
+    _tasks: Pool = attrs.field(factory=lambda: Pool(MAX_PROBES))
+
+    def share_out(self) -> None:
+        """Work out which targets fall to this daemon, if that may have changed.
+
+        Daemons that the platform lists count even while no peer hears of them:
+        in a partition each side would otherwise spend the whole budget.
+        """
+        membership = self.cluster.membership
+        zones = {member.name: member.zone for member in membership.live()}
+        alive = set(zones)
+        for name, listed in self.cluster.listed.items():
+            zones.setdefault(name, listed.zone)
+        basis = (zones, alive, self.services.records.revision)
+        if basis == self._shared_basis:
+            return
+        self._shared_basis = basis
+        targets = self.services.targets()
+        for target in targets:
+            share = self._share(target, zones, alive)
+            self._plan.set_share(target.name, share)
+        self._plan.keep_only({target.name for target in targets})
+
+    def _share(self, target, zones, alive):
+        """Rank the daemons of the target's zone; all, if it has none."""
+        near = [name for name, zone in zones.items() if zone == target.zone]
+        names = near or list(zones)
+        ranked = sorted(names, key=lambda name: rank(target.name, name))
+        return probe_share(ranked, alive, self.cluster.membership.me.name)
+
+    def one_round(self) -> None:
+        """Start the probes that are due."""
+        for target in self._plan.due(self.services.targets(), time.monotonic()):
+            if not self._tasks.full():
+                self._tasks.spawn(self._probe, target)
+
+    def _probe(self, target: Target):
+        client = Client(target.host, target.port)
+        try:
+            outcome = client.call("GET", target.health_path, timeout=PROBE_TIMEOUT_S)
+        finally:
+            client.close()
+        draining = isinstance(outcome, Reply) and _says_draining(outcome)
+        healthy = isinstance(outcome, Reply) and outcome.status == HTTP_OK
+        self.metrics.probes["healthy" if healthy else "unhealthy"] += 1
+        if draining:
+            note = Note(target.name, str(DrainSource.HEALTH), HEALTH_NOTE_S)
+            self.cluster.post(note)
+        runtime = self.services.active().get(target.service)
+        if runtime is not None:
+            runtime.policy.note_probe(target.name, healthy, time.monotonic())
+
+
+def _says_draining(reply):
+    """Read the state from the JSON of a health answer (draft health+json)."""
+    try:
+        document = json.loads(reply.body)
+    except ValueError:
+        return False
+    return isinstance(document, dict) and document.get("status") == DRAINING_VALUE
--- /dev/null
+++ b/packages/peers/peer.thrift
@@ -0,0 +1,46 @@
+// Protocol between daemons. Frames are bounded and follow a handshake that
+// authenticates both sides; see docs/design/0006-peers.md.
+
+struct MemberNews {
+  1: required string name,
+  2: required string zone,
+  3: required string peer_address,
+  4: required string caller_address,
+  5: required i64 incarnation,
+  6: required i32 state,
+}
+
+// A note on a target that lapses by itself, such as "its health answer says that
+// it is draining".
+struct Note {
+  1: required string subject,
+  2: required string source,
+  3: required i32 remaining_ms,
+}
+
+struct Heartbeat {
+  1: required MemberNews sender,
+  // Revision in force at the sender.
+  2: required i64 revision,
+  // Milliseconds since the sender knew its revision to be the last; -1: never.
+  3: required i32 confirmed_age_ms,
+  // Thousandths of the sender's capacity that are free.
+  4: required i32 spare,
+  5: required list<MemberNews> news,
+  6: required list<Note> notes,
+}
+
+struct LogRow {
+  1: required i64 revision,
+  2: required string body,
+}
+
+service Peer {
+  // Exchanges what both sides know.
+  Heartbeat heartbeat(1: Heartbeat mine),
+  // Rows of the log from `first` on, as many as fit a frame.
+  list<LogRow> pull(1: i64 first),
+  // All records in force at the sender, in the form of the object store's
+  // snapshots; for a peer that is too far behind for `pull`.
+  binary snapshot(),
+}
--- /dev/null
+++ b/packages/peers/src/cairnferry/peers/_client.py
@@ -0,0 +1,173 @@
+"""Calls to peers, one connection a peer."""
+
+import time
+
+import attrs
+from gevent import socket
+from gevent.lock import BoundedSemaphore
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+
+from cairnferry.coordination import LogRow
+from cairnferry.peers._generated.peer import Peer
+from cairnferry.peers._handshake import HandshakeFailed, greet
+from cairnferry.peers._keys import KeyFileFault, KeyRing
+from cairnferry.peers._messages import Heartbeat, from_wire, row_from_wire, to_wire
+from cairnferry.peers._transport import ByteMeter, framed
+from cairnferry.wire import set_no_delay
+
+
+@attrs.frozen
+class PeerCallFailed(Exception):
+    """A call to a peer gave no answer.
+
+    Attributes
+    ----------
+    address : str
+        The peer.
+    reason : str
+        Name of the error.
+    """
+
+    address: str
+    reason: str
+
+
+@attrs.define(eq=False)
+class PeerLink:
+    """Connection to one peer, opened when it is first needed.
+
+    Parameters
+    ----------
+    address : str
+        "IP:port" of the peer.
+    keys : KeyRing
+        Keys of peers.
+    meter : ByteMeter
+        Counts what goes over the connection.
+    timeout : float
+        Seconds for one call.
+    """
+
+    address: str
+    keys: KeyRing
+    meter: ByteMeter
+    timeout: float
+    used_at: float = 0.0
+    _client: Peer.Client | None = None
+    _sock: socket.socket | None = None
+    _lock: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
+
+    def heartbeat(self, mine: Heartbeat) -> Heartbeat:
+        """Exchange heartbeats.
+
+        Raises
+        ------
+        PeerCallFailed
+            If no answer came; the connection is closed then.
+        """
+        return self._call(lambda client: from_wire(client.heartbeat(to_wire(mine))))
+
+    def pull(self, first: int) -> list[LogRow]:
+        """Read rows of the log from the peer.
+
+        Raises
+        ------
+        PeerCallFailed
+            If no answer came; the connection is closed then.
+        """
+        return self._call(
+            lambda client: [row_from_wire(row) for row in client.pull(first)]
+        )
+
+    def snapshot(self) -> bytes:
+        """Read all records in force at the peer, encoded.
+
+        Raises
+        ------
+        PeerCallFailed
+            If no answer came; the connection is closed then.
+        """
+        return self._call(lambda client: client.snapshot())
+
+    def _call(self, operation):
+        # An answer that comes after its call was given up would be taken for
+        # the answer to the next one. So each failure closes the connection.
+        with self._lock:
+            self.used_at = time.monotonic()
+            try:
+                if self._client is None:
+                    self._open()
+                self._sock.settimeout(self.timeout)
+                result = operation(self._client)
+            except (
+                OSError,
+                EOFError,
+                TException,
+                HandshakeFailed,
+                KeyFileFault,
+                ValueError,
+                TypeError,
+            ) as exc:
+                self.close()
+                raise PeerCallFailed(self.address, type(exc).__name__) from exc
+            except BaseException:
+                self.close()
+                raise
+            self.meter.messages += 1
+            return result
+
+    def _open(self):
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), self.timeout)
+        self._sock = sock
+        set_no_delay(sock)
+        sock.settimeout(self.timeout)
+        greet(sock, self.keys)
+        transport = framed(sock, self.meter)
+        protocol = TCompactProtocolAcceleratedFactory().getProtocol(transport)
+        self._client = Peer.Client(protocol)
+
+    def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+        self._client = None
+
+
+@attrs.define
+class PeerLinks:
+    """Links by address; those long unused are closed.
+
+    Parameters
+    ----------
+    keys, meter, timeout
+        As for `PeerLink`.
+    """
+
+    keys: KeyRing
+    meter: ByteMeter
+    timeout: float
+    _links: dict[str, PeerLink] = attrs.field(factory=dict)
+
+    def to(self, address: str) -> PeerLink:
+        """Give the link to an address."""
+        link = self._links.get(address)
+        if link is None:
+            link = PeerLink(address, self.keys, self.meter, self.timeout)
+            self._links[address] = link
+        return link
+
+    def close_unused(self, since: float) -> None:
+        """Close the links that were last used before a monotonic time."""
+        for address, link in list(self._links.items()):
+            if link.used_at < since:
+                link.close()
+                del self._links[address]
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
--- /dev/null
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/packages/peers/src/cairnferry/peers/_messages.py
@@ -0,0 +1,131 @@
+"""Messages of the protocol in the project's own types."""
+
+import attrs
+
+from cairnferry.coordination import LogRow, Member, MemberState, Note
+from cairnferry.peers._generated.peer import ttypes
+
+NEVER_CONFIRMED = -1
+MS_PER_S = 1000
+MAX_AGE_MS = 2**31 - 1
+
+
+@attrs.frozen
+class Heartbeat:
+    """What one daemon tells another.
+
+    Attributes
+    ----------
+    sender : Member
+        The daemon that speaks.
+    revision : int
+        Revision in force there.
+    confirmed_age : float
+        Seconds since the sender knew its revision to be the last; may be
+        infinite.
+    spare : int
+        Thousandths of the sender's capacity that are free.
+    news : tuple of Member
+        News of other members.
+    notes : tuple of Note
+        Notes on targets.
+    """
+
+    sender: Member
+    revision: int
+    confirmed_age: float
+    spare: int
+    news: tuple[Member, ...]
+    notes: tuple[Note, ...] = ()
+
+
+def to_wire(heartbeat: Heartbeat) -> ttypes.Heartbeat:
+    """Turn a heartbeat into the generated type."""
+    return ttypes.Heartbeat(
+        sender=_member_to_wire(heartbeat.sender),
+        revision=heartbeat.revision,
+        confirmed_age_ms=_age_to_wire(heartbeat.confirmed_age),
+        spare=heartbeat.spare,
+        news=[_member_to_wire(member) for member in heartbeat.news],
+        notes=[_note_to_wire(note) for note in heartbeat.notes],
+    )
+
+
+def from_wire(message: ttypes.Heartbeat) -> Heartbeat:
+    """Turn a generated heartbeat into the project's type.
+
+    Raises
+    ------
+    ValueError
+        If a state is not one of those known.
+    """
+    return Heartbeat(
+        sender=_member_from_wire(message.sender),
+        revision=message.revision,
+        confirmed_age=_age_from_wire(message.confirmed_age_ms),
+        spare=message.spare,
+        news=tuple(_member_from_wire(member) for member in message.news),
+        notes=tuple(_note_from_wire(note) for note in message.notes),
+    )
+
+
+def row_to_wire(row: LogRow) -> ttypes.LogRow:
+    """Turn a row of the log into the generated type."""
+    return ttypes.LogRow(revision=row.revision, body=row.to_body())
+
+
+def row_from_wire(message: ttypes.LogRow) -> LogRow:
+    """Turn a generated row into the project's type.
+
+    Raises
+    ------
+    ValueError
+        If the body is not JSON.
+    """
+    return LogRow.from_body(message.revision, message.body)
+
+
+def _age_to_wire(age):
+    milliseconds = age * MS_PER_S
+    return NEVER_CONFIRMED if milliseconds > MAX_AGE_MS else int(milliseconds)
+
+
+def _age_from_wire(milliseconds):
+    if milliseconds < 0:
+        return float("inf")
+    return milliseconds / MS_PER_S
+
+
+def _note_to_wire(note):
+    return ttypes.Note(
+        subject=note.subject,
+        source=note.source,
+        remaining_ms=int(note.remaining * MS_PER_S),
+    )
+
+
+def _note_from_wire(message):
+    remaining = message.remaining_ms / MS_PER_S
+    return Note(message.subject, message.source, remaining)
+
+
+def _member_to_wire(member):
+    return ttypes.MemberNews(
+        name=member.name,
+        zone=member.zone,
+        peer_address=member.peer_address,
+        caller_address=member.caller_address,
+        incarnation=member.incarnation,
+        state=int(member.state),
+    )
+
+
+def _member_from_wire(message):
+    return Member(
+        name=message.name,
+        zone=message.zone,
+        peer_address=message.peer_address,
+        caller_address=message.caller_address,
+        incarnation=message.incarnation,
+        state=MemberState(message.state),
+    )
--- /dev/null
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -0,0 +1,120 @@
+"""Listener for peers: one task for each connection."""
+
+import logging
+import typing
+
+import gevent
+from gevent.server import StreamServer
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+
+from cairnferry.coordination import LogRow
+from cairnferry.peers._generated.peer import Peer
+from cairnferry.peers._handshake import HandshakeFailed, welcome
+from cairnferry.peers._keys import KeyFileFault, KeyRing
+from cairnferry.peers._messages import Heartbeat, from_wire, row_to_wire, to_wire
+from cairnferry.peers._transport import MAX_FRAME, ByteMeter, framed
+from cairnferry.wire import set_no_delay
+
+HANDSHAKE_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 120.0
+MAX_CONNECTIONS = 512
+# Leaves room in a frame for the envelope of the list.
+MAX_PULL_BYTES = MAX_FRAME // 2
+
+log = logging.getLogger(__name__)
+
+
+class PeerHandler(typing.Protocol):
+    """What a daemon does with calls of its peers."""
+
+    def heartbeat(self, theirs: Heartbeat) -> Heartbeat:
+        """Take in what a peer knows; answer with what is known here."""
+
+    def rows_from(self, first: int) -> list[LogRow]:
+        """Give the rows of the log held here, from a revision on."""
+
+    def snapshot(self) -> bytes:
+        """Give all records in force here, encoded."""
+
+
+class _Adapter:
+    """Implements the generated interface on top of a handler."""
+
+    def __init__(self, handler):
+        self._handler = handler
+
+    def heartbeat(self, mine):
+        return to_wire(self._handler.heartbeat(from_wire(mine)))
+
+    def pull(self, first):
+        chosen = []
+        size = 0
+        for row in self._handler.rows_from(first):
+            message = row_to_wire(row)
+            size += len(message.body)
+            if chosen and size > MAX_PULL_BYTES:
+                break
+            chosen.append(message)
+        return chosen
+
+    def snapshot(self):
+        return self._handler.snapshot()
+
+
+class PeerServer:
+    """Serves peers on one address.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where to listen.
+    handler : PeerHandler
+        Answers the calls.
+    keys : KeyRing
+        Keys of peers.
+    meter : ByteMeter
+        Counts what goes over the connections.
+    """
+
+    def __init__(self, address, handler: PeerHandler, keys: KeyRing, meter: ByteMeter):
+        self._processor = Peer.Processor(_Adapter(handler))
+        self._factory = TCompactProtocolAcceleratedFactory()
+        self._keys = keys
+        self._meter = meter
+        self._server = StreamServer(address, self._serve, spawn=MAX_CONNECTIONS)
+
+    def start(self) -> None:
+        """Listen and serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, address):
+        set_no_delay(sock)
+        sock.settimeout(HANDSHAKE_TIMEOUT_S)
+        try:
+            welcome(sock, self._keys)
+            sock.settimeout(IDLE_TIMEOUT_S)
+            self._process(framed(sock, self._meter))
+        except HandshakeFailed as exc:
+            log.warning("peer refused", extra={"peer": address[0], "why": exc.reason})
+        except KeyFileFault as exc:
+            log.error("no peer keys", extra={"why": str(exc)})
+        except (OSError, EOFError, TException):
+            # The other side is gone or speaks another protocol; its own calls
+            # have failed, and it decides what to do.
+            pass
+        except (ValueError, TypeError) as exc:
+            log.warning("peer frame", extra={"peer": address[0], "why": str(exc)})
+        finally:
+            sock.close()
+
+    def _process(self, transport):
+        protocol = self._factory.getProtocol(transport)
+        while True:
+            self._processor.process(protocol, protocol)
+            self._meter.messages += 1
+            gevent.sleep(0)
--- /dev/null
+++ b/packages/platform/src/cairnferry/platform/__init__.py
@@ -0,0 +1,30 @@
+"""Clients of the platform: table service, object store and instance list.
+
+The published protocols are the JSON protocol of Amazon DynamoDB (version
+20120810), the REST protocol of Amazon S3, and the HTTP service discovery format
+of Prometheus. No call is repeated here.
+"""
+
+from cairnferry.platform._instances import Instance, InstanceList
+from cairnferry.platform._meter import CallMeter
+from cairnferry.platform._objects import ObjectStore, ObjectStoreUnavailable
+from cairnferry.platform._signing import (
+    Credentials,
+    CredentialsFault,
+    Signer,
+    read_credentials,
+)
+from cairnferry.platform._table import TableClient
+
+__all__ = [
+    "CallMeter",
+    "Credentials",
+    "CredentialsFault",
+    "Instance",
+    "InstanceList",
+    "ObjectStore",
+    "ObjectStoreUnavailable",
+    "Signer",
+    "TableClient",
+    "read_credentials",
+]
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -0,0 +1,80 @@
+"""Decisions about requests: where each goes, when it waits, what follows.
+
+The library opens no socket, reads no clock and holds no global state. A driver
+tells it what happens, with the time, and does what the decisions say:
+
+- a request arrives: `ServicePolicy.arrive`;
+- an attempt ended: `ServicePolicy.finished`;
+- the caller went away: `ServicePolicy.abandon`;
+- time passed or room came up: `ServicePolicy.release`;
+- something else was learnt of a target: `ServicePolicy.note_draining`,
+  `ServicePolicy.note_probe`.
+
+All times are monotonic seconds of one clock.
+"""
+
+from cairnferry.policy._choice import (
+    LeastInFlight,
+    LoadAware,
+    RandomChoice,
+    RoundRobin,
+    Strategy,
+    TwoChoices,
+)
+from cairnferry.policy._evidence import (
+    Answered,
+    AttemptResult,
+    Lost,
+    NotRun,
+    TargetRefused,
+)
+from cairnferry.policy._model import (
+    Abandoned,
+    Attempt,
+    AttemptKind,
+    Call,
+    Cause,
+    Decision,
+    GiveUp,
+    LoadReport,
+    Refuse,
+    Relay,
+    Send,
+    Wait,
+)
+from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
+from cairnferry.policy._service import ServicePolicy
+from cairnferry.policy._settings import PolicySettings
+from cairnferry.policy._target import DrainSource
+
+__all__ = [
+    "Abandoned",
+    "Answered",
+    "Attempt",
+    "AttemptKind",
+    "AttemptResult",
+    "Call",
+    "Cause",
+    "Decision",
+    "DrainSource",
+    "GiveUp",
+    "LeastInFlight",
+    "LoadAware",
+    "LoadReport",
+    "Lost",
+    "NotRun",
+    "PolicySettings",
+    "ProbePlan",
+    "ProbeShare",
+    "RandomChoice",
+    "Refuse",
+    "Relay",
+    "RoundRobin",
+    "Send",
+    "ServicePolicy",
+    "Strategy",
+    "TargetRefused",
+    "TwoChoices",
+    "Wait",
+    "probe_share",
+]
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -0,0 +1,182 @@
+"""Requests, attempts and decisions."""
+
+import enum
+import typing
+
+import attrs
+
+from cairnferry.records import Priority, RefusalContract
+
+if typing.TYPE_CHECKING:
+    from cairnferry.policy._target import TargetState
+
+
+class Cause(enum.StrEnum):
+    """Why a request is given up."""
+
+    DEADLINE = "deadline"
+    OVERLOAD = "overload"
+    NO_TARGET = "no-target"
+    RETRIES_EXHAUSTED = "retries-exhausted"
+    TARGET_LOST = "target-lost"
+    CALLER_GONE = "caller-gone"
+
+
+class AttemptKind(enum.StrEnum):
+    """Why an attempt is made."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@attrs.frozen
+class LoadReport:
+    """What a target says of its load.
+
+    Attributes
+    ----------
+    in_use : float
+        Requests that it runs or holds in its own queue.
+    """
+
+    in_use: float
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    arrived, deadline : float
+        Times in seconds.
+    idempotent : bool
+        Whether it may run more than once.
+    priority : Priority
+        Class of the request.
+    may_retry : bool
+        False if a layer above already repeats it.
+    attempts : list of Attempt
+        Attempts made so far.
+    possibly_run : bool
+        Whether an attempt ended that may have run.
+    """
+
+    arrived: float
+    deadline: float
+    idempotent: bool
+    priority: Priority = Priority.INTERACTIVE
+    may_retry: bool = True
+    attempts: list["Attempt"] = attrs.field(factory=list)
+    possibly_run: bool = False
+    last_cause: Cause = Cause.OVERLOAD
+
+    def tried(self, target_name: str) -> bool:
+        """Tell whether an attempt went to this target."""
+        return any(attempt.target_name == target_name for attempt in self.attempts)
+
+    @property
+    def open_attempts(self) -> int:
+        """Attempts without result so far."""
+        return sum(not attempt.ended for attempt in self.attempts)
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One sending of a request to one target.
+
+    Attributes
+    ----------
+    call : Call
+        The request.
+    target : TargetState
+        Where it goes.
+    kind : AttemptKind
+        Why it is made.
+    started : float
+        Time in seconds.
+    trial : bool
+        Whether it tests an ejected target.
+    ended : bool
+        Whether its result is known.
+    """
+
+    call: Call
+    target: "TargetState"
+    kind: AttemptKind
+    started: float
+    trial: bool = False
+    ended: bool = False
+
+    @property
+    def target_name(self) -> str:
+        """Name of the target's record."""
+        return self.target.record.name
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port of the target."""
+        return self.target.record.address
+
+    @property
+    def refusal(self) -> RefusalContract | None:
+        """How the target says that it did not run a request."""
+        return self.target.record.refusal
+
+
+@attrs.frozen
+class Send:
+    """Send the attempt now."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class Wait:
+    """Wait; `ServicePolicy.release` decides later.
+
+    Attributes
+    ----------
+    until : float
+        Latest time in seconds by which it will be decided.
+    """
+
+    until: float
+
+
+@attrs.frozen
+class Relay:
+    """Pass the target's answer on to the caller."""
+
+
+@attrs.frozen
+class Abandoned:
+    """Do nothing: another attempt of the same request decides."""
+
+
+@attrs.frozen
+class Refuse:
+    """Tell the caller at once that the request was not run.
+
+    Attributes
+    ----------
+    cause : Cause
+        Why.
+    retry_after : float
+        When to come back, in seconds.
+    """
+
+    cause: Cause
+    retry_after: float
+
+
+@attrs.frozen
+class GiveUp:
+    """Tell the caller at once that it is unknown whether the request ran."""
+
+    cause: Cause
+    retry_after: float
+
+
+Decision = Send | Wait | Relay | Abandoned | Refuse | GiveUp
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -0,0 +1,88 @@
+"""Constants of the policy, in one place so that a bench can vary them."""
+
+import attrs
+
+from cairnferry.policy._choice import LoadAware, Strategy
+
+
+@attrs.frozen
+class PolicySettings:
+    """Constants of the policy.
+
+    Attributes
+    ----------
+    strategy : Strategy
+        How a target is chosen.
+    report_decay_s : float
+        Age in seconds at which a report's weight has fallen to 1/e.
+    latency_gain : float
+        Weight of a new latency sample, 0 to 1.
+    latency_memory_s : float
+        Age in seconds at which a target's latency is half forgotten.
+    failure_latency_factor : float
+        A failure counts as an answer this many times slower than usual.
+    eject_failures : int
+        Failures in a row that eject a target.
+    eject_base_s, eject_max_s : float
+        Time out of use after the first ejection, and at most.
+    eject_share : float
+        Largest share of a service's targets that may be ejected.
+    trial_timeout_s : float
+        After which a trial request without result no longer blocks the next.
+    ramp_s : float
+        Time in seconds over which a new or returned target gets its full share.
+    refusal_drain_s : float
+        Time in seconds for which a refusal that says "draining" holds.
+    refusal_pause_s : float
+        Time in seconds for which a refusal that says nothing of it holds.
+    background_share : float
+        Share of the window that background requests may use.
+    background_load : float
+        Estimated load of a target from which it takes no background work.
+    full_report_load : float
+        Reported load of a target above which the window is cut.
+    window_cut : float
+        Factor of a cut.
+    min_window : float
+        Smallest window.
+    retry_burst : float
+        Most retry tokens held.
+    retry_start : float
+        Retry tokens at the start.
+    max_attempts : int
+        Attempts for one request, hedges included.
+    hedge_quantile : float
+        Share of answers that come before a hedge is sent.
+    hedge_min_s : float
+        Shortest time in seconds before a hedge.
+    probe_interval_s : float
+        Time in seconds between two probes of one target, over all daemons.
+    retry_after_s : float
+        Retry-After in seconds where nothing better is known.
+    """
+
+    strategy: Strategy = LoadAware()
+    report_decay_s: float = 0.1
+    latency_gain: float = 0.2
+    latency_memory_s: float = 2.0
+    failure_latency_factor: float = 10.0
+    eject_failures: int = 3
+    eject_base_s: float = 1.0
+    eject_max_s: float = 30.0
+    eject_share: float = 0.5
+    trial_timeout_s: float = 10.0
+    ramp_s: float = 3.0
+    refusal_drain_s: float = 30.0
+    refusal_pause_s: float = 0.02
+    background_share: float = 0.5
+    background_load: float = 0.6
+    full_report_load: float = 1.2
+    window_cut: float = 0.9
+    min_window: float = 1.0
+    retry_burst: float = 10.0
+    retry_start: float = 3.0
+    max_attempts: int = 3
+    hedge_quantile: float = 0.95
+    hedge_min_s: float = 0.002
+    probe_interval_s: float = 1.2
+    retry_after_s: float = 1.0
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/_window.py
@@ -0,0 +1,50 @@
+"""Limit of the own requests in flight to one service.
+
+A target's slots are shared by all daemons. A static share would waste what idle
+daemons leave; a lease would still be used by a holder that was paused. So each
+daemon learns its part from what targets report: it grows slowly while they have
+room and is cut when they queue.
+"""
+
+import attrs
+
+
+@attrs.define
+class Window:
+    """Limit that grows by about one for each window of answers.
+
+    Parameters
+    ----------
+    limit : float
+        Requests in flight, at the start.
+    minimum, maximum : float
+        Bounds of the limit.
+    cut : float
+        Factor of a cut.
+    """
+
+    limit: float
+    minimum: float
+    maximum: float
+    cut: float
+    _cut_at: float = 0.0
+
+    def set_maximum(self, maximum: float) -> None:
+        """Change the upper bound."""
+        self.maximum = max(self.minimum, maximum)
+        self.limit = min(self.limit, self.maximum)
+
+    def has_room(self, in_flight: int) -> bool:
+        """Tell whether one more may be sent."""
+        return in_flight + 1 <= self.limit
+
+    def note_free(self, in_flight: int) -> None:
+        """Grow, if the limit is what held requests back."""
+        if in_flight + 1 >= self.limit:
+            self.limit = min(self.maximum, self.limit + 1 / self.limit)
+
+    def note_full(self, now: float, latency: float) -> None:
+        """Cut, once for each answer time: answers of one burst tell one thing."""
+        if now - self._cut_at >= latency:
+            self.limit = max(self.minimum, self.limit * self.cut)
+            self._cut_at = now
--- /dev/null
+++ b/packages/records/src/cairnferry/records/__init__.py
@@ -0,0 +1,53 @@
+"""Record kinds, their schema versions, validation and one internal form."""
+
+from cairnferry.records._changes import Change, Edit, EditKind, Put, Withdraw
+from cairnferry.records._errors import (
+    MalformedChange,
+    MalformedRecord,
+    RecordError,
+    RecordExists,
+    RevisionConflict,
+    UnknownReference,
+    UnknownSchemaVersion,
+)
+from cairnferry.records._model import (
+    Kind,
+    Lifecycle,
+    Priority,
+    Record,
+    RecordKey,
+    RefusalContract,
+    Route,
+    Service,
+    Target,
+)
+from cairnferry.records._parse import parse_record
+from cairnferry.records._recordset import Draft, Entry, RecordSet
+
+__all__ = [
+    "Change",
+    "Draft",
+    "Edit",
+    "EditKind",
+    "Entry",
+    "Kind",
+    "Lifecycle",
+    "MalformedChange",
+    "MalformedRecord",
+    "Priority",
+    "Put",
+    "Record",
+    "RecordError",
+    "RecordExists",
+    "RecordKey",
+    "RecordSet",
+    "RefusalContract",
+    "RevisionConflict",
+    "Route",
+    "Service",
+    "Target",
+    "UnknownReference",
+    "UnknownSchemaVersion",
+    "Withdraw",
+    "parse_record",
+]
--- /dev/null
+++ b/packages/records/src/cairnferry/records/_changes.py
@@ -0,0 +1,149 @@
+"""Changes: what operators submit, as one atomic step."""
+
+import enum
+
+import attrs
+from expression import Error, Ok, Result
+
+from cairnferry.records._errors import MalformedChange
+from cairnferry.records._model import Kind, RecordKey
+from cairnferry.records._schemas import NAME_REGEX
+
+MAX_CHANGE_ID = 64
+
+
+class EditKind(enum.StrEnum):
+    """What an edit does to a record."""
+
+    SUBMIT = "submit"
+    REPLACE = "replace"
+    WITHDRAW = "withdraw"
+
+
+@attrs.frozen
+class Put:
+    """Write a record.
+
+    Attributes
+    ----------
+    document : dict
+        The record as submitted, in its own schema version.
+    expected_revision : int
+        Revision that the record must have; 0 for a new one.
+    """
+
+    document: dict
+    expected_revision: int
+
+
+@attrs.frozen
+class Withdraw:
+    """Remove the record `key`, which must be at `expected_revision`."""
+
+    key: RecordKey
+    expected_revision: int
+
+
+Edit = Put | Withdraw
+
+
+@attrs.frozen
+class Change:
+    """Edits that come into force together or not at all.
+
+    Attributes
+    ----------
+    change_id : str
+        Chosen by the submitter; what became of it can be asked by it.
+    edits : tuple of Edit
+        In the order given.
+    """
+
+    change_id: str
+    edits: tuple[Edit, ...]
+
+    def to_json(self) -> dict:
+        """Give the form that is stored and sent."""
+        return {
+            "change_id": self.change_id,
+            "edits": [_edit_to_json(edit) for edit in self.edits],
+        }
+
+    @classmethod
+    def from_json(cls, document: object) -> Result["Change", MalformedChange]:
+        """Read the stored form; record documents are left unparsed."""
+        if not isinstance(document, dict):
+            return Error(MalformedChange("(document)", "must be an object"))
+        change_id = document.get("change_id")
+        if not isinstance(change_id, str) or not _is_change_id(change_id):
+            expected = f"must be 1 to {MAX_CHANGE_ID} letters, digits, '.' or '-'"
+            return Error(MalformedChange("change_id", expected))
+        edits = document.get("edits")
+        if not isinstance(edits, list) or not edits:
+            return Error(MalformedChange("edits", "must be a list of edits, not empty"))
+        return _parse_edits(change_id, edits)
+
+
+def _is_change_id(text):
+    return len(text) <= MAX_CHANGE_ID and bool(NAME_REGEX.match(text))
+
+
+def _parse_edits(change_id, documents):
+    edits = []
+    for index, document in enumerate(documents):
+        parsed = _edit_from_json(f"edits.{index}", document)
+        if parsed.is_error():
+            return parsed
+        edits.append(parsed.ok)
+    return Ok(Change(change_id, tuple(edits)))
+
+
+def _edit_to_json(edit):
+    match edit:
+        case Put(document, 0):
+            return {"op": str(EditKind.SUBMIT), "record": document}
+        case Put(document, expected):
+            return {
+                "op": str(EditKind.REPLACE),
+                "record": document,
+                "expected_revision": expected,
+            }
+        case Withdraw(key, expected):
+            return {
+                "op": str(EditKind.WITHDRAW),
+                "kind": str(key.kind),
+                "name": key.name,
+                "expected_revision": expected,
+            }
+
+
+def _edit_from_json(path, document):
+    if not isinstance(document, dict):
+        return Error(MalformedChange(path, "must be an object"))
+    if document.get("op") not in tuple(EditKind):
+        expected = "must be one of " + ", ".join(EditKind)
+        return Error(MalformedChange(f"{path}.op", expected))
+    op = EditKind(document["op"])
+    expected_revision = 0
+    if op is not EditKind.SUBMIT:
+        expected_revision = document.get("expected_revision")
+        if not _is_positive(expected_revision):
+            field = f"{path}.expected_revision"
+            return Error(MalformedChange(field, "must be a whole number from 1"))
+    if op is EditKind.WITHDRAW:
+        return _withdraw_from_json(path, document, expected_revision)
+    return Ok(Put(document.get("record"), expected_revision))
+
+
+def _withdraw_from_json(path, document, expected_revision):
+    if document.get("kind") not in tuple(Kind):
+        expected = "must be one of " + ", ".join(Kind)
+        return Error(MalformedChange(f"{path}.kind", expected))
+    if not isinstance(document.get("name"), str):
+        return Error(MalformedChange(f"{path}.name", "must be text"))
+    key = RecordKey(Kind(document["kind"]), document["name"])
+    return Ok(Withdraw(key, expected_revision))
+
+
+def _is_positive(value):
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
--- /dev/null
+++ b/packages/records/src/cairnferry/records/_parse.py
@@ -0,0 +1,85 @@
+"""From a JSON document in any known schema version to the internal form."""
+
+import ipaddress
+
+import fastjsonschema
+from expression import Error, Ok, Result
+
+from cairnferry.records import _version1, _version2
+from cairnferry.records._errors import MalformedRecord, UnknownSchemaVersion
+from cairnferry.records._model import Kind, Record, Target
+from cairnferry.records._schemas import VALIDATORS
+
+_CONVERTERS = {
+    1: _version1.CONVERTERS,
+    2: _version2.CONVERTERS,
+}
+MAX_PORT = 65535
+
+
+def parse_record(
+    document: object,
+) -> Result[Record, MalformedRecord | UnknownSchemaVersion]:
+    """Validate a document and turn it into the internal form.
+
+    Parameters
+    ----------
+    document : object
+        What a JSON decoder gave; anything is allowed.
+
+    Returns
+    -------
+    Result
+        The record, or the first fault found in it.
+    """
+    if not isinstance(document, dict):
+        return Error(MalformedRecord("record", "(document)", "must be an object"))
+    label = _label(document)
+    version = document.get("schema")
+    if isinstance(version, bool) or not isinstance(version, int):
+        return Error(MalformedRecord(label, "schema", "must be a whole number"))
+    if version not in _CONVERTERS:
+        return Error(UnknownSchemaVersion(label, str(version)))
+    kind = document.get("kind")
+    if kind not in tuple(Kind):
+        expected = "must be one of " + ", ".join(Kind)
+        return Error(MalformedRecord(label, "kind", expected))
+    return _parse_known(label, version, Kind(kind), document)
+
+
+def _parse_known(label, version, kind, document):
+    try:
+        VALIDATORS[version, kind](document)
+    except fastjsonschema.JsonSchemaValueException as exc:
+        return Error(_malformed(label, exc))
+    record = _CONVERTERS[version][kind](document)
+    if isinstance(record, Target):
+        return _check_address(label, record)
+    return Ok(record)
+
+
+def _malformed(label, exc):
+    """Name the field: the validator's own path starts with a placeholder."""
+    path = ".".join(str(part) for part in exc.path[1:])
+    return MalformedRecord(label, path or "(document)", exc.message.split(" ", 1)[-1])
+
+
+def _check_address(label, target):
+    # A pattern lets 999.1.1.1 through. Such a target would fail at each request
+    # instead of once, at submission.
+    try:
+        ipaddress.IPv4Address(target.host)
+    except ipaddress.AddressValueError:
+        return Error(MalformedRecord(label, "address", "must be an IPv4 address"))
+    if not 0 < target.port <= MAX_PORT:
+        return Error(MalformedRecord(label, "address", "port must be 1 to 65535"))
+    return Ok(target)
+
+
+def _label(document):
+    """Kind and name as far as they can be read, for messages."""
+    metadata = document.get("metadata")
+    name = document.get("name")
+    if isinstance(metadata, dict):
+        name = metadata.get("name", name)
+    return f"{document.get('kind', 'record')}/{name if name else '?'}"
--- /dev/null
+++ b/packages/records/src/cairnferry/records/_schemas.py
@@ -0,0 +1,156 @@
+"""JSON Schema (draft 7) of each record kind in each schema version.
+
+Version 1 is flat, counts in seconds and percent and writes lists and addresses
+as text. Version 2 is nested, counts in milliseconds and shares of one and names
+its parts. Both are in force side by side.
+"""
+
+import re
+
+import fastjsonschema
+
+from cairnferry.records._model import Kind
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
+PATH_PATTERN = r"^/[!-~]*\Z"
+IPV4_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}\Z"
+HEADER_PATTERN = r"^[A-Za-z0-9-]{1,64}\Z"
+METHOD_PATTERN = r"^[A-Z]{1,16}\Z"
+MAX_SLOTS = 10_000
+MAX_DEADLINE_MS = 600_000
+MAX_QUEUE = 100_000
+
+_NAME = {"type": "string", "pattern": NAME_PATTERN}
+_PATH = {"type": "string", "pattern": PATH_PATTERN}
+_HEADER = {"type": "string", "pattern": HEADER_PATTERN}
+_STATUS = {"type": "integer", "minimum": 400, "maximum": 599}
+_SLOTS = {"type": "integer", "minimum": 1, "maximum": MAX_SLOTS}
+_QUEUE = {"type": "integer", "minimum": 0, "maximum": MAX_QUEUE}
+_SECONDS = {
+    "type": "number",
+    "minimum": 0.001,
+    "maximum": MAX_DEADLINE_MS / 1000,
+}
+_MILLISECONDS = {"type": "integer", "minimum": 1, "maximum": MAX_DEADLINE_MS}
+
+
+def _closed(properties, optional=()):
+    """Object schema that allows no other property."""
+    required = [name for name in properties if name not in optional]
+    return {
+        "type": "object",
+        "properties": properties,
+        "required": required,
+        "additionalProperties": False,
+    }
+
+
+def _version_1(kind, properties, optional):
+    head = {"schema": {"const": 1}, "kind": {"const": str(kind)}, "name": _NAME}
+    return _closed({**head, **properties}, optional)
+
+
+def _version_2(kind, spec, optional):
+    return _closed(
+        {
+            "schema": {"const": 2},
+            "kind": {"const": str(kind)},
+            "metadata": _closed({"name": _NAME}),
+            "spec": _closed(spec, optional),
+        }
+    )
+
+
+_SCHEMAS = {
+    (1, Kind.SERVICE): _version_1(
+        Kind.SERVICE,
+        {
+            "timeout_s": _SECONDS,
+            "retry_percent": {"type": "number", "minimum": 0, "maximum": 100},
+            "hedge": {"enum": ["yes", "no"]},
+            "queue": _QUEUE,
+        },
+        optional=("retry_percent", "hedge", "queue"),
+    ),
+    (1, Kind.TARGET): _version_1(
+        Kind.TARGET,
+        {
+            "service": _NAME,
+            "zone": _NAME,
+            "address": {
+                "type": "string",
+                "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z",
+            },
+            "slots": _SLOTS,
+            "drain": {"type": "boolean"},
+            "health": _PATH,
+            "shed_status": _STATUS,
+            "shed_header": _HEADER,
+        },
+        optional=("drain", "health", "shed_status", "shed_header"),
+    ),
+    (1, Kind.ROUTE): _version_1(
+        Kind.ROUTE,
+        {
+            "service": _NAME,
+            "path": _PATH,
+            "safe_methods": {
+                "type": "string",
+                "pattern": r"^([A-Z]{1,16}(,[A-Z]{1,16})*)?\Z",
+            },
+            "timeout_s": _SECONDS,
+            "bulk": {"type": "boolean"},
+        },
+        optional=("safe_methods", "timeout_s", "bulk"),
+    ),
+    (2, Kind.SERVICE): _version_2(
+        Kind.SERVICE,
+        {
+            "deadlineMillis": _MILLISECONDS,
+            "retryBudget": {"type": "number", "minimum": 0, "maximum": 1},
+            "hedging": _closed({"enabled": {"type": "boolean"}}),
+            "queueLimit": _QUEUE,
+        },
+        optional=("retryBudget", "hedging", "queueLimit"),
+    ),
+    (2, Kind.TARGET): _version_2(
+        Kind.TARGET,
+        {
+            "service": _NAME,
+            "zone": _NAME,
+            "endpoint": _closed(
+                {
+                    "host": {"type": "string", "pattern": IPV4_PATTERN},
+                    "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+                }
+            ),
+            "slots": _SLOTS,
+            "lifecycle": {"enum": ["active", "draining"]},
+            "health": _closed({"path": _PATH}),
+            "refusal": _closed({"status": _STATUS, "header": _HEADER}),
+        },
+        optional=("lifecycle", "health", "refusal"),
+    ),
+    (2, Kind.ROUTE): _version_2(
+        Kind.ROUTE,
+        {
+            "service": _NAME,
+            "match": _closed({"pathPrefix": _PATH}),
+            "idempotentMethods": {
+                "type": "array",
+                "items": {"type": "string", "pattern": METHOD_PATTERN},
+                "uniqueItems": True,
+            },
+            "deadlineMillis": _MILLISECONDS,
+            "priority": {"enum": ["interactive", "background"]},
+        },
+        optional=("idempotentMethods", "deadlineMillis", "priority"),
+    ),
+}
+
+VALIDATORS = {
+    key: fastjsonschema.compile(schema, use_default=False)
+    for key, schema in _SCHEMAS.items()
+}
+
+NAME_REGEX = re.compile(NAME_PATTERN)
--- /dev/null
+++ b/packages/settings/src/cairnferry/settings/_keys.py
@@ -0,0 +1,170 @@
+"""Keys of settings and the sorts of their values."""
+
+import enum
+import ipaddress
+import re
+
+import attrs
+
+MAX_PORT = 65535
+_NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}\Z")
+_BOOLEANS = {"yes": True, "no": False}
+
+
+class Sort(enum.StrEnum):
+    """Sort of a value."""
+
+    NAME = "name"
+    ADDRESS = "address"
+    ADDRESSES = "addresses"
+    INTEGER = "whole number"
+    NUMBER = "number"
+    BOOLEAN = "yes or no"
+    PATH = "path"
+
+
+@attrs.frozen
+class Address:
+    """IP address and TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+    def as_tuple(self) -> tuple[str, int]:
+        """Give the form that sockets take."""
+        return (self.host, self.port)
+
+
+@attrs.frozen
+class Key:
+    """One key of the settings.
+
+    Attributes
+    ----------
+    section, name : str
+        Where it stands in the file.
+    sort : Sort
+        Sort of its value.
+    help : str
+        One line for the table of keys.
+    default : object
+        None makes the key required, unless it is optional.
+    unit : str
+        Unit of the value, "-" without one.
+    minimum, maximum : float or None
+        Range of a number, ends included.
+    optional : bool
+        Whether the key may be left out without a default.
+    """
+
+    section: str
+    name: str
+    sort: Sort
+    help: str
+    default: object = None
+    unit: str = "-"
+    minimum: float | None = None
+    maximum: float | None = None
+    optional: bool = False
+
+    @property
+    def required(self) -> bool:
+        """Whether the settings must give it."""
+        return self.default is None and not self.optional
+
+    @property
+    def expected(self) -> str:
+        """What a value must be, in words."""
+        text = f"expected {_SORT_WORDS[self.sort]}"
+        if self.minimum is not None or self.maximum is not None:
+            text += f" from {self.minimum} to {self.maximum}"
+        return text if self.unit == "-" else f"{text} ({self.unit})"
+
+    def parse(self, text: str) -> object:
+        """Turn the text of a value into the value.
+
+        Raises
+        ------
+        ValueError
+            If it is not of the key's sort or range.
+        """
+        value = _PARSERS[self.sort](text)
+        if self.minimum is not None and value < self.minimum:
+            raise ValueError(text)
+        if self.maximum is not None and value > self.maximum:
+            raise ValueError(text)
+        return value
+
+
+def parse_address(text: str) -> Address:
+    """Read "IP:port".
+
+    Raises
+    ------
+    ValueError
+        If it is not an IPv4 address and a port.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise ValueError(text)
+    ipaddress.IPv4Address(host)
+    number = int(port)
+    if number > MAX_PORT:
+        raise ValueError(text)
+    return Address(host, number)
+
+
+def _parse_addresses(text):
+    return tuple(
+        parse_address(part.strip()) for part in text.split(",") if part.strip()
+    )
+
+
+def _parse_name(text):
+    if not _NAME.match(text):
+        raise ValueError(text)
+    return text
+
+
+def _parse_boolean(text):
+    if text not in _BOOLEANS:
+        raise ValueError(text)
+    return _BOOLEANS[text]
+
+
+def _parse_number(text):
+    value = float(text)
+    # "nan" passes each comparison with a range, and would end in a timer.
+    if value != value:
+        raise ValueError(text)
+    return value
+
+
+def _parse_path(text):
+    if not text:
+        raise ValueError(text)
+    return text
+
+
+_PARSERS = {
+    Sort.NAME: _parse_name,
+    Sort.ADDRESS: parse_address,
+    Sort.ADDRESSES: _parse_addresses,
+    Sort.INTEGER: int,
+    Sort.NUMBER: _parse_number,
+    Sort.BOOLEAN: _parse_boolean,
+    Sort.PATH: _parse_path,
+}
+
+_SORT_WORDS = {
+    Sort.NAME: "a name of lower-case letters, digits, '.' and '-'",
+    Sort.ADDRESS: "IP:port",
+    Sort.ADDRESSES: "a list of IP:port, separated by commas",
+    Sort.INTEGER: "a whole number",
+    Sort.NUMBER: "a number",
+    Sort.BOOLEAN: "yes or no",
+    Sort.PATH: "a path",
+}
--- /dev/null
+++ b/packages/standins/src/cairnferry/standins/__init__.py
@@ -0,0 +1,46 @@
+"""Test-side stand-ins: the platform, targets and callers.
+
+Nothing in the product imports them.
+"""
+
+from cairnferry.standins._load import LoadPlan, LoadReport, Operation, run_load
+from cairnferry.standins._platform import Outage, PlatformStandin
+from cairnferry.standins._processes import (
+    EventTimeout,
+    LocalSystem,
+    Process,
+    free_port,
+    wait_for,
+)
+from cairnferry.standins._samples import (
+    route_v1,
+    route_v2,
+    service_v1,
+    service_v2,
+    target_v1,
+    target_v2,
+)
+from cairnferry.standins._target import Fault, TargetBehaviour, TargetStandin
+
+__all__ = [
+    "EventTimeout",
+    "Fault",
+    "LoadPlan",
+    "LoadReport",
+    "LocalSystem",
+    "Operation",
+    "Outage",
+    "PlatformStandin",
+    "Process",
+    "TargetBehaviour",
+    "TargetStandin",
+    "free_port",
+    "route_v1",
+    "route_v2",
+    "run_load",
+    "service_v1",
+    "service_v2",
+    "target_v1",
+    "target_v2",
+    "wait_for",
+]
--- /dev/null
+++ b/packages/standins/src/cairnferry/standins/_http.py
@@ -0,0 +1,103 @@
+"""Small HTTP server on plain sockets, so that answers can be broken on purpose."""
+
+import attrs
+from gevent.server import StreamServer
+
+from cairnferry.wire import set_no_delay
+
+MAX_HEAD = 65536
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """A request as it arrived.
+
+    Attributes
+    ----------
+    method, path : str
+        Request line.
+    headers : dict of str to str
+        By lower-case name.
+    body : bytes
+        Whole body.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class SocketServer:
+    """Calls a handler for each request of each connection.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where to listen.
+    handler : callable
+        Takes the socket and a `ReceivedRequest`; sends what it likes and tells
+        whether the connection goes on.
+    """
+
+    def __init__(self, address, handler):
+        self._handler = handler
+        self._server = StreamServer(address, self._serve)
+        self.connections = 0
+
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        self._server.stop_accepting()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, address):
+        set_no_delay(sock)
+        self.connections += 1
+        reader = sock.makefile("rb")
+        try:
+            while True:
+                req = read_request(reader)
+                if req is None or not self._handler(sock, req):
+                    return
+        except OSError:
+            return
+        finally:
+            reader.close()
+            sock.close()
+
+
+def read_request(reader) -> ReceivedRequest | None:
+    """Read one request with Content-Length framing; None at the end."""
+    line = reader.readline(MAX_HEAD)
+    if not line:
+        return None
+    method, path, _ = line.decode("latin-1").split(" ", 2)
+    headers = {}
+    while True:
+        line = reader.readline(MAX_HEAD)
+        if line in (b"\r\n", b""):
+            break
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = reader.read(int(headers.get("content-length", 0)))
+    return ReceivedRequest(method, path, headers, body)
+
+
+def encode_answer(status: int, headers, body: bytes) -> bytes:
+    """Encode an answer."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- /dev/null
+++ b/packages/standins/src/cairnferry/standins/_processes.py
@@ -0,0 +1,310 @@
+"""A whole system of separate processes on loopback, for demo, tests and bench."""
+
+import json
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+
+from cairnferry.wire import Client, Reply
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+EVENT_TIMEOUT_S = 30.0
+LOOK_S = 0.02
+CONTROL_TIMEOUT_S = 5.0
+
+
+class EventTimeout(AssertionError):
+    """An awaited event did not come."""
+
+
+@attrs.define(eq=False)
+class Process:
+    """One started process.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    zone : str
+        Availability zone.
+    addresses : dict of str to str
+        "IP:port" by purpose.
+    popen : subprocess.Popen
+        The process.
+    """
+
+    name: str
+    zone: str
+    addresses: dict[str, str]
+    popen: subprocess.Popen
+    _clients: dict[str, Client] = attrs.field(factory=dict)
+
+    def call(self, purpose, method, path, document=None, headers=()):
+        """Call one of its listeners; give the outcome of the exchange."""
+        client = self._clients.get(purpose)
+        if client is None:
+            host, _, port = self.addresses[purpose].partition(":")
+            client = self._clients[purpose] = Client(host, int(port))
+        body = b"" if document is None else json.dumps(document).encode()
+        return client.call(
+            method, path, timeout=CONTROL_TIMEOUT_S, headers=headers, body=body
+        )
+
+    def read(self, purpose, path, document=None) -> dict | None:
+        """Call a listener that speaks JSON; None if it gave no good answer."""
+        method = "GET" if document is None else "POST"
+        outcome = self.call(purpose, method, path, document)
+        if not isinstance(outcome, Reply) or outcome.status >= 300:
+            return None
+        return json.loads(outcome.body)
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    @property
+    def alive(self) -> bool:
+        """Whether it runs."""
+        return self.popen.poll() is None
+
+
+@attrs.define
+class LocalSystem:
+    """Starts processes, and ends them all.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings, keys and logs.
+    """
+
+    folder: pathlib.Path
+    platform: Process | None = None
+    targets: dict[str, Process] = attrs.field(factory=dict)
+    daemons: dict[str, Process] = attrs.field(factory=dict)
+    leaving: set[str] = attrs.field(factory=set)
+    _all: list[Process] = attrs.field(factory=list)
+
+    def __enter__(self):
+        key = secrets.token_hex(32)
+        (self.folder / "peer.keys").write_text(key + "\n")
+        (self.folder / "operators.tokens").write_text(secrets.token_hex(16) + "\n")
+        return self
+
+    def __exit__(self, *exc_info):
+        self.end()
+
+    # -- starting ---------------------------------------------------------------
+
+    def start_platform(self) -> Process:
+        """Start the platform's stand-in."""
+        address = f"{HOST}:{free_port()}"
+        arguments = ["platform", "--set", f"platform.listen={address}"]
+        popen = self._popen("platform", "cairnferry.standins.command", arguments)
+        self.platform = self._note(Process("platform", "-", {"http": address}, popen))
+        return self.platform
+
+    def start_target(self, name, zone, **settings) -> Process:
+        """Start a target; `settings` are keys of its section."""
+        address = f"{HOST}:{free_port()}"
+        settings = {
+            "listen": address,
+            "name": name,
+            "log": self.log_of(name),
+        } | settings
+        arguments = ["target"]
+        for key, value in settings.items():
+            arguments += ["--set", f"target.{key}={value}"]
+        popen = self._popen(name, "cairnferry.standins.command", arguments)
+        process = self._note(Process(name, zone, {"http": address}, popen))
+        self.targets[name] = process
+        return process
+
+    def log_of(self, name) -> pathlib.Path:
+        """Give the file for the requests that a target saw."""
+        return self.folder / f"{name}.requests.json"
+
+    def start_daemon(self, name, zone, **settings) -> Process:
+        """Start a daemon; `settings` are "section.key" with "." as "__"."""
+        purposes = ("callers", "operators", "peers")
+        addresses = {p: f"{HOST}:{free_port()}" for p in purposes}
+        path = self.folder / f"{name}.ini"
+        path.write_text(self._settings_text(name, zone, addresses, settings))
+        popen = self._popen(name, "cairnferry.entry.command", ["--config", str(path)])
+        process = self._note(Process(name, zone, addresses, popen))
+        self.daemons[name] = process
+        return process
+
+    def _settings_text(self, name, zone, addresses, settings):
+        platform = self.platform.addresses["http"]
+        sections = {
+            "instance": {"name": name, "zone": zone},
+            "callers": {"listen": addresses["callers"], "answer_ttl_s": "2"},
+            "operators": {"listen": addresses["operators"]},
+            "peers": {
+                "listen": addresses["peers"],
+                "key_file": str(self.folder / "peer.keys"),
+            },
+            "platform": {
+                "table": platform,
+                "objects": platform,
+                "instances": platform,
+            },
+            "policy": {"seed": "7"},
+        }
+        for dotted, value in settings.items():
+            section, _, key = dotted.partition("__")
+            sections.setdefault(section, {})[key] = str(value)
+        lines = []
+        for section, keys in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in keys.items()]
+        return "\n".join(lines) + "\n"
+
+    def start_load(self, outcomes: pathlib.Path, **settings) -> subprocess.Popen:
+        """Start callers; their summary comes on standard output."""
+        arguments = ["load", "--set", f"load.outcomes={outcomes}"]
+        for key, value in settings.items():
+            arguments += ["--set", f"load.{key}={value}"]
+        popen = subprocess.Popen(
+            [sys.executable, "-m", "cairnferry.standins.command", *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self._all.append(Process("load", "-", {}, popen))
+        return popen
+
+    def _popen(self, name, module, arguments):
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - kept open
+        with log:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+
+    def _note(self, process):
+        self._all.append(process)
+        return process
+
+    # -- waiting and looking ----------------------------------------------------
+
+    def await_serving(self) -> None:
+        """Wait until every process answers."""
+        for process in [self.platform, *self.targets.values()]:
+            wait_for(lambda p=process: p.read("http", "/_control") is not None)
+        for process in self.daemons.values():
+            wait_for(lambda p=process: p.read("operators", "/v1/status") is not None)
+
+    def await_revision(self, revision: int, daemons=None) -> None:
+        """Wait until a revision is in force at each daemon."""
+        for process in daemons or self.daemons.values():
+            wait_for(lambda p=process: self.revision_of(p) >= revision)
+
+    def revision_of(self, daemon: Process) -> int:
+        """Give the revision in force at a daemon; -1 if it does not answer."""
+        document = daemon.read("operators", "/v1/status")
+        return -1 if document is None else document["revision"]
+
+    def await_members(self, count: int, daemons=None) -> None:
+        """Wait until each daemon knows that many live ones, itself included."""
+        for process in daemons or self.daemons.values():
+            wait_for(lambda p=process: self.live_members(p) == count)
+
+    def live_members(self, daemon: Process) -> int:
+        """Count the live daemons that one knows."""
+        document = daemon.read("operators", "/v1/status")
+        members = document["members"] if document else []
+        return sum(member["state"] == "alive" for member in members)
+
+    # -- acting -----------------------------------------------------------------
+
+    def publish_instances(self) -> None:
+        """Write the platform's list of instances."""
+        groups = []
+        roles = [("entry", "peers", self.daemons), ("target", "http", self.targets)]
+        for role, purpose, processes in roles:
+            for process in processes.values():
+                labels = {
+                    "__meta_name": process.name,
+                    "__meta_zone": process.zone,
+                    "__meta_role": role,
+                }
+                if process.name in self.leaving:
+                    labels["__meta_state"] = "leaving"
+                address = process.addresses[purpose]
+                groups.append({"targets": [address], "labels": labels})
+        self.platform.read("http", "/_control", {"instances": groups})
+
+    def set_faults(self, **faults) -> None:
+        """Switch faults of the platform."""
+        self.platform.read("http", "/_control", {"faults": faults})
+
+    def set_target(self, name: str, **behaviour) -> None:
+        """Change the behaviour of a target."""
+        self.targets[name].read("http", "/_control", behaviour)
+
+    def tool(self, *arguments, daemon=None) -> subprocess.CompletedProcess:
+        """Run the operators' tool against a daemon."""
+        server = (daemon or next(iter(self.daemons.values()))).addresses["operators"]
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "cairnferry.ctl.command",
+                "--server",
+                server,
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def target_log(self, name: str) -> dict:
+        """Give what a target saw and ran, also after its end."""
+        process = self.targets[name]
+        if process.alive:
+            return process.read("http", "/_control/log")
+        return json.loads(self.log_of(name).read_text())[0]
+
+    # -- ending -----------------------------------------------------------------
+
+    def end(self) -> None:
+        """End every process that was started."""
+        for process in self._all:
+            if process.alive:
+                process.signal(signal.SIGCONT)
+                process.popen.kill()
+        for process in self._all:
+            process.popen.wait()
+
+
+def wait_for(condition, timeout: float = EVENT_TIMEOUT_S):
+    """Wait until a condition holds; give its value.
+
+    Raises
+    ------
+    EventTimeout
+        If it does not come in time; the bound is for a broken system only.
+    """
+    deadline = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise EventTimeout("the awaited event did not come")
+        time.sleep(LOOK_S)
+
+
+def free_port() -> int:
+    """Give a TCP port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/packages/standins/src/cairnferry/standins/command.py
@@ -0,0 +1,190 @@
+"""Command line of the stand-ins."""
+
+# The patches must come before any module that uses sockets is imported.
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+import typing  # noqa: E402
+
+import attrs  # noqa: E402
+import cappa  # noqa: E402
+import gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+from gevent.pool import Group  # noqa: E402
+
+from cairnferry.settings import Key, Sort, describe, read_settings  # noqa: E402
+from cairnferry.standins._load import LoadPlan, Operation, run_load  # noqa: E402
+from cairnferry.standins._platform import PlatformStandin  # noqa: E402
+from cairnferry.standins._target import TargetBehaviour, TargetStandin  # noqa: E402
+
+EXIT_SETTINGS = 2
+LEAVE_S = 10.0
+
+PLATFORM_KEYS = (Key("platform", "listen", Sort.ADDRESS, "where to listen"),)
+
+TARGET_KEYS = (
+    Key("target", "listen", Sort.ADDRESSES, "where to listen, one target each"),
+    Key("target", "name", Sort.NAME, "name in answers", default="target"),
+    Key("target", "slots", Sort.INTEGER, "requests at once", 6, "-", 1, 10000),
+    Key("target", "service_ms", Sort.NUMBER, "service time", 5.0, "ms", 0, 60000),
+    Key("target", "max_queue", Sort.INTEGER, "waiting requests", 1000, "-", 0, 1e6),
+    Key("target", "cold_s", Sort.NUMBER, "cold start", 0.0, "s", 0, 600),
+    Key("target", "cold_factor", Sort.NUMBER, "factor while cold", 1.0, "-", 1, 1000),
+    Key("target", "notice_s", Sort.NUMBER, "serves on when told to leave", 3.0, "s"),
+    Key("target", "log", Sort.PATH, "file for the requests, at the end", optional=True),
+    Key("target", "seed", Sort.INTEGER, "seed", 1, "-", 0, 2**31),
+)
+
+LOAD_KEYS = (
+    Key("load", "entries", Sort.ADDRESSES, "daemons to ask for addresses"),
+    Key("load", "service", Sort.NAME, "service to ask for"),
+    Key("load", "operations", Sort.PATH, "such as 'GET /a 9, POST /b 1'"),
+    Key("load", "rate", Sort.NUMBER, "requests", 100.0, "1/s", 0.1, 100000),
+    Key("load", "seconds", Sort.NUMBER, "length", 10.0, "s", 0.1, 3600),
+    Key("load", "timeout_ms", Sort.INTEGER, "deadline", 1000, "ms", 1, 600000),
+    Key("load", "zone", Sort.NAME, "zone of the callers", optional=True),
+    Key("load", "seed", Sort.INTEGER, "seed", 1, "-", 0, 2**31),
+    Key("load", "prefix", Sort.NAME, "prefix of request IDs", default="r"),
+    Key("load", "outcomes", Sort.PATH, "file for each outcome", optional=True),
+)
+
+_Config = typing.Annotated[
+    str | None, cappa.Arg(short="-c", long="--config", help="INI file")
+]
+_Set = typing.Annotated[
+    list[str], cappa.Arg(long="--set", help="section.key=value; goes before the file")
+]
+
+
+@cappa.command(name="platform", help="table, objects and instance list")
+@attrs.define
+class Platform:
+    """Stand-in for the platform."""
+
+    config: _Config = None
+    set: _Set = attrs.field(factory=list)
+
+
+@cappa.command(name="target", help="targets of a service")
+@attrs.define
+class Target:
+    """Stand-in for targets."""
+
+    config: _Config = None
+    set: _Set = attrs.field(factory=list)
+
+
+@cappa.command(name="load", help="callers")
+@attrs.define
+class Load:
+    """Stand-in for callers."""
+
+    config: _Config = None
+    set: _Set = attrs.field(factory=list)
+
+
+@cappa.command(name="cairnferry-standin")
+@attrs.define
+class Standin:
+    """Test-side stand-ins."""
+
+    command: cappa.Subcommands[Platform | Target | Load]
+
+
+def main() -> None:
+    """Run the command line."""
+    args = cappa.parse(Standin).command
+    match args:
+        case Platform():
+            _run_platform(_settings(PLATFORM_KEYS, args))
+        case Target():
+            _run_targets(_settings(TARGET_KEYS, args))
+        case Load():
+            _run_load(_settings(LOAD_KEYS, args))
+
+
+def _settings(keys, args):
+    overrides = dict(text.partition("=")[::2] for text in args.set)
+    cfg = read_settings(keys, args.config, overrides)
+    if cfg.is_error():
+        for fault in cfg.error:
+            print(f"cairnferry-standin: {fault}", file=sys.stderr)
+        print(describe(keys), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    return cfg.ok
+
+
+def _wait_for_end():
+    ended = Event()
+    gevent.signal_handler(signal.SIGTERM, ended.set)
+    gevent.signal_handler(signal.SIGINT, ended.set)
+    print("ready", flush=True)
+    ended.wait()
+
+
+def _run_platform(cfg):
+    standin = PlatformStandin(cfg.get("platform", "listen").as_tuple())
+    standin.start()
+    _wait_for_end()
+
+
+def _run_targets(cfg):
+    standins = []
+    for index, address in enumerate(cfg.get("target", "listen")):
+        behaviour = TargetBehaviour(
+            slots=cfg.get("target", "slots"),
+            service_ms=cfg.get("target", "service_ms"),
+            max_queue=cfg.get("target", "max_queue"),
+            cold_s=cfg.get("target", "cold_s"),
+            cold_factor=cfg.get("target", "cold_factor"),
+        )
+        name = f"{cfg.get('target', 'name')}-{index}"
+        seed = cfg.get("target", "seed") + index
+        standins.append(TargetStandin(address.as_tuple(), name, behaviour, seed))
+    for standin in standins:
+        standin.start()
+    _wait_for_end()
+    group = Group()
+    for standin in standins:
+        group.spawn(standin.leave, cfg.get("target", "notice_s"), LEAVE_S)
+    group.join()
+    path = cfg.get("target", "log")
+    if path:
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump([standin.log() for standin in standins], file)
+
+
+def _run_load(cfg):
+    plan = LoadPlan(
+        entries=tuple(str(address) for address in cfg.get("load", "entries")),
+        service=cfg.get("load", "service"),
+        operations=_operations(cfg.get("load", "operations")),
+        rate=cfg.get("load", "rate"),
+        seconds=cfg.get("load", "seconds"),
+        timeout_ms=cfg.get("load", "timeout_ms"),
+        zone=cfg.get("load", "zone") or "",
+        seed=cfg.get("load", "seed"),
+        prefix=cfg.get("load", "prefix"),
+    )
+    report = run_load(plan)
+    path = cfg.get("load", "outcomes")
+    if path:
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(report.outcomes, file)
+    print(json.dumps(report.summary(), indent=1))
+
+
+def _operations(text):
+    operations = []
+    for part in text.split(","):
+        method, path, *weight = part.split()
+        operations.append(Operation(method, path, float(weight[0]) if weight else 1.0))
+    return tuple(operations)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -0,0 +1,37 @@
+"""One HTTP/1.1 exchange a call, with the evidence of how far it got.
+
+No call is ever sent a second time here: what may follow a failure is decided by
+the caller, who knows whether the request is idempotent.
+"""
+
+from cairnferry.wire._connection import ConnectFailed, Connection, connect
+from cairnferry.wire._exchange import (
+    Failure,
+    Incomplete,
+    NotSent,
+    Outcome,
+    Reply,
+    exchange,
+)
+from cairnferry.wire._pool import ConnectionPool
+from cairnferry.wire._request import HeaderInvalid, encode_request
+from cairnferry.wire._simple import Client
+from cairnferry.wire._sockets import is_quiet, set_no_delay
+
+__all__ = [
+    "Client",
+    "ConnectFailed",
+    "Connection",
+    "ConnectionPool",
+    "Failure",
+    "HeaderInvalid",
+    "Incomplete",
+    "NotSent",
+    "Outcome",
+    "Reply",
+    "connect",
+    "encode_request",
+    "exchange",
+    "is_quiet",
+    "set_no_delay",
+]
--- /dev/null
+++ b/packages/wire/src/cairnferry/wire/_pool.py
@@ -0,0 +1,70 @@
+"""Idle connections to one address."""
+
+import time
+from collections import deque
+
+import attrs
+
+from cairnferry.wire._connection import ConnectFailed, Connection, connect
+
+
+@attrs.define(eq=False)
+class ConnectionPool:
+    """Idle connections to one address, the last used first.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        IP address and port.
+    max_idle : int
+        Idle connections kept; more are closed.
+    max_idle_s : float
+        Age in seconds from which an idle connection is not used again.
+    trusted_idle_s : float
+        Age in seconds up to which a non-idempotent request may use one.
+    """
+
+    address: tuple[str, int]
+    max_idle: int = 32
+    max_idle_s: float = 30.0
+    trusted_idle_s: float = 1.0
+    opened: int = 0
+    _idle: deque = attrs.field(factory=deque, init=False)
+    _closed: bool = attrs.field(default=False, init=False)
+
+    def take(self, idempotent: bool, timeout: float) -> Connection | ConnectFailed:
+        """Give an idle connection that looks alive, or open one.
+
+        Notes
+        -----
+        A connection that has idled long may be closed by the target at the same
+        moment. A request that was written by then is unknown, so that a
+        non-idempotent one gets a connection used lately, or a new one.
+        """
+        max_age = self.max_idle_s if idempotent else self.trusted_idle_s
+        oldest = time.monotonic() - max_age
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.idle_since >= oldest and conn.is_quiet():
+                return conn
+            conn.close()
+        self.opened += 1
+        return connect(self.address, timeout)
+
+    def give(self, conn: Connection) -> None:
+        """Take back a connection after a whole exchange."""
+        if self._closed or len(self._idle) >= self.max_idle:
+            conn.close()
+            return
+        self._idle.append(conn)
+
+    def close(self) -> None:
+        """Close what is idle now and what comes back later."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+
+    @property
+    def idle(self) -> int:
+        """Idle connections held."""
+        return len(self._idle)
--- /dev/null
+++ b/packages/wire/src/cairnferry/wire/_simple.py
@@ -0,0 +1,70 @@
+"""Client for calls that need no policy: the platform, operators, test tools."""
+
+import time
+
+import attrs
+
+from cairnferry.wire._connection import ConnectFailed
+from cairnferry.wire._exchange import Failure, NotSent, Outcome, Reply, exchange
+from cairnferry.wire._pool import ConnectionPool
+from cairnferry.wire._request import encode_request
+
+DEFAULT_MAX_BODY = 64 * 1024 * 1024
+
+
+@attrs.define(eq=False)
+class Client:
+    """Calls to one address, each sent once.
+
+    Parameters
+    ----------
+    host : str
+        IP address.
+    port : int
+        TCP port.
+    """
+
+    host: str
+    port: int
+    max_body: int = DEFAULT_MAX_BODY
+    _pool: ConnectionPool = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._pool = ConnectionPool((self.host, self.port))
+
+    @property
+    def authority(self) -> str:
+        """Value of the Host header."""
+        return f"{self.host}:{self.port}"
+
+    def call(
+        self, method, path, *, timeout, headers=(), body=b"", idempotent=False
+    ) -> Outcome:
+        """Make one call.
+
+        Parameters
+        ----------
+        method, path : str
+            Request line.
+        timeout : float
+            Seconds for the whole call.
+        headers : iterable of (str, str), optional
+            Further headers.
+        body : bytes, optional
+            Request body.
+        idempotent : bool, optional
+            Whether a connection that idled long may carry it.
+        """
+        deadline = time.monotonic() + timeout
+        payload = encode_request(method, path, self.authority, headers, body)
+        conn = self._pool.take(idempotent, timeout)
+        if isinstance(conn, ConnectFailed):
+            return NotSent(Failure.CONNECT)
+        outcome = exchange(conn, method, payload, deadline, self.max_body)
+        if isinstance(outcome, Reply) and conn.is_open:
+            self._pool.give(conn)
+        return outcome
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
