Test decisions, framing and evidence; end idle connections and hopeless waits

Cause: two failures found by the new tests. (1) A closing listener waited to its limit of 30 s: an idle connection stayed open, since a gevent socket that is closed while its reader holds it stays open. (2) A request that the only target had refused as draining was held for 1 s, to its deadline, although it was known at once that no target was left.

Ruled out: closing the reader from another task (it waits for the task that reads); a shorter limit (it would cut requests in flight).

Change: idle connections are shut down; a request with no target left that could take it is answered at once, while it waits too. An unknown outcome at the deadline names the deadline as its cause.

Conclusion: leaving is bounded by what is in flight.

--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import re
+from socket import SHUT_RDWR
 
 import gevent
 from gevent.pool import Pool
@@ -245,5 +246,7 @@
             sock = handler.socket
             # A request that is just arriving is answered, not cut.
             if not handler.busy and sock is not None and is_quiet(sock):
-                sock.close()
+                # A plain close would do nothing while the reader holds it open,
+                # and the daemon would wait for it to the limit.
+                sock.shutdown(SHUT_RDWR)
         return len(self._handlers)
--- a/packages/policy/src/cairnferry/policy/_budget.py
+++ b/packages/policy/src/cairnferry/policy/_budget.py
@@ -10,6 +10,9 @@
     Without a common budget every failed request is sent again: when all targets
     fail, or are slow, that multiplies the load just when they have no room.
 
+    The first tokens are lent, so that the first failures after a start can be
+    met; what is earned pays them back before it counts.
+
     Parameters
     ----------
     ratio : float
@@ -17,16 +20,23 @@
     burst : float
         Most tokens held.
     tokens : float
-        Tokens at the start.
+        Tokens lent at the start.
     """
 
     ratio: float
     burst: float
     tokens: float
+    _debt: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._debt = self.tokens
 
     def earn(self) -> None:
         """Count a first attempt."""
-        self.tokens = min(self.burst, self.tokens + self.ratio)
+        if self._debt > 0:
+            self._debt -= self.ratio
+        else:
+            self.tokens = min(self.burst, self.tokens + self.ratio)
 
     def spend(self) -> bool:
         """Take a token for a further attempt, if there is one."""
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -155,7 +155,7 @@
         return self._enqueue(call, now)
 
     def _enqueue(self, call, now):
-        if not self._usable.any(self._targets, now):
+        if self._is_hopeless(call, now):
             return self._refuse(Cause.NO_TARGET)
         start_by = call.deadline - self._latency.usual
         if now + self._expected_wait(call) > start_by:
@@ -200,9 +200,10 @@
             call = self._waiting.peek(priority)
             if call is None:
                 return decided
-            if now >= call.deadline - self._latency.usual:
+            cause = self._reason_to_settle(call, now)
+            if cause is not None:
                 self._waiting.remove(call)
-                decided.append((call, self._settle(call, Cause.DEADLINE)))
+                decided.append((call, self._settle(call, cause)))
                 continue
             kind = AttemptKind.RETRY if call.attempts else AttemptKind.FIRST
             attempt = self._place(call, kind, now)
@@ -211,6 +212,13 @@
             self._waiting.remove(call)
             decided.append((call, Send(attempt)))
 
+    def _reason_to_settle(self, call, now):
+        if now >= call.deadline - self._latency.usual:
+            return Cause.DEADLINE
+        if self._is_hopeless(call, now):
+            return Cause.NO_TARGET
+        return None
+
     def abandon(self, call: Call) -> None:
         """Forget a waiting request whose caller went away."""
         self._waiting.remove(call)
@@ -232,7 +240,8 @@
             case Follow.AGAIN:
                 return self._again(call, now) or self._settle(call, _cause(result))
             case Follow.TELL_UNKNOWN:
-                return self._settle(call, Cause.TARGET_LOST)
+                late = isinstance(result, Lost) and result.timed_out
+                return self._settle(call, Cause.DEADLINE if late else Cause.TARGET_LOST)
 
     def _while_others_run(self, result):
         """Relay a good answer at once; leave anything else to the others."""
@@ -259,11 +268,23 @@
         attempt = self._place(call, AttemptKind.RETRY, now)
         if attempt is not None:
             return Send(attempt)
-        if len(self._waiting) >= self.service.queue_limit:
+        if len(self._waiting) >= self.service.queue_limit or self._is_hopeless(
+            call, now
+        ):
             return None
         self._waiting.push(call)
         return Wait(call.deadline - self._latency.usual)
 
+    def _is_hopeless(self, call, now):
+        """Tell whether no target is left that could still take the request.
+
+        It would wait to its deadline for an answer that is known by now.
+        """
+        return all(
+            target.is_draining(now) or call.tried(target.name)
+            for target in self._targets.values()
+        )
+
     def hedge_delay(self) -> float | None:
         """Give the seconds after which an attempt may be doubled; None: never."""
         if not self.service.hedging or not self._latency.high:
--- a/packages/policy/src/cairnferry/policy/_usable.py
+++ b/packages/policy/src/cairnferry/policy/_usable.py
@@ -40,16 +40,6 @@
             self._work_out(targets, now)
         return self._near, self._far
 
-    def any(self, targets: dict[str, TargetState], now: float) -> bool:
-        """Tell whether there is a target that is not leaving or out of use.
-
-        One that is paused for a few milliseconds counts.
-        """
-        self.lists(targets, now)
-        if self._near or self._far or self.ejected:
-            return True
-        return any(not target.is_draining(now) for target in targets.values())
-
     def _work_out(self, targets, now):
         self._near = []
         self._far = []
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,11 +5,29 @@
 
 monkey.patch_all()
 
-import gevent  # noqa: E402
+import random  # noqa: E402
+
+import gevent.socket  # noqa: E402
 import pytest  # noqa: E402
 from gevent.server import StreamServer  # noqa: E402
 
-from cairnferry.standins import LocalSystem, TargetBehaviour, TargetStandin  # noqa: E402
+from cairnferry.entry._callers import BodyLimits, CallersApp  # noqa: E402
+from cairnferry.entry._daemon import Limits  # noqa: E402
+from cairnferry.entry._forward import Forwarder  # noqa: E402
+from cairnferry.entry._http_server import HttpServer  # noqa: E402
+from cairnferry.entry._metrics import Metrics  # noqa: E402
+from cairnferry.entry._services import Services  # noqa: E402
+from cairnferry.entry._upstreams import Upstreams  # noqa: E402
+from cairnferry.records import Change, Put, RecordSet  # noqa: E402
+from cairnferry.standins import (  # noqa: E402
+    LocalSystem,
+    TargetBehaviour,
+    TargetStandin,
+    route_v2,
+    service_v2,
+    target_v2,
+)
+from cairnferry.wire import Client  # noqa: E402
 
 HOST = "127.0.0.1"
 GUARD_S = 120
@@ -69,3 +87,82 @@
     """Give an empty system of separate processes."""
     with LocalSystem(tmp_path) as system:
         yield system
+
+
+@pytest.fixture
+def start_entry():
+    """Start the callers' side of a daemon in this process, with given records."""
+    servers = []
+
+    def start(*documents, **limits):
+        entry = CallersSide(documents, **limits)
+        servers.append(entry)
+        return entry
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+class CallersSide:
+    """Callers' listener, services and connections, without cluster or platform."""
+
+    def __init__(self, documents, max_body=65536, max_connections=100, body_s=5.0):
+        self.services = Services("z", random.Random(5), lambda policy: None)
+        self.upstreams = Upstreams(1.0, 1024 * 1024)
+        self.metrics = Metrics()
+        edits = tuple(Put(document, 0) for document in documents)
+        if edits:
+            records = RecordSet().apply(1, (Change("c", edits),)).ok
+            self.services.install(records)
+        app = CallersApp(
+            self.services,
+            Forwarder(self.upstreams),
+            None,
+            self.metrics,
+            BodyLimits(max_body, body_s),
+        )
+        limits = Limits(max_connections, idle_s=30.0, head_s=body_s)
+        self.server = HttpServer((HOST, 0), app, limits)
+        self.server.start()
+
+    @property
+    def port(self):
+        return self.server.server_port
+
+    def policy(self, service="s"):
+        return self.services.runtime(service).policy
+
+    def call(self, method="GET", path="/s", timeout=10, **options):
+        return Client(HOST, self.port).call(method, path, timeout=timeout, **options)
+
+    def raw(self, data):
+        """Send bytes; give all that comes back until the connection ends."""
+        with gevent.socket.create_connection((HOST, self.port)) as sock:
+            sock.sendall(data)
+            received = b""
+            while part := sock.recv(65536):
+                received += part
+            return received
+
+    def stop(self):
+        self.server.stop(timeout=0)
+        self.upstreams.close()
+
+
+@pytest.fixture
+def records_for():
+    """Make a service, a route and targets for stand-ins of this process."""
+
+    def make(*targets, route=None, **service):
+        documents = [
+            service_v2("s", **service),
+            route_v2("r", "/s", "s", **route or {}),
+        ]
+        for index, target in enumerate(targets):
+            address = f"{HOST}:{target.port}"
+            slots = target.behaviour.slots
+            documents.append(target_v2(f"t{index}", "s", "z", address, slots=slots))
+        return documents
+
+    return make
--- /dev/null
+++ b/tests/entry/test_http_server.py
@@ -0,0 +1,150 @@
+"""Bad and hostile input at the callers' listener: a typed error, no leak."""
+
+import random
+
+import gevent
+import pytest
+
+from cairnferry.standins import wait_for
+from cairnferry.wire import connect
+
+GET = b"GET /s HTTP/1.1\r\nHost: x\r\n"
+POST = b"POST /s HTTP/1.1\r\nHost: x\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+FUZZ_ROUNDS = 300
+
+
+@pytest.fixture
+def target(start_target):
+    return start_target(service_ms=0)
+
+
+@pytest.fixture
+def entry(start_entry, records_for, target):
+    return start_entry(*records_for(target), max_body=1000, body_s=0.2)
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "cause"),
+    [
+        # Symptom: the rest of one request is taken for another caller's. Events:
+        # a request has two lengths, or a length and chunks, or an odd coding.
+        # Cause: this side and the target may each read it in another way.
+        (
+            POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            400,
+            "ambiguous-framing",
+        ),
+        (
+            POST + b"Content-Length: 3\r\n" + CHUNKED + b"\r\n0\r\n\r\n",
+            400,
+            "ambiguous-framing",
+        ),
+        (POST + b"Content-Length: +1\r\n\r\na", 400, "ambiguous-framing"),
+        (
+            POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            400,
+            "ambiguous-framing",
+        ),
+        (GET + b"A: b\r\n folded: c\r\n\r\n", 400, "ambiguous-framing"),
+        (GET + b"no colon\r\n\r\n", 400, "ambiguous-framing"),
+        (b"GET /s\r\n\r\n", 400, "ambiguous-framing"),
+        (b"GET /s HTTP/3.0\r\n\r\n", 400, "malformed"),
+        (b"\x00\x01\x02\r\n\r\n", 400, "malformed"),
+        (b"GET s HTTP/1.0\r\n\r\n", 400, "malformed"),
+        (GET + b"X: " + b"y" * 40_000 + b"\r\n\r\n", 431, "head-too-large"),
+        (
+            POST + b"Content-Length: 1001\r\n\r\n" + b"x" * 1001,
+            413,
+            "body-too-large",
+        ),
+        (
+            POST + CHUNKED + b"\r\n7d0\r\n" + b"x" * 2000 + b"\r\n0\r\n\r\n",
+            413,
+            "body-too-large",
+        ),
+        (POST + CHUNKED + b"\r\nzz\r\n", 400, "body-incomplete"),
+        (POST + b"Content-Length: 9\r\n\r\nab", 408, "slow-sender"),
+        (GET + b"X: y", 408, "slow-sender"),
+    ],
+)
+def test_bad_input_gets_a_typed_error_and_reaches_no_target(
+    data, status, cause, entry, target
+):
+    answer = entry.raw(data)
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+    assert f'"cause": "{cause}"'.encode() in answer
+    assert b"Cairnferry-Outcome: not-run" in answer
+    assert target.seen == []
+    wait_for(lambda: entry.server.connections == 0)
+
+
+def test_more_connections_than_allowed_are_refused_at_once(
+    start_entry, records_for, target
+):
+    entry = start_entry(*records_for(target), max_connections=2)
+    kept = [connect(("127.0.0.1", entry.port), 1) for _ in range(2)]
+    wait_for(lambda: entry.server.connections == 2)
+    assert b'"too-many-connections"' in entry.raw(b"")
+    kept[0].close()
+    wait_for(lambda: entry.server.connections == 1)
+    assert entry.call().status == 200
+
+
+def test_requests_on_one_connection_are_answered_in_order(entry):
+    data = b"".join(
+        b"GET /s/%d HTTP/1.1\r\nX-Request-Id: r%d\r\n\r\n" % (i, i) for i in range(9)
+    )
+    answer = entry.raw(data + b"GET /s HTTP/1.1\r\nConnection: close\r\n\r\n")
+    places = [answer.index(b"r%d GET /s/%d " % (i, i)) for i in range(9)]
+    assert places == sorted(places)
+
+
+def test_headers_of_one_connection_only_do_not_pass(start_entry, records_for):
+    heads = []
+
+    def handle(sock, address):
+        heads.append(sock.recv(65536))
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: X-Private\r\n"
+            b"X-Private: 1\r\nX-Public: 1\r\nCairnferry-Outcome: not-run\r\n\r\n"
+        )
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    target = type("T", (), {"port": server.server_port})
+    target.behaviour = type("B", (), {"slots": 4})
+    entry = start_entry(*records_for(target))
+    headers = [("Connection", "X-Mine"), ("X-Mine", "1"), ("X-Kept", "1"), ("TE", "t")]
+    reply = entry.call(headers=headers)
+    server.stop()
+    assert b"X-Kept: 1" in heads[0]
+    assert b"X-Mine" not in heads[0]
+    assert b"TE:" not in heads[0]
+    assert reply.header("x-public") == "1"
+    assert reply.header("x-private") is None
+    # A target must not be able to speak for the system.
+    assert reply.header("cairnferry-outcome") is None
+
+
+def test_any_bytes_leave_the_listener_sound(entry):
+    """Fuzz with a fixed seed: mutated requests, each on its own connection."""
+    rng = random.Random(11)
+    seeds = [
+        GET + b"\r\n",
+        POST + b"Content-Length: 3\r\n\r\nabc",
+        POST + CHUNKED + b"\r\n3\r\nabc\r\n0\r\n\r\n",
+    ]
+    for _ in range(FUZZ_ROUNDS):
+        data = bytearray(rng.choice(seeds))
+        for _ in range(rng.randrange(1, 6)):
+            place = rng.randrange(len(data))
+            data[place : place + rng.randrange(3)] = rng.randbytes(rng.randrange(4))
+        with gevent.socket.create_connection(("127.0.0.1", entry.port)) as sock:
+            sock.sendall(bytes(data))
+            sock.shutdown(gevent.socket.SHUT_WR)
+            while sock.recv(65536):
+                pass
+    assert entry.call().status == 200
+    wait_for(lambda: entry.server.connections <= 1)
+    assert entry.policy()._in_flight == 0
--- /dev/null
+++ b/tests/policy/test_service.py
@@ -0,0 +1,418 @@
+"""Decisions about requests, driven with a clock of the test's own."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cairnferry.policy import (
+    Abandoned,
+    Answered,
+    AttemptKind,
+    Call,
+    Cause,
+    DrainSource,
+    GiveUp,
+    LoadReport,
+    Lost,
+    NotRun,
+    Refuse,
+    Relay,
+    Send,
+    ServicePolicy,
+    TargetRefused,
+    Wait,
+)
+from cairnferry.records import Lifecycle, Priority, Service, Target
+
+SERVICE = Service("s", 1000, 0.1, True, 8)
+
+
+def make_target(index, slots=4, zone="near", lifecycle=Lifecycle.ACTIVE):
+    name = f"t{index}"
+    return Target(name, "s", zone, "10.0.0.1", 80 + index, slots, lifecycle, "/h", None)
+
+
+def make_policy(count=4, service=SERVICE, targets=None, **fields):
+    policy = ServicePolicy(service, "near", random.Random(3))
+    records = targets or [make_target(i, **fields) for i in range(count)]
+    policy.update(service, records, 0.0)
+    policy._window.limit = policy._window.maximum
+    return policy
+
+
+def make_call(now=0.0, idempotent=True, seconds=1.0, **fields):
+    return Call(now, now + seconds, idempotent, **fields)
+
+
+def send(policy, now=0.0, **fields):
+    decision = policy.arrive(make_call(now, **fields), now)
+    assert isinstance(decision, Send)
+    return decision.attempt
+
+
+def warm_up(policy, latency=0.01, count=40):
+    """Let each target answer some requests."""
+    now = 0.0
+    for _ in range(count):
+        attempt = send(policy, now)
+        now += latency
+        policy.finished(attempt, Answered(), now)
+    return now
+
+
+# -- evidence ---------------------------------------------------------------------
+
+
+def test_a_whole_answer_is_relayed():
+    policy = make_policy()
+    assert policy.finished(send(policy), Answered(), 0.1) == Relay()
+
+
+@pytest.mark.parametrize("result", [TargetRefused(), NotRun()])
+def test_what_did_not_run_may_go_elsewhere_even_if_not_idempotent(result):
+    policy = make_policy()
+    first = send(policy, idempotent=False)
+    again = policy.finished(first, result, 0.1)
+    assert isinstance(again, Send)
+    assert again.attempt.kind is AttemptKind.RETRY
+    assert again.attempt.target_name != first.target_name
+
+
+def test_what_may_have_run_is_not_sent_again_unless_idempotent():
+    """Symptom: a licensing order is billed twice.
+
+    Events: a target takes the order and its answer is lost. Cause: a lost
+    answer says nothing of the order; only an idempotent request may go again.
+    """
+    policy = make_policy()
+    decision = policy.finished(send(policy, idempotent=False), Lost(), 0.1)
+    assert isinstance(decision, GiveUp)
+    assert isinstance(policy.finished(send(policy), Lost(), 0.2), Send)
+
+
+def test_not_run_is_said_only_if_no_attempt_may_have_run():
+    """Symptom: a caller is told "not run" for a request that ran.
+
+    Events: the first attempt's answer is lost, the second is refused. Cause:
+    the last evidence alone was looked at.
+    """
+    policy = make_policy()
+    second = policy.finished(send(policy), Lost(), 0.1)
+    third = policy.finished(second.attempt, TargetRefused(), 0.2)
+    last = policy.finished(third.attempt, TargetRefused(), 0.3)
+    assert isinstance(last, GiveUp)
+
+
+RESULTS = st.sampled_from(
+    [Answered(), Answered(True), TargetRefused(), NotRun(), Lost(), Lost(True)]
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(st.lists(RESULTS, min_size=8, max_size=8), st.booleans())
+def test_evidence_holds_for_any_course_of_events(results, idempotent):
+    policy = make_policy(8)
+    decision = policy.arrive(make_call(idempotent=idempotent), 0.0)
+    possible_runs = 0
+    for step, result in enumerate(results):
+        if not isinstance(decision, Send):
+            break
+        decision = policy.finished(decision.attempt, result, 0.01 * step)
+        possible_runs += isinstance(result, Lost | Answered)
+    assert isinstance(decision, Relay | Refuse | GiveUp)
+    assert not (isinstance(decision, Refuse) and possible_runs)
+    assert idempotent or possible_runs <= 1
+    assert step <= policy.settings.max_attempts
+
+
+def test_the_first_good_answer_of_a_race_wins():
+    policy = make_policy()
+    now = warm_up(policy)
+    first = send(policy, now)
+    hedge = policy.hedge(first.call, now).attempt
+    assert hedge.kind is AttemptKind.HEDGE
+    assert policy.finished(first, Lost(), now) == Abandoned()
+    assert policy.finished(hedge, Answered(), now) == Relay()
+
+
+def test_only_idempotent_requests_are_hedged():
+    policy = make_policy()
+    assert policy.hedge(send(policy, idempotent=False).call, 0.1) is None
+
+
+# -- budgets ----------------------------------------------------------------------
+
+
+def test_attempts_stay_near_one_when_everything_fails():
+    """Symptom: an outage of all targets turns into many times the load.
+
+    Events: all targets fail. Cause: each failure is answered with a retry.
+    """
+    policy = make_policy(16)
+    requests = 2000
+    attempts = 0
+    now = 0.0
+    for _ in range(requests):
+        now += 0.01
+        decision = policy.arrive(make_call(now), now)
+        while isinstance(decision, Send):
+            attempts += 1
+            decision = policy.finished(decision.attempt, Lost(), now)
+    assert attempts <= 1.1 * requests
+
+
+def test_a_request_that_is_itself_a_retry_is_not_repeated():
+    policy = make_policy()
+    attempt = send(policy, may_retry=False)
+    assert isinstance(policy.finished(attempt, NotRun(), 0.1), Refuse)
+    assert policy.hedge(send(policy, may_retry=False).call, 0.1) is None
+
+
+# -- limits and the queue -----------------------------------------------------------
+
+
+def fill(policy, now=0.0):
+    attempts = []
+    while True:
+        decision = policy.arrive(make_call(now), now)
+        if not isinstance(decision, Send):
+            policy.abandon(decision)
+            return attempts
+        attempts.append(decision.attempt)
+
+
+def test_no_target_gets_more_than_its_slots():
+    policy = make_policy(2, slots=3)
+    assert len(fill(policy)) == 6
+
+
+def test_what_waits_gets_the_room_that_comes_up():
+    policy = make_policy(1, slots=1)
+    attempt = send(policy)
+    call = make_call()
+    assert isinstance(policy.arrive(call, 0.0), Wait)
+    assert policy.release(0.0) == []
+    policy.finished(attempt, Answered(), 0.01)
+    ((released, decision),) = policy.release(0.01)
+    assert released is call
+    assert isinstance(decision, Send)
+
+
+def test_interactive_requests_go_first_and_then_the_nearest_deadline():
+    policy = make_policy(1, slots=1)
+    attempt = send(policy)
+    late = make_call(seconds=0.9)
+    soon = make_call(seconds=0.5)
+    background = make_call(seconds=0.4, priority=Priority.BACKGROUND)
+    for call in (background, late, soon):
+        assert isinstance(policy.arrive(call, 0.0), Wait)
+    order = []
+    for step in range(3):
+        policy.finished(attempt, Answered(), 0.001 * step)
+        ((call, decision),) = policy.release(0.001 * step)
+        order.append(call)
+        attempt = decision.attempt
+    assert order == [soon, late, background]
+
+
+def test_a_full_queue_refuses_at_once_and_background_gives_way():
+    policy = make_policy(1, slots=1)
+    send(policy)
+    background = make_call(priority=Priority.BACKGROUND)
+    assert isinstance(policy.arrive(background, 0.0), Wait)
+    for _ in range(SERVICE.queue_limit - 1):
+        assert isinstance(policy.arrive(make_call(), 0.0), Wait)
+    refused = policy.arrive(make_call(priority=Priority.BACKGROUND), 0.0)
+    assert isinstance(refused, Refuse)
+    assert refused.retry_after > 0
+    assert isinstance(policy.arrive(make_call(), 0.0), Wait)
+    assert isinstance(policy.arrive(make_call(), 0.0), Refuse)
+    ((victim, decision),) = policy.release(0.0)
+    assert victim is background
+    assert decision.cause is Cause.OVERLOAD
+
+
+def test_what_cannot_make_its_deadline_is_refused_while_it_waits():
+    policy = make_policy(1, slots=1)
+    now = warm_up(policy, latency=0.1)
+    send(policy, now)
+    call = make_call(now, seconds=0.2)
+    decision = policy.arrive(call, now)
+    assert isinstance(decision, Wait)
+    ((released, refused),) = policy.release(decision.until + 0.001)
+    assert released is call
+    assert refused.cause is Cause.DEADLINE
+
+
+def test_what_cannot_make_its_deadline_is_refused_at_once():
+    policy = make_policy(1, slots=1)
+    now = warm_up(policy, latency=0.1)
+    send(policy, now)
+    assert policy.arrive(make_call(now, seconds=0.05), now).cause is Cause.DEADLINE
+    assert policy.arrive(make_call(now, seconds=0.0), now).cause is Cause.DEADLINE
+
+
+def test_the_window_is_cut_when_targets_queue_and_grows_when_they_do_not():
+    policy = make_policy(4)
+    before = policy._window.limit
+    now = 0.0
+    for _ in range(100):
+        now += 1
+        attempt = send(policy, now)
+        policy.finished(attempt, Answered(report=LoadReport(9)), now + 0.005)
+    cut = policy._window.limit
+    assert cut < before / 2
+    for _ in range(400):
+        now += 0.01
+        attempts = fill(policy, now)
+        for attempt in attempts:
+            policy.finished(attempt, Answered(report=LoadReport(0)), now)
+        policy.release(now)
+    assert policy._window.limit > cut
+
+
+# -- choice -------------------------------------------------------------------------
+
+
+def spread(policy, now, count=400, latency=0.01):
+    """Count where requests go that end at once."""
+    counts = dict.fromkeys(policy._targets, 0)
+    for _ in range(count):
+        now += latency
+        attempt = send(policy, now)
+        counts[attempt.target_name] += 1
+        policy.finished(attempt, Answered(), now + latency / 2)
+    return counts
+
+
+def test_the_own_zone_goes_first_until_it_runs_hot():
+    targets = [make_target(0, zone="near"), make_target(1, zone="far")]
+    policy = make_policy(targets=targets)
+    first = [send(policy).target_name for _ in range(4)]
+    assert set(first) == {"t0"}
+    assert send(policy).target_name == "t1"
+
+
+def test_a_target_that_became_slow_loses_its_traffic():
+    policy = make_policy(4)
+    now = warm_up(policy, count=100)
+    slow = policy._targets["t0"]
+    stuck = [send(policy, now) for _ in range(4)]
+    assert any(attempt.target is slow for attempt in stuck)
+    later = now + 0.2
+    for attempt in stuck:
+        if attempt.target is not slow:
+            policy.finished(attempt, Answered(), now + 0.01)
+    assert spread(policy, later)["t0"] == 0
+
+
+def test_fast_failures_do_not_look_like_low_load():
+    """Symptom: a broken target draws most of the traffic.
+
+    Events: a target answers each request with an error, at once. Cause: it
+    looks idle and fast.
+    """
+    policy = make_policy(4)
+    now = warm_up(policy, count=100)
+    sent = 0
+    for _ in range(1000):
+        now += 0.001
+        decision = policy.arrive(make_call(now, idempotent=False), now)
+        attempt = decision.attempt
+        failed = attempt.target_name == "t0"
+        sent += failed
+        policy.finished(attempt, Answered(failed=failed), now + 0.0005)
+    assert sent <= 10
+
+
+def test_an_ejected_target_comes_back_by_one_trial_at_a_time():
+    policy = make_policy(4)
+    now = warm_up(policy, count=100)
+    target = policy._targets["t0"]
+    for _ in range(3):
+        policy._ejector.note_failure(target, policy._targets.values(), now)
+    policy._usable.forget()
+    assert spread(policy, now, count=50)["t0"] == 0
+    later = target.ejected_until + 1
+    attempts = [send(policy, later) for _ in range(6)]
+    trials = [attempt for attempt in attempts if attempt.target is target]
+    assert [attempt.trial for attempt in trials] == [True]
+    policy.finished(trials[0], Answered(), later + 0.01)
+    assert not target.ejected_until
+
+
+def test_not_all_targets_are_ejected():
+    policy = make_policy(4)
+    for target in list(policy._targets.values()) * 3:
+        policy._ejector.note_failure(target, policy._targets.values(), 1.0)
+    assert sum(bool(t.ejected_until) for t in policy._targets.values()) == 2
+
+
+@pytest.mark.parametrize("source", DrainSource)
+def test_any_source_suffices_for_draining(source):
+    policy = make_policy(2)
+    if source is DrainSource.RECORD:
+        draining = make_target(0, lifecycle=Lifecycle.DRAINING)
+        policy.update(SERVICE, [draining, make_target(1)], 0.0)
+    elif source is DrainSource.REFUSAL:
+        attempts = [send(policy) for _ in range(2)]
+        first = attempts[0]
+        policy.finished(first, TargetRefused(draining=True), 0.0)
+        assert spread(policy, 1.0)[first.target_name] == 0
+        return
+    else:
+        policy.note_draining("t0", source, 100.0)
+    assert spread(policy, 1.0, count=40)["t0"] == 0
+
+
+def test_queued_requests_do_not_go_to_a_target_that_began_to_leave():
+    policy = make_policy(1, slots=1)
+    attempt = send(policy)
+    call = make_call()
+    policy.arrive(call, 0.0)
+    policy.note_draining("t0", DrainSource.HEALTH, 100.0)
+    policy.finished(attempt, Answered(), 0.01)
+    ((_, decision),) = policy.release(0.01)
+    assert isinstance(decision, Refuse)
+    assert decision.cause is Cause.NO_TARGET
+
+
+def test_with_no_target_left_requests_are_refused_at_once():
+    policy = make_policy(1)
+    policy.note_draining("t0", DrainSource.PLATFORM, 100.0)
+    assert policy.arrive(make_call(), 0.0).cause is Cause.NO_TARGET
+
+
+def test_a_new_target_gets_its_share_slowly():
+    policy = make_policy(3)
+    now = warm_up(policy)
+    policy.update(SERVICE, [make_target(i) for i in range(4)], now)
+    early = sum(send(policy, now).target_name == "t3" for _ in range(6))
+    assert early <= 1
+
+
+def test_a_replaced_target_does_not_lose_count_of_what_runs():
+    """Symptom: an internal error for each answer after a record was replaced.
+
+    Events: requests run at a target; its record gets another address; the
+    answers come. Cause: they were counted out of the new target.
+    """
+    policy = make_policy(1)
+    attempt = send(policy)
+    policy.update(SERVICE, [make_target(0), make_target(1)], 0.0)
+    moved = attrs.evolve(make_target(0), port=9999)
+    policy.update(SERVICE, [moved], 0.0)
+    assert policy.finished(attempt, Answered(), 0.1) == Relay()
+    assert policy._targets["t0"].in_flight == 0
+
+
+def test_background_work_takes_what_interactive_work_leaves():
+    policy = make_policy(4)
+    background = 0
+    while isinstance(policy.arrive(make_call(priority=Priority.BACKGROUND), 0.0), Send):
+        background += 1
+    assert 0 < background <= policy.settings.background_share * 16
+    assert isinstance(policy.arrive(make_call(), 0.0), Wait | Send)
--- /dev/null
+++ b/tests/records/test_parse.py
@@ -0,0 +1,120 @@
+"""Both schema versions lead to one internal form; faults name their field."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cairnferry.records import (
+    Lifecycle,
+    MalformedRecord,
+    Priority,
+    RefusalContract,
+    Route,
+    Service,
+    Target,
+    UnknownSchemaVersion,
+    parse_record,
+)
+from cairnferry.standins import (
+    route_v1,
+    route_v2,
+    service_v1,
+    service_v2,
+    target_v1,
+    target_v2,
+)
+
+ADDRESS = "10.0.0.1:80"
+
+
+def test_services_of_both_versions_mean_the_same():
+    old = service_v1("s", timeout_s=0.25, retry_percent=20, hedge="yes", queue=5)
+    new = service_v2("s", 250, retryBudget=0.2, hedging={"enabled": True}, queueLimit=5)
+    assert (
+        parse_record(old).ok == parse_record(new).ok == Service("s", 250, 0.2, True, 5)
+    )
+
+
+def test_targets_of_both_versions_mean_the_same():
+    old = target_v1("t", "s", "z", ADDRESS, slots=4, drain=True, health="/h")
+    new = target_v2(
+        "t", "s", "z", ADDRESS, slots=4, lifecycle="draining", health={"path": "/h"}
+    )
+    refusal = RefusalContract(503, "x-refused")
+    expected = Target(
+        "t", "s", "z", "10.0.0.1", 80, 4, Lifecycle.DRAINING, "/h", refusal
+    )
+    assert parse_record(old).ok == parse_record(new).ok == expected
+
+
+def test_routes_of_both_versions_mean_the_same():
+    old = route_v1("r", "/p", "s", safe_methods="GET,PUT", timeout_s=2, bulk=True)
+    new = route_v2(
+        "r",
+        "/p",
+        "s",
+        idempotentMethods=["GET", "PUT"],
+        deadlineMillis=2000,
+        priority="background",
+    )
+    methods = frozenset(["GET", "PUT"])
+    expected = Route("r", "/p", "s", methods, 2000, Priority.BACKGROUND)
+    assert parse_record(old).ok == parse_record(new).ok == expected
+
+
+def test_methods_are_idempotent_as_the_standard_says_unless_told():
+    methods = parse_record(route_v1("r", "/p", "s")).ok.idempotent_methods
+    assert "POST" not in methods
+    assert {"GET", "PUT", "DELETE"} <= methods
+
+
+@pytest.mark.parametrize(
+    ("document", "field"),
+    [
+        ([], "(document)"),
+        ({"kind": "service"}, "schema"),
+        ({"schema": True, "kind": "service"}, "schema"),
+        ({"schema": 1, "kind": "cluster"}, "kind"),
+        (service_v1("s", timeout_s="1"), "timeout_s"),
+        (service_v1("s", timeout_s=0), "timeout_s"),
+        (service_v1("UPPER"), "name"),
+        (service_v1("s") | {"extra": 1}, "(document)"),
+        (target_v1("t", "s", "z", "10.0.0.999:80"), "address"),
+        (target_v1("t", "s", "z", "10.0.0.1:0"), "address"),
+        (target_v1("t", "s", "z", ADDRESS, slots=0), "slots"),
+        (target_v2("t", "s", "z", ADDRESS, lifecycle="gone"), "spec.lifecycle"),
+        (service_v2("s", 1.5), "spec.deadlineMillis"),
+        (route_v2("r", "no-slash", "s"), "spec.match.pathPrefix"),
+    ],
+)
+def test_a_fault_names_its_field(document, field):
+    error = parse_record(document).error
+    assert isinstance(error, MalformedRecord)
+    assert error.field == field
+    assert error.expected
+
+
+def test_an_unknown_schema_version_has_its_own_error():
+    error = parse_record(service_v1("s") | {"schema": 3}).error
+    assert error == UnknownSchemaVersion("service/s", "3")
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+)
+NEAR_RECORDS = st.fixed_dictionaries(
+    {},
+    optional={
+        key: JSON | st.sampled_from([1, 2, "service", "target", "route", "s"])
+        for key in ("schema", "kind", "name", "metadata", "spec", "timeout_s", "path")
+    },
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(JSON | NEAR_RECORDS)
+def test_any_document_gives_a_record_or_a_typed_error(document):
+    parsed = parse_record(document)
+    if parsed.is_error():
+        assert isinstance(parsed.error, MalformedRecord | UnknownSchemaVersion)
