Read request heads by field instead of by the mail parser

Cause: py-spy on a daemon at 800 requests a second showed 12.4 percent of the samples in the standard library's header parser, which is made for mail, and more in building a WSGI environment that nothing here reads. Ruled out: the connection watch and the policy (each under 2 percent). Change: a reader of header fields, stricter than the old one, and no environment.

--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -7,9 +7,10 @@
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer, headers_factory
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from cairnferry.entry._answers import Problem, encode_raw
+from cairnferry.entry._head_fields import MalformedField, read_fields
 from cairnferry.wire import is_quiet, set_no_delay
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -40,13 +41,11 @@
         self._rfile = rfile
         self._left = MAX_HEAD_BYTES
 
-    def readline(self, limit=-1):
-        line = self._rfile.readline(limit)
+    def readline(self):
+        line = self._rfile.readline(self._left + 1)
         self._left -= len(line)
         if self._left < 0:
             raise BadRequest(Problem.HEAD_TOO_LARGE)
-        if line[:1] in (b" ", b"\t"):
-            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
         return line
 
 
@@ -64,11 +63,12 @@
         perhaps in another at the target. The rest of one request would be taken
         for the next one, of another caller.
         """
-        message = headers_factory(_HeadReader(self.rfile))
-        if message.defects:
-            raise BadRequest(Problem.AMBIGUOUS_FRAMING)
-        lengths = message.get_all("content-length", [])
-        codings = message.get_all("transfer-encoding", [])
+        try:
+            message = read_fields(_HeadReader(self.rfile).readline)
+        except MalformedField as exc:
+            raise BadRequest(Problem.AMBIGUOUS_FRAMING) from exc
+        lengths = message.get_all("content-length")
+        codings = message.get_all("transfer-encoding")
         if len(lengths) > 1 or (lengths and codings):
             raise BadRequest(Problem.AMBIGUOUS_FRAMING)
         if lengths and not _LENGTH.match(lengths[0]):
@@ -96,10 +96,15 @@
         return good
 
     def get_environ(self):
-        """Add the handler itself, for the raw path and headers."""
-        environ = super().get_environ()
-        environ[HANDLER_KEY] = self
-        return environ
+        """Give the handler itself; the applications here read it alone."""
+        expects = self.headers.get("expect", "").lower() == "100-continue"
+        self.wsgi_input = Input(
+            self.rfile,
+            self.content_length,
+            socket=self.socket if expects else None,
+            chunked_input=self.headers.get("transfer-encoding") is not None,
+        )
+        return {HANDLER_KEY: self}
 
     def header_pairs(self):
         """Give the request's headers as received, in order."""
--- a/packages/standins/src/cairnferry/standins/command.py
+++ b/packages/standins/src/cairnferry/standins/command.py
@@ -49,6 +49,7 @@
     Key("load", "zone", Sort.NAME, "zone of the callers", optional=True),
     Key("load", "seed", Sort.INTEGER, "seed", 1, "-", 0, 2**31),
     Key("load", "prefix", Sort.NAME, "prefix of request IDs", default="r"),
+    Key("load", "steer", Sort.BOOLEAN, "whether to ask for addresses", default=True),
     Key("load", "outcomes", Sort.PATH, "file for each outcome", optional=True),
 )
 
@@ -169,6 +170,7 @@
         zone=cfg.get("load", "zone") or "",
         seed=cfg.get("load", "seed"),
         prefix=cfg.get("load", "prefix"),
+        steer=cfg.get("load", "steer"),
     )
     report = run_load(plan)
     path = cfg.get("load", "outcomes")
