Prove promises by scripted scenarios, and mend what they found

Cause: scenarios with real processes showed four faults. (1) One target of four that shed all it was offered used up the retry budget, so that requests were refused although others had room. (2) After a partition a daemon stayed out for good: the others had told the news of its departure before it was heard again, so that it never refuted it. (3) Daemons that all had lost the table called themselves sound. (4) Test side: a port taken from the system's own range was lost to a relay before the daemon had it.

Ruled out: a larger retry budget (it raises the load when all targets fail); shorter pauses after a refusal (each is one more refused request).

--- a/packages/coordination/src/cairnferry/coordination/_membership.py
+++ b/packages/coordination/src/cairnferry/coordination/_membership.py
@@ -108,6 +108,11 @@
             return self._hear_of_myself(member)
         known = self._members.get(member.name)
         if known is not None and not member.supersedes(known):
+            if known.supersedes(member):
+                # It may be the member itself that speaks, after a partition,
+                # and the news of its departure was told long ago. Unless it
+                # hears of it again, it cannot refute it, and stays out for good.
+                self._spread(member.name)
             return False
         if known is None and member.state is MemberState.GONE:
             return False
--- a/packages/entry/src/cairnferry/entry/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/_cluster.py
@@ -123,33 +123,19 @@
     def is_sound(self, now: float) -> bool:
         """Tell whether callers may be sent to this daemon."""
         config = self.configuration
-        if self.membership.me.state is not MemberState.ALIVE:
+        if config.revision == 0 or config.behind:
             return False
-        return config.revision > 0 and not config.behind and not self._is_cut_off(now)
-
-    def _is_cut_off(self, now):
-        """Tell whether others know a younger head than this daemon.
-
-        While nobody reaches the table nothing can be accepted, so that an old
-        head is no fault of one daemon.
-        """
-        own_age = self.confirmation.age(now)
-        if own_age < STALE_HEAD_S:
-            return False
-        ages = [now - health.confirmed_at for health in self._health.values()]
-        reached = any(age < STALE_HEAD_S for age in ages)
-        return reached or not self._has_peers()
-
-    def _has_peers(self):
-        return any(m.name != self.membership.me.name for m in self.membership.live())
+        return self.confirmation.age(now) < STALE_HEAD_S
 
     def usable(self, now: float) -> list[Member]:
         """List the members to which callers may be sent.
 
-        If there is none, this daemon is better than no answer.
+        While nobody reaches the table, no daemon can be sure of its revision;
+        but nothing can be accepted either, so that all go on to be used.
         """
-        usable = [m for m in self.membership.live() if self._is_usable(m, now)]
-        return usable or [self.membership.me]
+        live = self.membership.live()
+        usable = [m for m in live if self._is_usable(m, now)]
+        return usable or live or [self.membership.me]
 
     def _is_usable(self, member, now):
         if member.name == self.membership.me.name:
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -127,7 +127,7 @@
         membership = new_membership(
             cfg.get("instance", "name"),
             cfg.get("instance", "zone"),
-            str(cfg.get("peers", "listen")),
+            str(cfg.get("peers", "advertise") or cfg.get("peers", "listen")),
             str(cfg.get("callers", "listen")),
         )
         self.cluster = Cluster(membership, self.configuration, self.notes, self._spare)
--- a/packages/entry/src/cairnferry/entry/_keys.py
+++ b/packages/entry/src/cairnferry/entry/_keys.py
@@ -102,7 +102,14 @@
         "file with a token on each line; none leaves the listener open",
         optional=True,
     ),
-    Key("peers", "listen", Sort.ADDRESS, "where other daemons connect"),
+    Key("peers", "listen", Sort.ADDRESS, "where this daemon listens for others"),
+    Key(
+        "peers",
+        "advertise",
+        Sort.ADDRESS,
+        "where others reach it, if not at `listen`",
+        optional=True,
+    ),
     Key("peers", "key_file", Sort.PATH, "file with a hexadecimal key on each line"),
     Key(
         "peers",
--- a/packages/policy/src/cairnferry/policy/_budget.py
+++ b/packages/policy/src/cairnferry/policy/_budget.py
@@ -38,9 +38,17 @@
         else:
             self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def spend(self) -> bool:
-        """Take a token for a further attempt, if there is one."""
-        if self.tokens < 1:
+    def spend(self, on_credit: bool = False) -> bool:
+        """Take a token for a further attempt, if there is one.
+
+        Parameters
+        ----------
+        on_credit : bool, optional
+            Whether a token that is not yet earned will do. As it is paid back
+            before the next, the share of further attempts stays what it is.
+        """
+        least = 1 - self.burst if on_credit else 1
+        if self.tokens < least:
             return False
         self.tokens -= 1
         return True
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -236,9 +236,11 @@
             case Follow.RELAY:
                 return Relay()
             case Follow.AGAIN_OR_RELAY:
-                return self._again(call, now) or Relay()
+                return self._again(call, now, False) or Relay()
             case Follow.AGAIN:
-                return self._again(call, now) or self._settle(call, _cause(result))
+                on_credit = not call.possibly_run and self._most_are_sound(now)
+                again = self._again(call, now, on_credit)
+                return again or self._settle(call, _cause(result))
             case Follow.TELL_UNKNOWN:
                 late = isinstance(result, Lost) and result.timed_out
                 return self._settle(call, Cause.DEADLINE if late else Cause.TARGET_LOST)
@@ -259,11 +261,21 @@
         if elapsed > target.latency:
             target.note_latency(elapsed, self.settings.latency_gain, now)
 
-    def _again(self, call, now):
+    def _most_are_sound(self, now):
+        """Tell whether more than half of the targets did well last time.
+
+        One target that refuses all it is offered would use up the budget, and
+        requests would be lost although the others have room. If most refuse,
+        further attempts would only add to the load.
+        """
+        sound = sum(target.is_sound(now) for target in self._targets.values())
+        return 2 * sound > len(self._targets)
+
+    def _again(self, call, now, on_credit):
         """Give a decision that goes on with the request, or None."""
         if not call.may_retry or len(call.attempts) >= self.settings.max_attempts:
             return None
-        if now >= call.deadline or not self._budget.spend():
+        if now >= call.deadline or not self._budget.spend(on_credit):
             return None
         attempt = self._place(call, AttemptKind.RETRY, now)
         if attempt is not None:
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/_target.py
@@ -70,6 +70,10 @@
         draining = self.draining_until
         return bool(draining) and any(until > now for until in draining.values())
 
+    def is_sound(self, now: float) -> bool:
+        """Tell whether its last result was good and nobody says that it leaves."""
+        return not self.failures and not self.refusals and not self.is_draining(now)
+
     def load(self, now: float, decay: float) -> float:
         """Estimate the requests at the target as a share of its slots.
 
--- a/packages/standins/src/cairnferry/standins/__init__.py
+++ b/packages/standins/src/cairnferry/standins/__init__.py
@@ -20,6 +20,9 @@
     target_v1,
     target_v2,
 )
+from cairnferry.standins._scenario import ScenarioRun, run_file
+from cairnferry.standins._scenario_fault import ScenarioFault
+from cairnferry.standins._scenario_language import Scenario, parse_scenario
 from cairnferry.standins._target import Fault, TargetBehaviour, TargetStandin
 
 __all__ = [
@@ -32,11 +35,16 @@
     "Outage",
     "PlatformStandin",
     "Process",
+    "Scenario",
+    "ScenarioFault",
+    "ScenarioRun",
     "TargetBehaviour",
     "TargetStandin",
     "free_port",
+    "parse_scenario",
     "route_v1",
     "route_v2",
+    "run_file",
     "run_load",
     "service_v1",
     "service_v2",
--- a/packages/standins/src/cairnferry/standins/_load.py
+++ b/packages/standins/src/cairnferry/standins/_load.py
@@ -105,6 +105,11 @@
         factory=lambda: HdrHistogram(1, 600 * US_PER_S, 3)
     )
     without_retry_after: int = 0
+    ended: bool = False
+
+    def count(self, outcome: str) -> int:
+        """Count the requests with an outcome so far."""
+        return sum(told == outcome for _, told in self.outcomes.values())
 
     def summary(self) -> dict:
         """Give counts and quantiles, as plain values."""
@@ -189,17 +194,40 @@
         return True
 
 
-def run_load(plan: LoadPlan) -> LoadReport:
-    """Send all requests of a plan and wait for their ends."""
+def parse_operations(text: str) -> tuple[Operation, ...]:
+    """Read operations written as "GET /a 9, POST /b 1".
+
+    Raises
+    ------
+    ValueError
+        If a part is not a method, a path and perhaps a weight.
+    """
+    operations = []
+    for part in text.split(","):
+        method, path, *weight = part.split()
+        operations.append(Operation(method, path, float(weight[0]) if weight else 1.0))
+    return tuple(operations)
+
+
+def run_load(plan: LoadPlan, report: LoadReport | None = None) -> LoadReport:
+    """Send all requests of a plan and wait for their ends.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What to send.
+    report : LoadReport, optional
+        Filled while the run goes on; its `ended` stops the sending.
+    """
     rng = random.Random(plan.seed)
-    report = LoadReport()
+    report = report or LoadReport()
     steering = _Steering(plan, rng)
     group = Group()
     start = time.monotonic()
     arrival = 0.0
     number = 0
     weights = [operation.weight for operation in plan.operations]
-    while True:
+    while not report.ended:
         arrival += rng.expovariate(plan.rate)
         if arrival >= plan.seconds:
             break
--- a/packages/standins/src/cairnferry/standins/_platform.py
+++ b/packages/standins/src/cairnferry/standins/_platform.py
@@ -121,6 +121,8 @@
         for name, value in document.get("faults", {}).items():
             converted = Outage(value) if name == "outage" else value
             setattr(self.faults, name, converted)
+        for row in document.get("rows", []):
+            self.table.rows[row["pk"]["S"], row["sk"]["S"]] = row
         if "instances" in document:
             self.instances.write(document["instances"])
         return {
--- a/packages/standins/src/cairnferry/standins/_processes.py
+++ b/packages/standins/src/cairnferry/standins/_processes.py
@@ -1,6 +1,8 @@
 """A whole system of separate processes on loopback, for demo, tests and bench."""
 
+import itertools
 import json
+import os
 import pathlib
 import secrets
 import signal
@@ -11,15 +13,28 @@
 
 import attrs
 
+from cairnferry.settings import parse_address
+from cairnferry.standins._relay import Relay
+from cairnferry.standins._target import read_journal
 from cairnferry.wire import Client, Reply
 
 HOST = "127.0.0.1"
+FIRST_PORT = 12000
+LAST_PORT = 30000
+PORTS_A_PROCESS = 400
 START_TIMEOUT_S = 30.0
 EVENT_TIMEOUT_S = 30.0
 LOOK_S = 0.02
 CONTROL_TIMEOUT_S = 5.0
 
 
+def _shifted(start):
+    """Give the ports in an order of this process's own."""
+    ports = range(FIRST_PORT, LAST_PORT)
+    offset = start * PORTS_A_PROCESS % len(ports)
+    return [*ports[offset:], *ports[:offset]]
+
+
 class EventTimeout(AssertionError):
     """An awaited event did not come."""
 
@@ -83,6 +98,9 @@
     ----------
     folder : pathlib.Path
         For settings, keys and logs.
+    relayed : bool, optional
+        Whether daemons reach the platform and each other through relays of this
+        process, so that connections can be cut.
     """
 
     folder: pathlib.Path
@@ -90,12 +108,14 @@
     targets: dict[str, Process] = attrs.field(factory=dict)
     daemons: dict[str, Process] = attrs.field(factory=dict)
     leaving: set[str] = attrs.field(factory=set)
+    relayed: bool = False
+    platform_relays: dict[str, Relay] = attrs.field(factory=dict)
+    peer_relays: dict[str, Relay] = attrs.field(factory=dict)
+    peer_key: str = attrs.field(default="", repr=False)
     _all: list[Process] = attrs.field(factory=list)
 
     def __enter__(self):
-        key = secrets.token_hex(32)
-        (self.folder / "peer.keys").write_text(key + "\n")
-        (self.folder / "operators.tokens").write_text(secrets.token_hex(16) + "\n")
+        self.peer_key = secrets.token_hex(32)
         return self
 
     def __exit__(self, *exc_info):
@@ -114,27 +134,26 @@
     def start_target(self, name, zone, **settings) -> Process:
         """Start a target; `settings` are keys of its section."""
         address = f"{HOST}:{free_port()}"
-        settings = {
-            "listen": address,
-            "name": name,
-            "log": self.log_of(name),
-        } | settings
+        settings = {"listen": address, "name": name} | settings
+        settings["journal"] = self.journal_of(name)
         arguments = ["target"]
         for key, value in settings.items():
             arguments += ["--set", f"target.{key}={value}"]
+        self.journal_of(name).touch()
         popen = self._popen(name, "cairnferry.standins.command", arguments)
         process = self._note(Process(name, zone, {"http": address}, popen))
         self.targets[name] = process
         return process
 
-    def log_of(self, name) -> pathlib.Path:
+    def journal_of(self, name) -> pathlib.Path:
         """Give the file for the requests that a target saw."""
-        return self.folder / f"{name}.requests.json"
+        return self.folder / f"{name}.journal"
 
     def start_daemon(self, name, zone, **settings) -> Process:
         """Start a daemon; `settings` are "section.key" with "." as "__"."""
-        purposes = ("callers", "operators", "peers")
-        addresses = {p: f"{HOST}:{free_port()}" for p in purposes}
+        known = self.daemons.get(name)
+        addresses = known.addresses if known else self._new_addresses(name)
+        self.write_key(name, self.peer_key)
         path = self.folder / f"{name}.ini"
         path.write_text(self._settings_text(name, zone, addresses, settings))
         popen = self._popen(name, "cairnferry.entry.command", ["--config", str(path)])
@@ -142,15 +161,33 @@
         self.daemons[name] = process
         return process
 
+    def _new_addresses(self, name):
+        purposes = ("callers", "operators", "peers")
+        addresses = {p: f"{HOST}:{free_port()}" for p in purposes}
+        addresses["platform"] = self.platform.addresses["http"]
+        if self.relayed:
+            relay = Relay(parse_address(addresses["platform"]).as_tuple())
+            self.platform_relays[name] = relay
+            addresses["platform"] = relay.address
+            relay = Relay(parse_address(addresses["peers"]).as_tuple())
+            self.peer_relays[name] = relay
+            addresses["advertised"] = relay.address
+        return addresses
+
+    def write_key(self, name: str, key: str) -> None:
+        """Write the peers' key of one daemon, which reads it again by itself."""
+        (self.folder / f"{name}.keys").write_text(key + "\n")
+
     def _settings_text(self, name, zone, addresses, settings):
-        platform = self.platform.addresses["http"]
+        platform = addresses["platform"]
         sections = {
             "instance": {"name": name, "zone": zone},
             "callers": {"listen": addresses["callers"], "answer_ttl_s": "2"},
             "operators": {"listen": addresses["operators"]},
             "peers": {
                 "listen": addresses["peers"],
-                "key_file": str(self.folder / "peer.keys"),
+                "advertise": addresses.get("advertised", addresses["peers"]),
+                "key_file": str(self.folder / f"{name}.keys"),
             },
             "platform": {
                 "table": platform,
@@ -227,7 +264,8 @@
     def publish_instances(self) -> None:
         """Write the platform's list of instances."""
         groups = []
-        roles = [("entry", "peers", self.daemons), ("target", "http", self.targets)]
+        purpose = "advertised" if self.relayed else "peers"
+        roles = [("entry", purpose, self.daemons), ("target", "http", self.targets)]
         for role, purpose, processes in roles:
             for process in processes.values():
                 labels = {
@@ -266,12 +304,9 @@
             check=False,
         )
 
-    def target_log(self, name: str) -> dict:
+    def target_events(self, name: str) -> dict[str, list[tuple[float, str, str]]]:
         """Give what a target saw and ran, also after its end."""
-        process = self.targets[name]
-        if process.alive:
-            return process.read("http", "/_control/log")
-        return json.loads(self.log_of(name).read_text())[0]
+        return read_journal(self.journal_of(name))
 
     # -- ending -----------------------------------------------------------------
 
@@ -283,6 +318,8 @@
                 process.popen.kill()
         for process in self._all:
             process.popen.wait()
+        for relay in [*self.platform_relays.values(), *self.peer_relays.values()]:
+            relay.stop()
 
 
 def wait_for(condition, timeout: float = EVENT_TIMEOUT_S):
@@ -304,7 +341,21 @@
 
 
 def free_port() -> int:
-    """Give a TCP port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Give a TCP port that nothing listens on.
+
+    It lies below the range from which the system takes ports for connections
+    and for listeners without a port of their own. One from that range could be
+    taken again before the process that is to listen there has started; it shows
+    as a process that ends at once, now and then.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+
+
+_ports = itertools.cycle(_shifted(os.getpid()))
--- /dev/null
+++ b/packages/standins/src/cairnferry/standins/_scenario_fault.py
@@ -0,0 +1,5 @@
+"""Failure of a scenario."""
+
+
+class ScenarioFault(AssertionError):
+    """A step that cannot be carried out, or a check that fails."""
--- a/packages/standins/src/cairnferry/standins/_target.py
+++ b/packages/standins/src/cairnferry/standins/_target.py
@@ -50,12 +50,16 @@
         Factor on the service time.
     cold_s, cold_factor : float
         Seconds from the start for which a further factor holds.
+    shed : bool
+        Whether it sheds all work as overloaded.
     max_queue : int
         Requests that may queue; more are shed.
     draining : bool
         Whether its health answer says that it is leaving.
     refuse_draining : bool
         Whether it refuses work while it drains.
+    refuse_work : bool
+        Whether it refuses work as draining while its health answer says pass.
     reports : bool
         Whether answers carry a load report.
     report_lag_ms : float
@@ -77,8 +81,10 @@
     cold_s: float = 0.0
     cold_factor: float = 1.0
     max_queue: int = 1000
+    shed: bool = False
     draining: bool = False
     refuse_draining: bool = False
+    refuse_work: bool = False
     reports: bool = True
     report_lag_ms: float = 0.0
     report_error: float = 1.0
@@ -100,9 +106,12 @@
         How it behaves.
     seed : int, optional
         Seed of its random choices.
+    journal : file, optional
+        Gets a line for each request that arrives or runs, so that both are
+        known even of a target that was killed.
     """
 
-    def __init__(self, address, name, behaviour, seed=1):
+    def __init__(self, address, name, behaviour, seed=1, journal=None):
         self.name = name
         self.behaviour = behaviour
         self.runs: list[tuple[str, str]] = []
@@ -111,6 +120,7 @@
         self.refusals = 0
         self.failures = 0
         self.in_use = 0
+        self._journal = journal
         self._rng = random.Random(seed)
         self._slots = BoundedSemaphore(behaviour.slots)
         self._started = time.monotonic()
@@ -157,6 +167,7 @@
             return self._send_json(sock, 200, {"status": status})
         request_id = req.headers.get(ID_HEADER, "")
         self.seen.append((time.monotonic(), req.method, request_id))
+        self._write("seen", req.method, request_id)
         return self._work(sock, req, request_id)
 
     def _control(self, req: ReceivedRequest):
@@ -165,7 +176,7 @@
         for name, value in changes.items():
             converted = Fault(value) if name == "fault" else value
             setattr(self.behaviour, name, converted)
-        document = {
+        return {
             "name": self.name,
             "seen": len(self.seen),
             "probes": self.probes,
@@ -174,13 +185,12 @@
             "in_use": self.in_use,
             "connections": self.server.connections,
         }
-        if req.path.endswith("/log"):
-            document.update(self.log())
-        return document
 
-    def log(self) -> dict:
-        """Give the requests that arrived, and those that ran."""
-        return {"runs": self.runs, "requests": self.seen}
+    def _write(self, event, method, request_id):
+        if self._journal is not None:
+            line = json.dumps([event, time.monotonic(), method, request_id])
+            self._journal.write(line + "\n")
+            self._journal.flush()
 
     def _work(self, sock, req, request_id):
         behaviour = self.behaviour
@@ -189,15 +199,16 @@
         if behaviour.fault is Fault.FAIL_FAST:
             self.failures += 1
             return self._send_json(sock, 500, {"error": "fail-fast"})
-        if behaviour.draining and behaviour.refuse_draining:
+        if behaviour.refuse_work or (behaviour.draining and behaviour.refuse_draining):
             return self._refuse(sock, "draining")
-        if self.in_use >= behaviour.slots + behaviour.max_queue:
+        if behaviour.shed or self.in_use >= behaviour.slots + behaviour.max_queue:
             return self._refuse(sock, "overloaded")
         self._count(1)
         try:
             with self._slots:
                 gevent.sleep(self._service_time())
                 self.runs.append((req.method, request_id))
+                self._write("ran", req.method, request_id)
         finally:
             self._count(-1)
         return self._answer(sock, req, request_id)
@@ -281,6 +292,18 @@
         return True
 
 
+def read_journal(path) -> dict[str, list[tuple[float, str, str]]]:
+    """Read a journal; give time, method and request ID by "seen" and "ran"."""
+    events = {"seen": [], "ran": []}
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            # The last line of a target that was killed may be cut.
+            if line.endswith("\n"):
+                event, at, method, request_id = json.loads(line)
+                events[event].append((at, method, request_id))
+    return events
+
+
 def answer_body(req: ReceivedRequest, request_id: str, name: str) -> bytes:
     """Give the body of an answer: whose it is, and a sum over it."""
     digest = hashlib.blake2b(req.body, digest_size=8).hexdigest()
--- a/packages/standins/src/cairnferry/standins/command.py
+++ b/packages/standins/src/cairnferry/standins/command.py
@@ -17,7 +17,7 @@
 from gevent.pool import Group  # noqa: E402
 
 from cairnferry.settings import Key, Sort, describe, read_settings  # noqa: E402
-from cairnferry.standins._load import LoadPlan, Operation, run_load  # noqa: E402
+from cairnferry.standins._load import LoadPlan, parse_operations, run_load  # noqa: E402
 from cairnferry.standins._platform import PlatformStandin  # noqa: E402
 from cairnferry.standins._target import TargetBehaviour, TargetStandin  # noqa: E402
 
@@ -35,7 +35,7 @@
     Key("target", "cold_s", Sort.NUMBER, "cold start", 0.0, "s", 0, 600),
     Key("target", "cold_factor", Sort.NUMBER, "factor while cold", 1.0, "-", 1, 1000),
     Key("target", "notice_s", Sort.NUMBER, "serves on when told to leave", 3.0, "s"),
-    Key("target", "log", Sort.PATH, "file for the requests, at the end", optional=True),
+    Key("target", "journal", Sort.PATH, "file for each request", optional=True),
     Key("target", "seed", Sort.INTEGER, "seed", 1, "-", 0, 2**31),
 )
 
@@ -135,6 +135,8 @@
 
 def _run_targets(cfg):
     standins = []
+    path = cfg.get("target", "journal")
+    journal = open(path, "a", encoding="utf-8") if path else None
     for index, address in enumerate(cfg.get("target", "listen")):
         behaviour = TargetBehaviour(
             slots=cfg.get("target", "slots"),
@@ -145,7 +147,9 @@
         )
         name = f"{cfg.get('target', 'name')}-{index}"
         seed = cfg.get("target", "seed") + index
-        standins.append(TargetStandin(address.as_tuple(), name, behaviour, seed))
+        standins.append(
+            TargetStandin(address.as_tuple(), name, behaviour, seed, journal)
+        )
     for standin in standins:
         standin.start()
     _wait_for_end()
@@ -153,17 +157,13 @@
     for standin in standins:
         group.spawn(standin.leave, cfg.get("target", "notice_s"), LEAVE_S)
     group.join()
-    path = cfg.get("target", "log")
-    if path:
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump([standin.log() for standin in standins], file)
 
 
 def _run_load(cfg):
     plan = LoadPlan(
         entries=tuple(str(address) for address in cfg.get("load", "entries")),
         service=cfg.get("load", "service"),
-        operations=_operations(cfg.get("load", "operations")),
+        operations=parse_operations(cfg.get("load", "operations")),
         rate=cfg.get("load", "rate"),
         seconds=cfg.get("load", "seconds"),
         timeout_ms=cfg.get("load", "timeout_ms"),
@@ -180,13 +180,5 @@
     print(json.dumps(report.summary(), indent=1))
 
 
-def _operations(text):
-    operations = []
-    for part in text.split(","):
-        method, path, *weight = part.split()
-        operations.append(Operation(method, path, float(weight[0]) if weight else 1.0))
-    return tuple(operations)
-
-
 if __name__ == "__main__":
     main()
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -134,7 +134,7 @@
     """Compare what callers were told with what targets ran."""
     runs = collections.Counter()
     for name in system.targets:
-        for method, request_id in system.target_log(name)["runs"]:
+        for _, method, request_id in system.target_events(name)["ran"]:
             runs[method, request_id] += 1
     faults = []
     for service in LOADS:
@@ -168,7 +168,7 @@
         )
     for name, process in system.targets.items():
         state = "up" if process.alive else "left"
-        print(f"  {name} ({state}): ran {len(system.target_log(name)['runs'])}")
+        print(f"  {name} ({state}): ran {len(system.target_events(name)['ran'])}")
     for fault in faults[:20]:
         print(f"FAULT {fault}")
     if faults:
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -92,6 +92,24 @@
     assert mine.get("b").state is MemberState.ALIVE
 
 
+def test_a_member_that_comes_back_late_hears_that_it_was_called_gone():
+    """Symptom: after a partition daemons stay apart for good.
+
+    Events: a member is called gone, and all news of it has been told; it is
+    heard again. Cause: nobody tells it, so that it does not refute.
+    """
+    mine = membership("a", member("b"))
+    mine.suspect("b", 0)
+    mine.pass_time(4)
+    while mine.news():
+        pass
+    back = membership("b", member("a"))
+    mine.merge(back.me, 60)
+    for item in mine.news():
+        back.merge(item, 60)
+    assert mine.merge(back.me, 60)
+
+
 def test_a_woken_member_cannot_undo_what_was_learnt_of_others():
     mine = membership("a", member("b", incarnation=7))
     mine.merge(member("b", 7, MemberState.LEAVING), 1)
--- a/tests/policy/test_service.py
+++ b/tests/policy/test_service.py
@@ -164,6 +164,36 @@
     assert attempts <= 1.1 * requests
 
 
+def test_one_target_that_refuses_does_not_use_up_the_budget():
+    """Symptom: requests are lost although most targets have room.
+
+    Events: one target of four sheds all it is offered. Cause: its refusals used
+    up the retry budget before its pauses grew long enough.
+    """
+    policy = make_policy(4)
+    now = 0.0
+    for _ in range(400):
+        now += 0.05
+        decision = policy.arrive(make_call(now), now)
+        while isinstance(decision, Send):
+            shedding = decision.attempt.target_name == "t0"
+            result = TargetRefused() if shedding else Answered()
+            decision = policy.finished(decision.attempt, result, now)
+        assert decision == Relay()
+
+
+@pytest.mark.parametrize("result", [TargetRefused(), NotRun()])
+def test_attempts_stay_near_one_when_every_target_refuses(result):
+    policy = make_policy(16)
+    attempts = 0
+    for step in range(2000):
+        decision = policy.arrive(make_call(step), step)
+        while isinstance(decision, Send):
+            attempts += 1
+            decision = policy.finished(decision.attempt, result, step)
+    assert attempts <= 1.1 * 2000
+
+
 def test_a_request_that_is_itself_a_retry_is_not_repeated():
     policy = make_policy()
     attempt = send(policy, may_retry=False)
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,20 @@
+"""Runs each scenario file beside this module."""
+
+import pathlib
+
+import pytest
+
+from cairnferry.standins import parse_scenario, run_file
+
+FILES = sorted(pathlib.Path(__file__).parent.glob("*.scenario"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_scenario(path, tmp_path):
+    run_file(path, tmp_path)
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_the_head_tells_the_failure(path):
+    scenario = parse_scenario(path.read_text(encoding="utf-8"))
+    assert all([scenario.title, scenario.symptom, scenario.events, scenario.cause])
