Hold whole sessions in golden files, and mend what they showed

Cause: reading the first golden files as an operator showed answers that name no next step (ChangeIdReused(...), a whole HTTP reply in a message, change None), a pattern in place of words, HEAD answers with Content-Length 0, and a refusal for draining told as overload. They also showed that the stand-in's reset outage sent a 500: a closed gevent socket whose reader is open stays open. Ruled out: normalising these away. Change: each failure has its sentence; HEAD passes the target's length on; the stand-in shuts its socket down; golden files (syrupy) of an operator's session, a caller's exchange, an unknown outcome and the peers' frames; make golden.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 generate:
 	thrift --gen py:package_prefix=cairnferry.peers._generated. \
 		-out packages/peers/src/cairnferry/peers/_generated packages/peers/peer.thrift
+
+# Renew the golden files; read the difference before it is committed.
+golden: install
+	$(BIN)/python -m pytest tests/golden --snapshot-update
--- a/packages/coordination/src/cairnferry/coordination/_changelog.py
+++ b/packages/coordination/src/cairnferry/coordination/_changelog.py
@@ -67,6 +67,9 @@
 class HeadMoved:
     """Another change was accepted first; nothing was written."""
 
+    def __str__(self):
+        return "other changes were accepted first, again and again"
+
 
 @attrs.frozen
 class ChangeIdReused:
@@ -74,6 +77,9 @@
 
     change_id: str
 
+    def __str__(self):
+        return f"change ID {self.change_id!r} was used for another change"
+
 
 @attrs.frozen
 class OutcomeUnknown:
@@ -81,6 +87,9 @@
 
     reason: str
 
+    def __str__(self):
+        return f"it is unknown whether the change was accepted: {self.reason}"
+
 
 @attrs.frozen
 class LogTooLarge:
@@ -89,6 +98,9 @@
     size: int
     limit: int = MAX_ROW_BYTES
 
+    def __str__(self):
+        return f"the change has {self.size} bytes, of {self.limit}: split it"
+
 
 AppendError = (
     HeadMoved | ChangeIdReused | OutcomeUnknown | LogTooLarge | TableUnavailable
@@ -194,7 +206,7 @@
         status = self.status(changes[0]["change_id"])
         if status.is_ok() and status.ok.revision is not None:
             return Ok(Appended(status.ok.revision))
-        return Error(OutcomeUnknown("the table's answer was lost"))
+        return Error(OutcomeUnknown("the answer was lost"))
 
 
 def _transaction(head, body, changes):
--- a/packages/coordination/src/cairnferry/coordination/_table.py
+++ b/packages/coordination/src/cairnferry/coordination/_table.py
@@ -25,6 +25,9 @@
 
     reason: str
 
+    def __str__(self):
+        return f"the table's answer was lost: {self.reason}"
+
 
 @attrs.frozen
 class TableUnavailable:
@@ -32,6 +35,9 @@
 
     reason: str
 
+    def __str__(self):
+        return f"the platform's table is not to be had: {self.reason}"
+
 
 TableError = ConditionFailed | WriteUnknown | TableUnavailable
 
--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -110,7 +110,10 @@
 
 def change(api: Api, change_id, as_json) -> None:
     """Say what became of a change."""
-    document = _get(api, f"/v1/changes/{change_id}", as_json)
+    result = api.get(f"/v1/changes/{change_id}")
+    if result.is_error():
+        fail(result.error, change_id, as_json)
+    document = result.ok
     if as_json:
         print(json.dumps(document, indent=1))
         return
--- a/packages/entry/src/cairnferry/entry/_answers.py
+++ b/packages/entry/src/cairnferry/entry/_answers.py
@@ -102,11 +102,18 @@
         Without Content-Length.
     body : bytes
         Whole body.
+    length : int or None
+        Value of Content-Length; None leaves it out.
     """
 
     status: str
     headers: list[tuple[str, str]]
     body: bytes
+    length: int | None = attrs.field()
+
+    @length.default
+    def _length_of_body(self):
+        return len(self.body)
 
 
 _NOT_RUN_CAUSES = {
--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -171,10 +171,7 @@
 
 def _write(handler, answer, start_response):
     headers = list(answer.headers)
-    has_body = answer.status[:3] not in ("204", "304")
-    if has_body and not (handler.command == "HEAD" and not answer.body):
-        headers.append(("Content-Length", str(len(answer.body))))
+    if answer.length is not None:
+        headers.append(("Content-Length", str(answer.length)))
     start_response(answer.status, headers)
-    if handler.command == "HEAD" or not has_body:
-        return []
-    return [answer.body]
+    return [answer.body] if handler.command != "HEAD" and answer.body else []
--- a/packages/entry/src/cairnferry/entry/_forward.py
+++ b/packages/entry/src/cairnferry/entry/_forward.py
@@ -23,7 +23,7 @@
     Send,
     Wait,
 )
-from cairnferry.wire import Outcome, Reply
+from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply
 
 
 @attrs.frozen
@@ -178,4 +178,15 @@
 def _relayed(reply):
     phrase = responses.get(reply.status, "Status")
     headers = answer_headers(reply.headers)
-    return Answer(f"{reply.status} {phrase}", headers, reply.body)
+    status = f"{reply.status} {phrase}"
+    return Answer(status, headers, reply.body, _length_of(reply))
+
+
+def _length_of(reply):
+    """Give the length to tell: for an answer without body, the target's own."""
+    if reply.body:
+        return len(reply.body)
+    if reply.status in BODILESS_STATUSES:
+        return None
+    told = reply.header("content-length")
+    return int(told) if told else None
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -146,6 +146,10 @@
         """Tell the caller when the connection ends with this answer."""
         if self.server.closing:
             self.close_connection = True
+        if self.command == "HEAD" and self.provided_content_length is None:
+            # The length of a body that is not sent is not known; without this
+            # it would be told as 0.
+            self.provided_content_length = ""
         super().finalize_headers()
         if self.close_connection and self.request_version == "HTTP/1.1":
             self.response_headers.append((b"Connection", b"close"))
--- a/packages/platform/src/cairnferry/platform/_instances.py
+++ b/packages/platform/src/cairnferry/platform/_instances.py
@@ -7,7 +7,7 @@
 
 from cairnferry.coordination import TableUnavailable
 from cairnferry.platform._meter import CallMeter
-from cairnferry.wire import Client, Reply
+from cairnferry.wire import Client, Reply, describe
 
 HTTP_OK = 200
 LEAVING = "leaving"
@@ -64,7 +64,7 @@
         received = len(outcome.body) if isinstance(outcome, Reply) else 0
         self.meter.note(write=False, sent=0, received=received, failed=not good)
         if not good:
-            return Error(TableUnavailable(str(outcome)))
+            return Error(TableUnavailable(describe(outcome)))
         try:
             return Ok(_parse(json.loads(outcome.body)))
         except (ValueError, KeyError, TypeError, IndexError):
--- a/packages/platform/src/cairnferry/platform/_table.py
+++ b/packages/platform/src/cairnferry/platform/_table.py
@@ -16,7 +16,7 @@
 )
 from cairnferry.platform._meter import CallMeter
 from cairnferry.platform._signing import Signer
-from cairnferry.wire import Client, Incomplete, NotSent, Reply
+from cairnferry.wire import Client, Incomplete, NotSent, Reply, describe
 
 TARGET_PREFIX = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
@@ -58,7 +58,7 @@
             {"TableName": self.table, "Key": _key(key), "ConsistentRead": True},
         )
         if not isinstance(answer, dict):
-            return Error(TableUnavailable(str(answer)))
+            return Error(TableUnavailable(describe(answer)))
         found = answer.get("Item")
         return Ok(_item(key, found) if found else None)
 
@@ -72,7 +72,7 @@
             query = self._range_query(prefix, first, last, start)
             answer = self._call("Query", query)
             if not isinstance(answer, dict):
-                return Error(TableUnavailable(str(answer)))
+                return Error(TableUnavailable(describe(answer)))
             items.extend(_item(prefix, row) for row in answer["Items"])
             start = answer.get("LastEvaluatedKey")
             if start is None:
@@ -145,12 +145,12 @@
     was written. A server error, or no answer, may come after the commit.
     """
     match outcome:
-        case NotSent(failure):
-            return TableUnavailable(str(failure))
-        case Incomplete(failure):
-            return WriteUnknown(str(failure))
+        case NotSent():
+            return TableUnavailable(describe(outcome))
+        case Incomplete():
+            return WriteUnknown(describe(outcome))
         case Reply(status=status) if status >= HTTP_SERVER_ERROR:
-            return WriteUnknown(f"status {status}")
+            return WriteUnknown(describe(outcome))
         case Reply(body=body):
             return _refusal(body, writes)
 
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -471,6 +471,8 @@
             return Cause.DEADLINE
         case Lost(timed_out=True):
             return Cause.DEADLINE
+        case TargetRefused(draining=True):
+            return Cause.NO_TARGET
         case TargetRefused():
             return Cause.OVERLOAD
         case _:
--- a/packages/records/src/cairnferry/records/_errors.py
+++ b/packages/records/src/cairnferry/records/_errors.py
@@ -102,7 +102,7 @@
     field: str = "service"
 
     def __str__(self):
-        return f"{self.key} names service {self.service!r}, which does not exist"
+        return f"{self.key} names service {self.service!r}, which would not exist then"
 
 
 RecordError = (
--- a/packages/records/src/cairnferry/records/_parse.py
+++ b/packages/records/src/cairnferry/records/_parse.py
@@ -61,7 +61,10 @@
 def _malformed(label, exc):
     """Name the field: the validator's own path starts with a placeholder."""
     path = ".".join(str(part) for part in exc.path[1:])
-    return MalformedRecord(label, path or "(document)", exc.message.split(" ", 1)[-1])
+    expected = exc.message.split(" ", 1)[-1]
+    if exc.rule == "pattern":
+        expected = exc.definition["description"]
+    return MalformedRecord(label, path or "(document)", expected)
 
 
 def _check_address(label, target):
--- a/packages/records/src/cairnferry/records/_schemas.py
+++ b/packages/records/src/cairnferry/records/_schemas.py
@@ -20,9 +20,15 @@
 MAX_DEADLINE_MS = 600_000
 MAX_QUEUE = 100_000
 
-_NAME = {"type": "string", "pattern": NAME_PATTERN}
-_PATH = {"type": "string", "pattern": PATH_PATTERN}
-_HEADER = {"type": "string", "pattern": HEADER_PATTERN}
+
+def _text(pattern, description):
+    """Make the schema of a text; the description is what a fault in it says."""
+    return {"type": "string", "pattern": pattern, "description": description}
+
+
+_NAME = _text(NAME_PATTERN, "must be a name of a-z, 0-9, '.' and '-'")
+_PATH = _text(PATH_PATTERN, "must be a path that begins with '/'")
+_HEADER = _text(HEADER_PATTERN, "must be the name of a header")
 _STATUS = {"type": "integer", "minimum": 400, "maximum": 599}
 _SLOTS = {"type": "integer", "minimum": 1, "maximum": MAX_SLOTS}
 _QUEUE = {"type": "integer", "minimum": 0, "maximum": MAX_QUEUE}
@@ -77,10 +83,10 @@
         {
             "service": _NAME,
             "zone": _NAME,
-            "address": {
-                "type": "string",
-                "pattern": r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z",
-            },
+            "address": _text(
+                r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z",
+                "must be an IPv4 address and a port",
+            ),
             "slots": _SLOTS,
             "drain": {"type": "boolean"},
             "health": _PATH,
@@ -94,10 +100,10 @@
         {
             "service": _NAME,
             "path": _PATH,
-            "safe_methods": {
-                "type": "string",
-                "pattern": r"^([A-Z]{1,16}(,[A-Z]{1,16})*)?\Z",
-            },
+            "safe_methods": _text(
+                r"^([A-Z]{1,16}(,[A-Z]{1,16})*)?\Z",
+                "must be methods, separated by commas",
+            ),
             "timeout_s": _SECONDS,
             "bulk": {"type": "boolean"},
         },
@@ -120,7 +126,7 @@
             "zone": _NAME,
             "endpoint": _closed(
                 {
-                    "host": {"type": "string", "pattern": IPV4_PATTERN},
+                    "host": _text(IPV4_PATTERN, "must be an IPv4 address"),
                     "port": {"type": "integer", "minimum": 1, "maximum": 65535},
                 }
             ),
@@ -138,7 +144,7 @@
             "match": _closed({"pathPrefix": _PATH}),
             "idempotentMethods": {
                 "type": "array",
-                "items": {"type": "string", "pattern": METHOD_PATTERN},
+                "items": _text(METHOD_PATTERN, "must be a method in capital letters"),
                 "uniqueItems": True,
             },
             "deadlineMillis": _MILLISECONDS,
--- a/packages/standins/src/cairnferry/standins/_platform.py
+++ b/packages/standins/src/cairnferry/standins/_platform.py
@@ -3,6 +3,7 @@
 import enum
 import json
 import time
+from socket import SHUT_RDWR
 
 import attrs
 import gevent
@@ -183,7 +184,7 @@
 
 
 def _cut(environ):
-    environ[SOCKET_KEY].close()
+    environ[SOCKET_KEY].shutdown(SHUT_RDWR)
     raise ConnectionCut
 
 
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -6,11 +6,13 @@
 
 from cairnferry.wire._connection import ConnectFailed, Connection, connect
 from cairnferry.wire._exchange import (
+    BODILESS_STATUSES,
     Failure,
     Incomplete,
     NotSent,
     Outcome,
     Reply,
+    describe,
     exchange,
 )
 from cairnferry.wire._pool import ConnectionPool
@@ -19,6 +21,7 @@
 from cairnferry.wire._sockets import is_quiet, set_no_delay
 
 __all__ = [
+    "BODILESS_STATUSES",
     "Client",
     "ConnectFailed",
     "Connection",
@@ -30,6 +33,7 @@
     "Outcome",
     "Reply",
     "connect",
+    "describe",
     "encode_request",
     "exchange",
     "is_quiet",
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -68,6 +68,17 @@
 Outcome = Reply | NotSent | Incomplete
 
 
+def describe(outcome: Outcome) -> str:
+    """Say in a few words how an exchange ended, for messages and logs."""
+    match outcome:
+        case Reply(status=status):
+            return f"status {status}"
+        case NotSent(failure):
+            return f"not sent ({failure})"
+        case Incomplete(failure):
+            return f"no whole answer ({failure})"
+
+
 class _StrictResponse(HTTPResponse):
     """Parser that takes one final answer and nothing behind it."""
 
