--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; `make bench` and `make capacity` run them."""
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -35,7 +35,7 @@
     TableClient,
     read_credentials,
 )
-from cairnferry.policy import DrainSource
+from cairnferry.policy import DrainSource, settings_for
 from cairnferry.settings import Settings
 from cairnferry.wire import Client
 
@@ -82,7 +82,10 @@
         self._rng = random.Random(seed)
         self.metrics = Metrics()
         self.services = Services(
-            cfg.get("instance", "zone"), self._rng, self._tell_known
+            cfg.get("instance", "zone"),
+            self._rng,
+            self._tell_known,
+            settings_for(cfg.get("policy", "strategy")),
         )
         self.upstreams = Upstreams(
             cfg.get("targets", "connect_s"), cfg.get("targets", "max_answer_bytes")
--- a/packages/entry/src/cairnferry/entry/_keys.py
+++ b/packages/entry/src/cairnferry/entry/_keys.py
@@ -1,5 +1,6 @@
 """Settings of the daemon."""
 
+from cairnferry.policy import STRATEGY_NAMES
 from cairnferry.settings import Key, Sort
 
 KEYS = (
@@ -191,6 +192,15 @@
         maximum=600,
     ),
     Key("log", "debug", Sort.BOOLEAN, "whether to log at debug level", default=False),
+    Key(
+        "policy",
+        "strategy",
+        Sort.NAME,
+        "load-aware; two-choices, least-in-flight, round-robin and random are "
+        "baselines without limits or ejection, for comparisons",
+        default="load-aware",
+        choices=STRATEGY_NAMES,
+    ),
     Key(
         "policy",
         "seed",
--- a/packages/entry/src/cairnferry/entry/_services.py
+++ b/packages/entry/src/cairnferry/entry/_services.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cairnferry.entry._runtime import ServiceRuntime
-from cairnferry.policy import ServicePolicy
+from cairnferry.policy import PolicySettings, ServicePolicy
 from cairnferry.records import Kind, RecordKey, RecordSet, Route
 
 
@@ -26,11 +26,14 @@
         Source of randomness.
     on_start : callable
         Called with each policy that is made, to tell it what is known already.
+    settings : PolicySettings, optional
+        Constants of the policies.
     """
 
     zone: str
     rng: random.Random
     on_start: Callable[[ServicePolicy], None]
+    settings: PolicySettings = PolicySettings()
     records: RecordSet = attrs.field(factory=RecordSet)
     _routes: dict[str, Route] = attrs.field(factory=dict)
     _targets: dict[str, list] = attrs.field(factory=dict)
@@ -75,7 +78,7 @@
             entry = self.records.entries.get(RecordKey(Kind.SERVICE, name))
             if entry is None:
                 return None
-            policy = ServicePolicy(entry.record, self.zone, self.rng)
+            policy = ServicePolicy(entry.record, self.zone, self.rng, self.settings)
             runtime = ServiceRuntime(policy)
             self._runtimes[name] = runtime
             self._update(name)
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -44,10 +44,11 @@
 )
 from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
 from cairnferry.policy._service import ServicePolicy
-from cairnferry.policy._settings import PolicySettings
+from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
 from cairnferry.policy._target import DrainSource
 
 __all__ = [
+    "STRATEGY_NAMES",
     "Abandoned",
     "Answered",
     "Attempt",
@@ -77,4 +78,5 @@
     "TwoChoices",
     "Wait",
     "probe_share",
+    "settings_for",
 ]
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -2,7 +2,16 @@
 
 import attrs
 
-from cairnferry.policy._choice import LoadAware, Strategy
+from cairnferry.policy._choice import (
+    LeastInFlight,
+    LoadAware,
+    RandomChoice,
+    RoundRobin,
+    Strategy,
+    TwoChoices,
+)
+
+UNLIMITED = 1_000_000
 
 
 @attrs.frozen
@@ -86,3 +95,32 @@
     hedge_min_s: float = 0.002
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
+
+
+_BASELINES = {
+    "two-choices": TwoChoices(),
+    "least-in-flight": LeastInFlight(),
+    "round-robin": RoundRobin(),
+    "random": RandomChoice(),
+}
+STRATEGY_NAMES = ("load-aware", *_BASELINES)
+
+
+def settings_for(strategy_name: str) -> PolicySettings:
+    """Give the settings of a strategy.
+
+    The baselines choose a target and do nothing else: no limit on what is in
+    flight and no ejection.
+
+    Raises
+    ------
+    KeyError
+        If there is no strategy of that name.
+    """
+    if strategy_name == "load-aware":
+        return PolicySettings()
+    return PolicySettings(
+        strategy=_BASELINES[strategy_name],
+        min_window=UNLIMITED,
+        eject_failures=UNLIMITED,
+    )
--- a/packages/settings/src/cairnferry/settings/_keys.py
+++ b/packages/settings/src/cairnferry/settings/_keys.py
@@ -58,6 +58,8 @@
         Range of a number, ends included.
     optional : bool
         Whether the key may be left out without a default.
+    choices : tuple of str
+        Values allowed for a name; empty allows all.
     """
 
     section: str
@@ -69,6 +71,7 @@
     minimum: float | None = None
     maximum: float | None = None
     optional: bool = False
+    choices: tuple[str, ...] = ()
 
     @property
     def required(self) -> bool:
@@ -78,6 +81,8 @@
     @property
     def expected(self) -> str:
         """What a value must be, in words."""
+        if self.choices:
+            return "expected one of " + ", ".join(self.choices)
         text = f"expected {_SORT_WORDS[self.sort]}"
         if self.minimum is not None or self.maximum is not None:
             text += f" from {self.minimum} to {self.maximum}"
@@ -92,6 +97,8 @@
             If it is not of the key's sort or range.
         """
         value = _PARSERS[self.sort](text)
+        if self.choices and value not in self.choices:
+            raise ValueError(text)
         if self.minimum is not None and value < self.minimum:
             raise ValueError(text)
         if self.maximum is not None and value > self.maximum:
--- a/packages/standins/src/cairnferry/standins/_load.py
+++ b/packages/standins/src/cairnferry/standins/_load.py
@@ -90,6 +90,9 @@
     outcomes : dict of str to (str, str)
         Method and outcome by request ID: "ok", "not-run", "unknown", "cut",
         "foreign" (not whole or another's), or "status-N".
+    timeline : list of (float, float, str)
+        Planned arrival from the start, time to the answer (both in seconds) and
+        outcome.
     histogram : HdrHistogram
         Microseconds from the planned arrival to the answer, of "ok" requests.
     refusal_us : HdrHistogram
@@ -105,6 +108,7 @@
         factory=lambda: HdrHistogram(1, 600 * US_PER_S, 3)
     )
     without_retry_after: int = 0
+    started: float = 0.0
     ended: bool = False
 
     def count(self, outcome: str) -> int:
@@ -223,7 +227,7 @@
     report = report or LoadReport()
     steering = _Steering(plan, rng)
     group = Group()
-    start = time.monotonic()
+    start = report.started = time.monotonic()
     arrival = 0.0
     number = 0
     weights = [operation.weight for operation in plan.operations]
@@ -263,7 +267,7 @@
     elapsed = time.monotonic() - planned
     name = _judge(report, outcome, operation, body, request_id)
     report.outcomes[request_id] = (operation.method, name)
-    report.timeline.append((planned, elapsed, name))
+    report.timeline.append((planned - report.started, elapsed, name))
     if name == "ok":
         report.histogram.record_value(max(1, int(elapsed * US_PER_S)))
     elif name == "not-run":
--- a/packages/standins/src/cairnferry/standins/_target.py
+++ b/packages/standins/src/cairnferry/standins/_target.py
@@ -17,6 +17,11 @@
 HEALTH_PATH = "/health"
 ID_HEADER = "x-request-id"
 REFUSAL_HEADER = "X-Refused"
+REPORT_HEADER = "endpoint-load-metrics"
+# Colon, space and line end of a header field.
+FIELD_BYTES = 4
+# A probe's request and answer, as they stand on the wire.
+PROBE_BYTES = 160
 HANG_S = 3600.0
 
 
@@ -70,6 +75,8 @@
         Whether a refusal carries the contract's header.
     fault : Fault
         What goes wrong.
+    noise_ms, noise_share : float
+        Time in milliseconds added to a share (0 to 1) of the requests.
     answer_delay_ms : float
         Time between the end of the run and the answer, in milliseconds.
     """
@@ -90,6 +97,8 @@
     report_error: float = 1.0
     shed_by_contract: bool = True
     fault: Fault = attrs.field(default=Fault.NONE, converter=Fault)
+    noise_ms: float = 0.0
+    noise_share: float = 0.0
     answer_delay_ms: float = 0.0
 
 
@@ -117,6 +126,7 @@
         self.runs: list[tuple[str, str]] = []
         self.seen: list[tuple[float, str, str]] = []
         self.probes = 0
+        self.measuring_bytes = 0
         self.refusals = 0
         self.failures = 0
         self.in_use = 0
@@ -163,6 +173,7 @@
             return self._send_json(sock, 200, self._control(req))
         if req.path == HEALTH_PATH:
             self.probes += 1
+            self.measuring_bytes += PROBE_BYTES
             status = "draining" if self.behaviour.draining else "pass"
             return self._send_json(sock, 200, {"status": status})
         request_id = req.headers.get(ID_HEADER, "")
@@ -180,6 +191,7 @@
             "name": self.name,
             "seen": len(self.seen),
             "probes": self.probes,
+            "measuring_bytes": self.measuring_bytes,
             "refusals": self.refusals,
             "failures": self.failures,
             "in_use": self.in_use,
@@ -219,6 +231,8 @@
         seconds *= 1 + behaviour.spread * (2 * self._rng.random() - 1)
         if time.monotonic() - self._started < behaviour.cold_s:
             seconds *= behaviour.cold_factor
+        if behaviour.noise_ms and self._rng.random() < behaviour.noise_share:
+            seconds += behaviour.noise_ms / 1000
         return seconds
 
     def _count(self, step):
@@ -272,7 +286,8 @@
             return []
         value = self._reported_load() * self.behaviour.report_error
         text = f"TEXT named_metrics.in_use={value:g}"
-        return [("endpoint-load-metrics", text)]
+        self.measuring_bytes += len(REPORT_HEADER) + len(text) + FIELD_BYTES
+        return [(REPORT_HEADER, text)]
 
     def _reported_load(self):
         if not self.behaviour.report_lag_ms:
--- a/packages/standins/src/cairnferry/standins/command.py
+++ b/packages/standins/src/cairnferry/standins/command.py
@@ -51,6 +51,7 @@
     Key("load", "prefix", Sort.NAME, "prefix of request IDs", default="r"),
     Key("load", "steer", Sort.BOOLEAN, "whether to ask for addresses", default=True),
     Key("load", "outcomes", Sort.PATH, "file for each outcome", optional=True),
+    Key("load", "timeline", Sort.PATH, "file for each latency", optional=True),
 )
 
 _Config = typing.Annotated[
@@ -177,6 +178,10 @@
     if path:
         with open(path, "w", encoding="utf-8") as file:
             json.dump(report.outcomes, file)
+    path = cfg.get("load", "timeline")
+    if path:
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(report.timeline, file)
     print(json.dumps(report.summary(), indent=1))
 
 
