Choose by load with little weight on reports; adapt windows to what targets report

Change: others' load ages towards what is usual, with a weight of 0.25; a target is slow from twice the usual on; all of 20 are looked at, from a random one on; the window starts at half of the slots and moves by the mean report; background work has a slow window of its own; hedges come after 2.5 times the usual; a request that would wait more than 0.4 of its time is refused at once; an attempt that was cut after twice the usual time counts as failed.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,7 @@
 # Renew the golden files; read the difference before it is committed.
 golden: install
 	$(BIN)/python -m pytest tests/golden --snapshot-update
+
+# About 25 minutes; BENCH="--size moreton --repeats 1" runs a part of it.
+bench: install
+	$(BIN)/python -m bench $(BENCH)
--- a/packages/policy/src/cairnferry/policy/_choice.py
+++ b/packages/policy/src/cairnferry/policy/_choice.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cairnferry.policy._target import TargetState
+from cairnferry.policy._target import ReportTrust, TargetState
 
 IDLE_COST = 0.5
 RAMP_LOAD = 0.8
@@ -22,8 +22,8 @@
         Estimated load from which other zones are looked at too.
     """
 
-    sample: int = 5
-    spill_load: float = 0.85
+    sample: int = 20
+    spill_load: float = 0.5
 
 
 @attrs.frozen
@@ -59,19 +59,22 @@
         What to apply.
     rng : random.Random
         Source of randomness.
-    report_decay : float
-        Age in seconds at which a report's weight has fallen to 1/e.
+    trust : ReportTrust
+        How far reports are believed.
     latency_memory : float
         Age in seconds at which a slow target's latency is half forgotten.
     ramp : float
         Seconds over which a new target gets its full share.
+    usual_others : float
+        Share of a target's slots that other daemons use on the whole.
     """
 
     strategy: Strategy
     rng: random.Random
-    report_decay: float
+    trust: ReportTrust
     latency_memory: float
     ramp: float
+    usual_others: float = 0.0
     _turn: int = 0
 
     def choose(
@@ -125,9 +128,15 @@
         return targets[self._turn % len(targets)]
 
     def _draw(self, targets, count):
-        if len(targets) <= count:
-            return targets
-        return self.rng.sample(targets, count)
+        """Draw some targets; all of them, from a random one on, if they are few.
+
+        Of two that cost the same the first is taken. In a fixed order that would
+        be the same one at every daemon.
+        """
+        if len(targets) > count:
+            return self.rng.sample(targets, count)
+        start = int(self.rng.random() * len(targets))
+        return targets[start:] + targets[:start]
 
     def _load_aware(self, near, far, now, usual, max_load, sample, spill):
         best, load = self._best_of(self._draw(near, sample), now, usual, max_load)
@@ -149,14 +158,14 @@
         best_load = 0.0
         best_cost = 0.0
         for target in targets:
-            load = target.load(now, self.report_decay)
+            load = target.load(now, self.trust, self.usual_others)
             age = now - target.ready_since
             if age < self.ramp:
                 load += self._ramp_load(age)
             if load >= max_load:
                 continue
-            latency = target.expected_latency(now, usual, self.latency_memory)
-            cost = latency * (IDLE_COST + load)
+            slowness = target.slowness(now, usual, self.latency_memory)
+            cost = slowness * (IDLE_COST + load)
             if best is None or cost < best_cost:
                 best = target
                 best_load = load
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -31,14 +31,18 @@
 )
 from cairnferry.policy._queue import WaitingCalls
 from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy._target import DrainSource, TargetState
+from cairnferry.policy._target import (
+    CLEARLY_SLOWER,
+    DrainSource,
+    ReportTrust,
+    TargetState,
+)
 from cairnferry.policy._usable import UsableTargets
 from cairnferry.policy._window import Window
 from cairnferry.records import Priority, Service, Target
 
-FULL = 1.0
-START_SHARE = 0.25
-REPORTED_LOAD_GAIN = 0.1
+START_SHARE = 0.5
+REPORTED_LOAD_GAIN = 0.05
 PROBE_RETURN_S = 5.0
 MAX_REFUSAL_DOUBLINGS = 6
 _PRIORITIES = (Priority.INTERACTIVE, Priority.BACKGROUND)
@@ -73,8 +77,11 @@
         self._chooser = _chooser(self.settings, rng)
         self._ejector = _ejector(self.settings)
         self._budget = _budget(self.settings, service)
-        self._latency = LatencyEstimate(self.settings.hedge_quantile)
-        self._window = _window(self.settings)
+        self._latency = LatencyEstimate(self.settings.high_quantile)
+        self._window = _window(self.settings, 1.0)
+        self._background_window = _window(
+            self.settings, self.settings.background_growth
+        )
         self._waiting = WaitingCalls()
         self._displaced: list[Call] = []
         self._reported_load = 0.0
@@ -99,6 +106,7 @@
             self._targets[target.name] = state
         total = sum(target.slots for target in targets)
         self._window.set_maximum(total)
+        self._background_window.set_maximum(total * self.settings.background_share)
         if not known:
             self._window.limit = max(self._window.minimum, total * START_SHARE)
         self._usable.forget()
@@ -157,8 +165,8 @@
     def _enqueue(self, call, now):
         if self._is_hopeless(call, now):
             return self._refuse(Cause.NO_TARGET)
-        start_by = call.deadline - self._latency.usual
-        if now + self._expected_wait(call) > start_by:
+        start_by = self._start_by(call)
+        if self._expected_wait(call) > self.settings.wait_share * (start_by - now):
             return self._refuse(Cause.DEADLINE)
         if len(self._waiting) >= self.service.queue_limit:
             if not self._make_room(call):
@@ -170,6 +178,10 @@
         ahead = self._waiting.count(call.priority)
         return ahead * self._latency.usual / max(1.0, self._window.limit)
 
+    def _start_by(self, call):
+        """Give the time by which a request has to be sent to make its deadline."""
+        return call.deadline - max(self._latency.usual, self._latency.high)
+
     def _make_room(self, call):
         """Refuse a waiting background request in favour of an interactive one."""
         if call.priority is Priority.BACKGROUND:
@@ -213,7 +225,7 @@
             decided.append((call, Send(attempt)))
 
     def _reason_to_settle(self, call, now):
-        if now >= call.deadline - self._latency.usual:
+        if now >= self._start_by(call):
             return Cause.DEADLINE
         if self._is_hopeless(call, now):
             return Cause.NO_TARGET
@@ -258,7 +270,11 @@
         self._end(attempt)
         target = attempt.target
         elapsed = now - attempt.started
-        if elapsed > target.latency:
+        if elapsed > CLEARLY_SLOWER * self._latency.usual > 0:
+            # A hedge won, or the caller left. A target that hangs gives no other
+            # sign: its attempts would always be cut before they fail.
+            self._learn_failure(target, elapsed, now)
+        elif elapsed > target.latency:
             target.note_latency(elapsed, self.settings.latency_gain, now)
 
     def _most_are_sound(self, now):
@@ -285,7 +301,7 @@
         ):
             return None
         self._waiting.push(call)
-        return Wait(call.deadline - self._latency.usual)
+        return Wait(self._start_by(call))
 
     def _is_hopeless(self, call, now):
         """Tell whether no target is left that could still take the request.
@@ -301,7 +317,8 @@
         """Give the seconds after which an attempt may be doubled; None: never."""
         if not self.service.hedging or not self._latency.high:
             return None
-        return max(self.settings.hedge_min_s, self._latency.high)
+        late = self.settings.hedge_factor * self._latency.usual
+        return max(self.settings.hedge_min_s, late, self._latency.high)
 
     def hedge(self, call: Call, now: float) -> Send | None:
         """Send an idempotent request a second time, if the budget has room."""
@@ -341,8 +358,7 @@
             return False
         if call.priority is Priority.INTERACTIVE:
             return True
-        allowed = max(1.0, self._window.limit * self.settings.background_share)
-        return self._background_in_flight + 1 <= allowed
+        return self._background_window.has_room(self._background_in_flight)
 
     def _choose(self, call, now):
         near, far = self._usable.lists(self._targets, now)
@@ -350,7 +366,9 @@
             near = [target for target in near if not call.tried(target.name)]
             far = [target for target in far if not call.tried(target.name)]
         interactive = call.priority is Priority.INTERACTIVE
-        max_load = FULL if interactive else self.settings.background_load
+        max_load = (
+            self.settings.full_load if interactive else self.settings.background_load
+        )
         return self._chooser.choose(near, far, now, self._latency.usual, max_load)
 
     def _trial_target(self, call, now):
@@ -392,12 +410,26 @@
 
     def _learn_report(self, target, report, now):
         target.note_report(report, now)
+        chooser = self._chooser
+        step = target.others_load - chooser.usual_others
+        chooser.usual_others += REPORTED_LOAD_GAIN * step
         load = report.in_use / target.record.slots
         self._reported_load += REPORTED_LOAD_GAIN * (load - self._reported_load)
-        if load >= self.settings.full_report_load and self._reported_load >= FULL:
-            self._window.note_full(now, self._latency.usual)
+        self._adapt(self._window, self._in_flight, self.settings.full_report_load, now)
+        self._adapt(
+            self._background_window,
+            self._background_in_flight,
+            self.settings.background_load,
+            now,
+        )
+
+    def _adapt(self, window, in_flight, wanted_load, now):
+        """Move a window by what the targets report on the whole."""
+        excess = self._reported_load / wanted_load
+        if excess > 1:
+            window.note_full(excess, now, self._latency.usual)
         else:
-            self._window.note_free(self._in_flight)
+            window.note_free(in_flight)
 
     def _learn_failure(self, target, elapsed, now):
         slow = self._latency.usual * self.settings.failure_latency_factor
@@ -446,7 +478,7 @@
             "name": target.name,
             "zone": target.record.zone,
             "in_flight": target.in_flight,
-            "load": round(target.load(now, self.settings.report_decay_s), 3),
+            "load": round(self._load_of(target, now), 3),
             "latency_ms": round(target.latency * 1000, 3),
             "draining": target.is_draining(now),
             "ejected": bool(target.ejected_until),
@@ -454,6 +486,9 @@
             "sent": target.sent,
         }
 
+    def _load_of(self, target, now):
+        return target.load(now, self._chooser.trust, self._chooser.usual_others)
+
     @property
     def spare(self) -> float:
         """Share of the window that is free, 0 to 1."""
@@ -483,7 +518,7 @@
     return Chooser(
         settings.strategy,
         rng,
-        settings.report_decay_s,
+        ReportTrust(settings.report_weight, settings.report_decay_s),
         settings.latency_memory_s,
         settings.ramp_s,
     )
@@ -507,10 +542,11 @@
     )
 
 
-def _window(settings):
+def _window(settings, growth):
     return Window(
         settings.min_window,
         settings.min_window,
         settings.min_window,
-        settings.window_cut,
+        settings.deepest_cut,
+        growth,
     )
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -22,6 +22,10 @@
     ----------
     strategy : Strategy
         How a target is chosen.
+    report_weight : float
+        Weight of a fresh report against what is usual, 0 to 1. Reports tell all
+        daemons the same, late; followed in full, they send all of them to the
+        same targets.
     report_decay_s : float
         Age in seconds at which a report's weight has fallen to 1/e.
     latency_gain : float
@@ -46,12 +50,21 @@
         Time in seconds for which a refusal that says nothing of it holds.
     background_share : float
         Share of the window that background requests may use.
+    background_growth : float
+        Growth of the background window in one window of answers; slow, since the
+        load that it adds shows late.
     background_load : float
-        Estimated load of a target from which it takes no background work.
+        Load, of a target by estimate or of all as reported, from which no
+        background work is sent.
+    full_load : float
+        Estimated load of a target from which it takes nothing more. Above 1,
+        since an estimate that is too high would leave slots idle, while a short
+        queue at the target costs no more than one here.
     full_report_load : float
-        Reported load of a target above which the window is cut.
-    window_cut : float
-        Factor of a cut.
+        Mean reported load above which the window is cut, and up to which it
+        grows.
+    deepest_cut : float
+        Smallest factor of one cut of the window.
     min_window : float
         Smallest window.
     retry_burst : float
@@ -60,10 +73,15 @@
         Retry tokens at the start.
     max_attempts : int
         Attempts for one request, hedges included.
-    hedge_quantile : float
-        Share of answers that come before a hedge is sent.
+    high_quantile : float
+        Share of answers that are faster than what counts as a high latency.
+    hedge_factor : float
+        Time before a hedge as a multiple of the usual latency, and at least of
+        the high one.
     hedge_min_s : float
         Shortest time in seconds before a hedge.
+    wait_share : float
+        Share of the time left that a request may be expected to wait.
     probe_interval_s : float
         Time in seconds between two probes of one target, over all daemons.
     retry_after_s : float
@@ -71,6 +89,7 @@
     """
 
     strategy: Strategy = LoadAware()
+    report_weight: float = 0.25
     report_decay_s: float = 0.1
     latency_gain: float = 0.2
     latency_memory_s: float = 2.0
@@ -84,15 +103,19 @@
     refusal_drain_s: float = 30.0
     refusal_pause_s: float = 0.02
     background_share: float = 0.5
+    background_growth: float = 0.1
     background_load: float = 0.6
-    full_report_load: float = 1.2
-    window_cut: float = 0.9
+    full_load: float = 1.5
+    full_report_load: float = 1.15
+    deepest_cut: float = 0.7
     min_window: float = 1.0
-    retry_burst: float = 10.0
+    retry_burst: float = 5.0
     retry_start: float = 3.0
     max_attempts: int = 3
-    hedge_quantile: float = 0.95
+    high_quantile: float = 0.95
+    hedge_factor: float = 2.5
     hedge_min_s: float = 0.002
+    wait_share: float = 0.4
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
 
@@ -110,7 +133,7 @@
     """Give the settings of a strategy.
 
     The baselines choose a target and do nothing else: no limit on what is in
-    flight and no ejection.
+    flight, no ejection and no hedging; retries as for all.
 
     Raises
     ------
@@ -122,5 +145,6 @@
     return PolicySettings(
         strategy=_BASELINES[strategy_name],
         min_window=UNLIMITED,
+        hedge_min_s=UNLIMITED,
         eject_failures=UNLIMITED,
     )
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/_target.py
@@ -10,6 +10,9 @@
 from cairnferry.records import Lifecycle, Target
 
 UNKNOWN_LATENCY_S = 0.0
+# Answers this many times slower than usual are taken for a slow target.
+CLEARLY_SLOWER = 2.0
+SLOW_GAIN = 0.7
 
 
 class DrainSource(enum.StrEnum):
@@ -21,6 +24,22 @@
     PLATFORM = "platform"
 
 
+@attrs.frozen
+class ReportTrust:
+    """How far a target's report of its load is believed.
+
+    Attributes
+    ----------
+    weight : float
+        Weight of a fresh report against what is usual, 0 to 1.
+    decay : float
+        Age in seconds at which that has fallen to 1/e.
+    """
+
+    weight: float
+    decay: float
+
+
 @attrs.define(eq=False)
 class TargetState:
     """Estimates for one target.
@@ -47,7 +66,7 @@
     starts: deque = attrs.field(factory=deque)
     latency: float = UNKNOWN_LATENCY_S
     latency_at: float = 0.0
-    others_in_use: float = 0.0
+    others_load: float = 0.0
     reported_at: float = -math.inf
     paused_until: float = 0.0
     failures: int = 0
@@ -74,41 +93,62 @@
         """Tell whether its last result was good and nobody says that it leaves."""
         return not self.failures and not self.refusals and not self.is_draining(now)
 
-    def load(self, now: float, decay: float) -> float:
+    def load(self, now: float, trust: ReportTrust, usual_others: float) -> float:
         """Estimate the requests at the target as a share of its slots.
 
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        trust : ReportTrust
+            How far reports are believed.
+        usual_others : float
+            Share of a target's slots that other daemons use on the whole.
+
         Notes
         -----
         Own requests are known. Those of other daemons were so many when the
-        last report was made; its weight falls with age, for what they sent
-        since is not known.
+        last report was made; as it ages, the estimate moves to what is usual.
+        Moving to none instead would make those look idle of which least is
+        known, and all daemons would send there.
         """
-        others = self.others_in_use
-        if others > 0:
-            others *= math.exp((self.reported_at - now) / decay)
-        return (self.in_flight + others) / self.record.slots
-
-    def expected_latency(self, now: float, usual: float, memory: float) -> float:
-        """Estimate the answer time in seconds.
+        weight = trust.weight * math.exp((self.reported_at - now) / trust.decay)
+        others = usual_others + (self.others_load - usual_others) * weight
+        return self.in_flight / self.record.slots + others
+
+    def slowness(self, now: float, usual: float, memory: float) -> float:
+        """Estimate the answer time as a multiple of the usual one.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        usual : float
+            Answer time of the service in seconds; 0 if unknown.
+        memory : float
+            Age in seconds at which a slow target is half forgotten.
+
+        Returns
+        -------
+        float
+            1 unless the target is clearly slower: answer times vary, and
+            following each of them would undo the balance of the load.
 
         Notes
         -----
         A target that became slow shows first in requests that should have been
         answered by now. Waiting for their answers would send it many more.
         """
-        latency = self.latency
-        if latency == UNKNOWN_LATENCY_S:
-            latency = usual
-        elif latency > usual:
+        if not usual:
+            return 1.0
+        slow = self.latency / usual
+        if slow > CLEARLY_SLOWER:
             # A slow target gets few requests, so its estimate would stay as it
             # was for ever. It fades towards the usual, and is tried again.
-            fading = 0.5 ** ((now - self.latency_at) / memory)
-            latency = usual + (latency - usual) * fading
+            slow = 1 + (slow - 1) * 0.5 ** ((now - self.latency_at) / memory)
         if self.starts:
-            waiting = now - self.starts[0]
-            if waiting > latency:
-                return waiting
-        return latency
+            slow = max(slow, (now - self.starts[0]) / usual)
+        return slow if slow > CLEARLY_SLOWER else 1.0
 
     def note_sent(self, now: float) -> None:
         """Count a request that is sent."""
@@ -125,6 +165,9 @@
         """Take in an answer time in seconds."""
         if self.latency == UNKNOWN_LATENCY_S:
             self.latency = sample
+        elif sample > CLEARLY_SLOWER * self.latency:
+            # The next requests go elsewhere the sooner this is believed.
+            self.latency += SLOW_GAIN * (sample - self.latency)
         else:
             self.latency += gain * (sample - self.latency)
         self.latency_at = now
@@ -134,5 +177,6 @@
 
         The answered request has already been counted out on both sides.
         """
-        self.others_in_use = max(0.0, report.in_use - self.in_flight)
+        others = max(0.0, report.in_use - self.in_flight)
+        self.others_load = others / self.record.slots
         self.reported_at = now
--- a/packages/policy/src/cairnferry/policy/_window.py
+++ b/packages/policy/src/cairnferry/policy/_window.py
@@ -19,14 +19,17 @@
         Requests in flight, at the start.
     minimum, maximum : float
         Bounds of the limit.
-    cut : float
-        Factor of a cut.
+    deepest_cut : float
+        Smallest factor of one cut.
+    growth : float, optional
+        Growth in one window of answers.
     """
 
     limit: float
     minimum: float
     maximum: float
-    cut: float
+    deepest_cut: float
+    growth: float = 1.0
     _cut_at: float = 0.0
 
     def set_maximum(self, maximum: float) -> None:
@@ -41,10 +44,19 @@
     def note_free(self, in_flight: int) -> None:
         """Grow, if the limit is what held requests back."""
         if in_flight + 1 >= self.limit:
-            self.limit = min(self.maximum, self.limit + 1 / self.limit)
-
-    def note_full(self, now: float, latency: float) -> None:
-        """Cut, once for each answer time: answers of one burst tell one thing."""
+            self.limit = min(self.maximum, self.limit + self.growth / self.limit)
+
+    def note_full(self, excess: float, now: float, latency: float) -> None:
+        """Cut, once for each answer time: answers of one burst tell one thing.
+
+        Parameters
+        ----------
+        excess : float
+            Load over the load that is wanted; above 1.
+        now, latency : float
+            Time and answer time of the service, in seconds.
+        """
         if now - self._cut_at >= latency:
-            self.limit = max(self.minimum, self.limit * self.cut)
+            factor = max(self.deepest_cut, 1 / excess)
+            self.limit = max(self.minimum, self.limit * factor)
             self._cut_at = now
