Test the operators' listener and the command line; name missing and unknown fields

Cause: new tests showed that a missing field was told as a fault of the whole document, and that a daemon did not show a change right after it had said accepted. Ruled out: waiting in the tool (other clients would still see it). Change: the fault names the missing or unknown field; the daemon reads the log up to its own commit before it answers. Conclusion: who is told accepted reads it back at the same daemon.

--- a/packages/coordination/src/cairnferry/coordination/_groupcommit.py
+++ b/packages/coordination/src/cairnferry/coordination/_groupcommit.py
@@ -90,6 +90,9 @@
         appended = self.log.append(head, changes)
         if appended.is_error() and isinstance(appended.error, HeadMoved):
             return group + rest
+        if appended.is_ok():
+            # Who reads at this daemon after it was told "accepted" shall find it.
+            self.refresh()
         _resolve_all(group, appended)
         return rest
 
--- a/packages/entry/src/cairnferry/entry/_submissions.py
+++ b/packages/entry/src/cairnferry/entry/_submissions.py
@@ -60,8 +60,6 @@
             while self._queue.qsize() and len(waiting) < MAX_GATHERED:
                 waiting.append(self._queue.get())
             group.commit(waiting)
-            # The new revision comes back from the table like any other.
-            self.distribution.refresh()
             self.on_accepted()
 
     def _begin(self):
--- a/packages/records/src/cairnferry/records/_parse.py
+++ b/packages/records/src/cairnferry/records/_parse.py
@@ -60,11 +60,21 @@
 
 def _malformed(label, exc):
     """Name the field: the validator's own path starts with a placeholder."""
-    path = ".".join(str(part) for part in exc.path[1:])
-    expected = exc.message.split(" ", 1)[-1]
-    if exc.rule == "pattern":
-        expected = exc.definition["description"]
-    return MalformedRecord(label, path or "(document)", expected)
+    path = [str(part) for part in exc.path[1:]]
+    match exc.rule:
+        case "required":
+            missing = [f for f in exc.definition["required"] if f not in exc.value]
+            path.append(missing[0])
+            expected = "is missing"
+        case "additionalProperties":
+            unknown = [f for f in exc.value if f not in exc.definition["properties"]]
+            path.append(unknown[0])
+            expected = "is not known"
+        case "pattern":
+            expected = exc.definition["description"]
+        case _:
+            expected = exc.message.split(" ", 1)[-1]
+    return MalformedRecord(label, ".".join(path) or "(document)", expected)
 
 
 def _check_address(label, target):
--- /dev/null
+++ b/tests/entry/test_command.py
@@ -0,0 +1,90 @@
+"""The daemon's command line: faults are told at once, one line each."""
+
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from cairnferry.standins import free_port, wait_for
+
+MODULE = "cairnferry.entry.command"
+
+
+def run(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", MODULE, *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@pytest.fixture
+def settings(tmp_path):
+    (tmp_path / "keys").write_text("ab" * 16 + "\n")
+    ports = {name: free_port() for name in ("callers", "operators", "peers")}
+    lines = ["[instance]", "name = e1", "zone = z"]
+    for name, port in ports.items():
+        lines += [f"[{name}]", f"listen = 127.0.0.1:{port}"]
+    lines.append(f"key_file = {tmp_path / 'keys'}")
+    lines += ["[platform]"]
+    lines += [f"{k} = 127.0.0.1:9" for k in ("table", "objects", "instances")]
+    path = tmp_path / "d.ini"
+    path.write_text("\n".join(lines) + "\n")
+    return str(path), ports
+
+
+def test_wrong_settings_end_it_with_one_line_for_each_fault(settings):
+    path, _ = settings
+    done = run("--config", path, "--set", "callers.idle_s=x", "--set", "a.b=1")
+    assert done.returncode == 2
+    assert done.stderr.splitlines() == [
+        "cairnferryd: options: [a] b: no such key",
+        "cairnferryd: options: [callers] idle_s: "
+        "expected a number from 0.1 to 3600 (s), not 'x'",
+    ]
+
+
+def test_good_settings_are_said_to_be_good(settings):
+    done = run("--config", settings[0], "--check")
+    assert (done.returncode, done.stdout) == (0, "settings are good\n")
+
+
+def test_a_missing_key_file_ends_it_in_one_line(settings, tmp_path):
+    (tmp_path / "keys").unlink()
+    done = run("--config", settings[0])
+    assert done.returncode == 2
+    assert str(tmp_path / "keys") in done.stderr
+    assert len(done.stderr.splitlines()) == 1
+
+
+def test_an_address_in_use_ends_it_in_one_line(settings):
+    path, ports = settings
+    with socket.create_server(("127.0.0.1", ports["callers"])):
+        done = run("--config", path)
+    assert done.returncode == 2
+    assert "cannot listen" in done.stderr.splitlines()[-1]
+
+
+def test_the_table_of_keys_is_printed():
+    done = run("--keys")
+    assert done.returncode == 0
+    assert "| peers | fanout | whole number | - | 3 | 1 to 20 |" in done.stdout
+
+
+def test_a_signal_makes_it_dump_its_state_and_another_makes_it_leave(
+    settings, tmp_path
+):
+    log = tmp_path / "log"
+    options = ["--set", "callers.answer_ttl_s=0.1", "--set", "drain.margin_s=0"]
+    with log.open("w") as file:
+        command = [sys.executable, "-m", MODULE, "--config", settings[0], *options]
+        process = subprocess.Popen(command, stderr=file)
+    wait_for(lambda: '"serving"' in log.read_text())
+    process.send_signal(signal.SIGUSR1)
+    wait_for(lambda: '"dump": {' in log.read_text())
+    process.send_signal(signal.SIGTERM)
+    assert process.wait() == 0
+    assert '"every_request_answered": true' in log.read_text()
--- /dev/null
+++ b/tests/entry/test_operators.py
@@ -0,0 +1,161 @@
+"""The operators' listener of a whole daemon, in this process."""
+
+import json
+import random
+
+import gevent
+import pytest
+
+from cairnferry.entry import KEYS
+from cairnferry.entry._daemon import Daemon
+from cairnferry.settings import read_settings
+from cairnferry.standins import PlatformStandin, free_port, service_v1
+from cairnferry.wire import Client
+
+TOKEN = "0123456789abcdef"
+PEER_KEY = "5ec2e7" * 8
+FUZZ_ROUNDS = 200
+
+
+@pytest.fixture
+def platform():
+    standin = PlatformStandin(("127.0.0.1", 0))
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def daemon(platform, tmp_path):
+    (tmp_path / "keys").write_text(PEER_KEY + "\n")
+    (tmp_path / "tokens").write_text(TOKEN + "\n")
+    address = f"127.0.0.1:{platform.port}"
+    overrides = {
+        "instance.name": "e1",
+        "instance.zone": "z",
+        "peers.key_file": str(tmp_path / "keys"),
+        "operators.token_file": str(tmp_path / "tokens"),
+    }
+    for key in ("platform.table", "platform.objects", "platform.instances"):
+        overrides[key] = address
+    for section in ("callers", "operators", "peers"):
+        overrides[f"{section}.listen"] = f"127.0.0.1:{free_port()}"
+    daemon = Daemon(read_settings(KEYS, None, overrides).ok)
+    daemon.operators_server.start()
+    committer = gevent.spawn(daemon.submissions.run)
+    yield daemon
+    committer.kill()
+    daemon.operators_server.stop(timeout=0)
+
+
+@pytest.fixture
+def call(daemon):
+    client = Client("127.0.0.1", daemon.operators_server.server_port)
+
+    def call(method, path, body=b"", token=TOKEN):
+        headers = [("Authorization", f"Bearer {token}")] if token else []
+        return client.call(method, path, timeout=20, headers=headers, body=body)
+
+    return call
+
+
+def change(change_id="c", record=None, **edit):
+    edit = {"op": "submit", "record": record or service_v1("s")} | edit
+    return json.dumps({"change_id": change_id, "edits": [edit]}).encode()
+
+
+@pytest.mark.parametrize("token", [None, "", "wrong", TOKEN + "x"])
+def test_without_a_known_token_nothing_is_shown_or_changed(call, daemon, token):
+    pages = [("GET", "/v1/dump"), ("GET", "/metrics"), ("POST", "/v1/drain")]
+    for method, path in [*pages, ("POST", "/v1/changes"), ("GET", "/nowhere")]:
+        reply = call(method, path, token=token)
+        assert reply.status == 401
+        assert json.loads(reply.body) == {"error": "unauthorized"}
+    assert daemon.configuration.revision == 0
+
+
+def test_tokens_rotate_without_a_restart(call, tmp_path):
+    (tmp_path / "tokens").write_text(f"{TOKEN}\nnew-token\n")
+    assert call("GET", "/v1/status").status == 200
+    assert call("GET", "/v1/status", token="new-token").status == 200
+    (tmp_path / "tokens").write_text("new-token\n")
+    assert call("GET", "/v1/status").status == 401
+    (tmp_path / "tokens").unlink()
+    assert call("GET", "/v1/status", token="new-token").status == 401
+
+
+def test_a_change_is_accepted_and_shown(call, daemon):
+    reply = call("POST", "/v1/changes", change())
+    assert (reply.status, json.loads(reply.body)["revision"]) == (201, 1)
+    listed = json.loads(call("GET", "/v1/records").body)
+    assert [record["name"] for record in listed["records"]] == ["s"]
+    assert json.loads(call("GET", "/v1/changes/c").body)["revision"] == 1
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "error", "field"),
+    [
+        (
+            change(record={"schema": 1, "kind": "service"}),
+            422,
+            "MalformedRecord",
+            "name",
+        ),
+        (change(record={"schema": 7}), 422, "UnknownSchemaVersion", "schema"),
+        (change(op="destroy"), 400, "MalformedChange", "edits.0.op"),
+        (
+            change(op="replace", expected_revision=3),
+            409,
+            "RevisionConflict",
+            "expected_revision",
+        ),
+        (b"[]", 400, "MalformedChange", "(document)"),
+    ],
+)
+def test_a_faulty_change_has_a_typed_error_that_names_the_field(
+    call, body, status, error, field
+):
+    reply = call("POST", "/v1/changes", body)
+    document = json.loads(reply.body)
+    assert (reply.status, document["error"]) == (status, error)
+    assert document["field"] == field
+    assert document["outcome"] == "refused"
+
+
+def test_what_cannot_be_accepted_now_is_told_apart_from_what_is_unknown(call, platform):
+    platform.faults.outage = "error"
+    reply = call("POST", "/v1/changes", change())
+    assert reply.status == 503
+    assert json.loads(reply.body)["outcome"] == "refused"
+    platform.faults.outage = "none"
+    assert call("POST", "/v1/changes", change()).status == 201
+
+
+def test_any_body_gets_a_typed_answer(call):
+    """Fuzz with a fixed seed: mutated changes."""
+    rng = random.Random(17)
+    for number in range(FUZZ_ROUNDS):
+        body = bytearray(change(f"f{number}"))
+        for _ in range(rng.randrange(1, 5)):
+            place = rng.randrange(len(body))
+            body[place : place + rng.randrange(4)] = rng.randbytes(rng.randrange(3))
+        reply = call("POST", "/v1/changes", bytes(body))
+        assert reply.status in (201, 400, 409, 422)
+        document = json.loads(reply.body)
+        assert document.get("outcome") == "accepted" or document["error"]
+
+
+def test_dumps_and_metrics_hold_no_secret(call):
+    call("POST", "/v1/changes", change())
+    dump = call("GET", "/v1/dump").body.decode()
+    metrics = call("GET", "/metrics").body.decode()
+    for text in (dump, metrics):
+        assert TOKEN not in text
+        assert PEER_KEY not in text
+    assert json.loads(dump)["revision"] == 1
+    assert "cairnferry_revision 1" in metrics.splitlines()
+
+
+def test_a_nested_body_is_refused_not_followed(call):
+    reply = call("POST", "/v1/changes", b"[" * 100_000)
+    assert reply.status == 400
