Ask about changes with change show; spread what a probe finds at once

Cause: the tool's command was named otherwise than its users asked, and a daemon that probed a draining target told others with its next round only. Ruled out: nothing else.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 PACKAGES := $(sort $(wildcard packages/*))
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
-.PHONY: demo test lint format generate golden bench capacity propagation install
+.PHONY: demo test lint format generate golden install
+.PHONY: bench capacity propagation overhead shards
 
 install: $(VENV)/installed
 
@@ -50,3 +51,9 @@
 
 propagation: install
 	$(BIN)/python -m bench.propagation
+
+overhead: install
+	$(BIN)/python -m bench.overhead
+
+shards: install
+	$(BIN)/python -m bench.shards
--- a/packages/coordination/src/cairnferry/coordination/_membership.py
+++ b/packages/coordination/src/cairnferry/coordination/_membership.py
@@ -149,12 +149,6 @@
         elif known is not None and known.state is MemberState.LEAVING:
             self._store(attrs.evolve(known, state=MemberState.GONE), now)
 
-    def forget(self, name: str, now: float) -> None:
-        """Note that the platform no longer lists a member that does not answer."""
-        known = self._members.get(name)
-        if known is not None and known.state is MemberState.SUSPECTED:
-            self._store(attrs.evolve(known, state=MemberState.GONE), now)
-
     def pass_time(self, now: float) -> None:
         """Turn old suspicions into departures and drop what is long gone."""
         for name, member in list(self._members.items()):
--- a/packages/coordination/src/cairnferry/coordination/_notes.py
+++ b/packages/coordination/src/cairnferry/coordination/_notes.py
@@ -87,7 +87,10 @@
         return tuple(told)
 
     def in_force(self, now: float) -> list[Note]:
-        """List the notes that hold, and drop those that lapsed."""
+        """List the notes that hold."""
+        return [Note(*key, t - now) for key, t in self._until.items() if t > now]
+
+    def drop_lapsed(self, now: float) -> None:
+        """Forget the notes that hold no more."""
         self._until = {key: t for key, t in self._until.items() if t > now}
         self._tell = {key: n for key, n in self._tell.items() if key in self._until}
-        return [Note(*key, until - now) for key, until in self._until.items()]
--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -108,7 +108,7 @@
         print(f"{difference['state']:10} {difference['record']}")
 
 
-def change(api: Api, change_id, as_json) -> None:
+def show_change(api: Api, change_id, as_json) -> None:
     """Say what became of a change."""
     result = api.get(f"/v1/changes/{change_id}")
     if result.is_error():
--- a/packages/ctl/src/cairnferry/ctl/_exits.py
+++ b/packages/ctl/src/cairnferry/ctl/_exits.py
@@ -28,8 +28,8 @@
 _NEXT_STEP = {
     ExitCode.REFUSED: "nothing was changed; mend the input and submit again",
     ExitCode.CONFLICT: "nothing was changed; read the records again and decide anew",
-    ExitCode.UNKNOWN: "ask later with `cairnferry change {change_id}`, or send the "
-    "same files again with `--change-id {change_id}`",
+    ExitCode.UNKNOWN: "ask later with `cairnferry change show {change_id}`, or send "
+    "the same files again with `--change-id {change_id}`",
     ExitCode.UNAVAILABLE: "nothing was changed; try again later",
 }
 
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -96,15 +96,23 @@
     paths: _Paths
 
 
-@cappa.command(name="change", help="Say what became of a change.")
+@cappa.command(name="show", help="Say what became of a change.")
 @attrs.define
-class Change:
-    """Arguments of `change`."""
+class ChangeShow:
+    """Arguments of `change show`."""
 
     change_id: typing.Annotated[str, cappa.Arg(help="ID of the change")]
     json: _Json = False
 
 
+@cappa.command(name="change", help="Ask about changes.")
+@attrs.define
+class Change:
+    """Commands of `change`."""
+
+    command: cappa.Subcommands[ChangeShow]
+
+
 @cappa.command(name="status", help="Show all instances.")
 @attrs.define
 class Status:
@@ -198,8 +206,8 @@
             _commands.show(api, name, as_json)
         case Diff(paths, as_json):
             _commands.diff(api, paths, as_json)
-        case Change(change_id, as_json):
-            _commands.change(api, change_id, as_json)
+        case Change(ChangeShow(change_id, as_json)):
+            _commands.show_change(api, change_id, as_json)
         case Status(wait, timeout, as_json):
             _commands.status(api, wait, timeout, as_json)
         case Dump():
--- a/packages/entry/src/cairnferry/entry/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/_cluster.py
@@ -115,6 +115,19 @@
             self.confirmation.confirm(now, theirs.confirmed_age)
         return fresh
 
+    def forget_old(self) -> None:
+        """Drop what was said by members that are forgotten, and lapsed notes.
+
+        Instances are replaced all the time under new names; what they said would
+        pile up.
+        """
+        self._health = {
+            name: health
+            for name, health in self._health.items()
+            if self.membership.get(name) is not None
+        }
+        self.notes.drop_lapsed(time.monotonic())
+
     def post(self, note: Note) -> bool:
         """Take in a note on a target; give back whether it was new."""
         members = len(self.membership.others())
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -156,7 +156,9 @@
         address = cfg.get("peers", "listen").as_tuple()
         self.peer_server = PeerServer(address, self.gossip, keys, self.peer_meter)
         self.listing = Listing(self.instances, self.cluster, self.gossip, self.services)
-        self.probing = Probing(self.cluster, self.services, self.metrics)
+        self.probing = Probing(
+            self.cluster, self.services, self.metrics, self.gossip.hurry
+        )
 
     def _build_listeners(self):
         cfg = self._cfg
--- a/packages/entry/src/cairnferry/entry/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/_gossip.py
@@ -81,6 +81,7 @@
             if not self._calls.full():
                 self._calls.spawn(self._call, name, address)
         self.links.close_unused(now - UNUSED_LINK_S)
+        self.cluster.forget_old()
 
     def _strangers(self):
         """List addresses worth a try although no live member is known there."""
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -242,7 +242,11 @@
             Whether every request in progress was answered.
         """
         self.closing = True
-        self.stop_accepting()
+        # Connections that the kernel has taken are served. One that it took
+        # later would wait for an answer that nobody gives, so that the listener
+        # is closed, not just left alone: callers are refused and go elsewhere.
+        gevent.sleep(0)
+        self.close()
         with gevent.Timeout(seconds, False):
             while self._close_idle():
                 gevent.sleep(0.01)
--- a/packages/entry/src/cairnferry/entry/_probing.py
+++ b/packages/entry/src/cairnferry/entry/_probing.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import time
+from collections.abc import Callable
 
 import attrs
 from gevent.pool import Pool
@@ -36,11 +37,14 @@
         The targets, and the policies that want the results.
     metrics : Metrics
         Counts probes.
+    hurry : callable
+        Spreads news at once.
     """
 
     cluster: Cluster
     services: Services
     metrics: Metrics
+    hurry: Callable[[], None]
     _plan: ProbePlan = attrs.field(
         factory=lambda: ProbePlan(PolicySettings().probe_interval_s)
     )
@@ -92,7 +96,8 @@
         self.metrics.probes["healthy" if healthy else "unhealthy"] += 1
         if draining:
             note = Note(target.name, str(DrainSource.HEALTH), HEALTH_NOTE_S)
-            self.cluster.post(note)
+            if self.cluster.post(note):
+                self.hurry()
         runtime = self.services.active().get(target.service)
         if runtime is not None:
             runtime.policy.note_probe(target.name, healthy, time.monotonic())
--- a/packages/entry/src/cairnferry/entry/_services.py
+++ b/packages/entry/src/cairnferry/entry/_services.py
@@ -92,7 +92,3 @@
     def targets(self) -> list:
         """List the targets of all services."""
         return [target for targets in self._targets.values() for target in targets]
-
-    def targets_of(self, service: str) -> list:
-        """List the targets of one service."""
-        return self._targets.get(service, [])
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -70,7 +70,6 @@
     may_retry: bool = True
     attempts: list["Attempt"] = attrs.field(factory=list)
     possibly_run: bool = False
-    last_cause: Cause = Cause.OVERLOAD
 
     def tried(self, target_name: str) -> bool:
         """Tell whether an attempt went to this target."""
--- a/packages/wire/src/cairnferry/wire/_connection.py
+++ b/packages/wire/src/cairnferry/wire/_connection.py
@@ -31,15 +31,12 @@
         The socket.
     address : tuple of (str, int)
         Remote IP address and port.
-    exchanges : int
-        Whole exchanges carried so far.
     idle_since : float
         Monotonic time in seconds of opening or of the last whole exchange.
     """
 
     sock: socket.socket
     address: tuple[str, int]
-    exchanges: int = 0
     idle_since: float = attrs.field(factory=time.monotonic)
 
     def is_quiet(self) -> bool:
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -148,7 +148,6 @@
         return outcome
     finally:
         if keep:
-            conn.exchanges += 1
             conn.idle_since = time.monotonic()
         else:
             conn.close()
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -188,6 +188,7 @@
     assert heard == [("t", "health", 5), ("t", "health", 6)]
     assert board.to_tell(2) == (Note("t", "health", 4),)
     assert board.in_force(6.1) == []
+    board.drop_lapsed(6.1)
     assert board.to_tell(6.1) == ()
 
 
--- a/tests/entry/test_command.py
+++ b/tests/entry/test_command.py
@@ -88,3 +88,32 @@
     process.send_signal(signal.SIGTERM)
     assert process.wait() == 0
     assert '"every_request_answered": true' in log.read_text()
+
+
+@pytest.mark.parametrize(
+    ("command", "line"),
+    [
+        (
+            ["platform"],
+            "options: [platform] listen: is missing: expected IP:port",
+        ),
+        (
+            ["target", "--set", "target.listen=here", "--set", "target.slots=0"],
+            "options: [target] slots: expected a whole number from 1 to 10000, not '0'",
+        ),
+        (
+            ["load", "--set", "load.rate=fast"],
+            "options: [load] rate: expected a number from 0.1 to 100000 (1/s), "
+            "not 'fast'",
+        ),
+    ],
+)
+def test_the_stand_ins_check_their_settings_too(command, line):
+    done = subprocess.run(
+        [sys.executable, "-m", "cairnferry.standins.command", *command],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert f"cairnferry-standin: {line}" in done.stderr.splitlines()
