End the demo on Ctrl-C also where a shell made it ignore that

Cause: started in the background the demo ignored SIGINT, while its processes ended; it then told 2,355 faults instead of stopping. Ruled out: a process group of its own for the children (a terminal's Ctrl-C would no longer reach them if the demo were killed). Change: the demo takes SIGINT back.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -43,6 +43,9 @@
 def main() -> int:
     """Run the demo; give the exit code."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    # A shell that starts the demo in the background has it ignore Ctrl-C: its
+    # processes would end and the demo would report their loss as faults.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     with tempfile.TemporaryDirectory() as folder:
         with LocalSystem(pathlib.Path(folder)) as system:
             try:
