--- a/packages/standins/src/cairnferry/standins/command.py
+++ b/packages/standins/src/cairnferry/standins/command.py
@@ -23,6 +23,7 @@
 
 EXIT_SETTINGS = 2
 LEAVE_S = 10.0
+US_PER_MS = 1000
 
 PLATFORM_KEYS = (Key("platform", "listen", Sort.ADDRESS, "where to listen"),)
 
@@ -51,6 +52,7 @@
     Key("load", "prefix", Sort.NAME, "prefix of request IDs", default="r"),
     Key("load", "steer", Sort.BOOLEAN, "whether to ask for addresses", default=True),
     Key("load", "outcomes", Sort.PATH, "file for each outcome", optional=True),
+    Key("load", "report", Sort.PATH, "file for the hdrhistogram", optional=True),
     Key("load", "timeline", Sort.PATH, "file for each latency", optional=True),
 )
 
@@ -178,6 +180,10 @@
     if path:
         with open(path, "w", encoding="utf-8") as file:
             json.dump(report.outcomes, file)
+    path = cfg.get("load", "report")
+    if path:
+        with open(path, "wb") as file:
+            report.histogram.output_percentile_distribution(file, US_PER_MS)
     path = cfg.get("load", "timeline")
     if path:
         with open(path, "w", encoding="utf-8") as file:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,6 +40,26 @@
         yield
 
 
+def receive_all(sock):
+    """Give what comes until the connection ends.
+
+    An end by reset is as good: the other side closed with input left unread.
+    """
+    received = b""
+    try:
+        while part := sock.recv(65536):
+            received += part
+    except ConnectionResetError:
+        pass
+    return received
+
+
+@pytest.fixture
+def read_to_end():
+    """Give the function that reads a connection to its end."""
+    return receive_all
+
+
 @pytest.fixture
 def serve_bytes():
     """Start a server that answers each connection's first request with bytes."""
@@ -140,14 +160,7 @@
         """Send bytes; give all that comes back until the connection ends."""
         with gevent.socket.create_connection((HOST, self.port)) as sock:
             sock.sendall(data)
-            received = b""
-            try:
-                while part := sock.recv(65536):
-                    received += part
-            except ConnectionResetError:
-                # The listener closed with some of the input unread.
-                pass
-            return received
+            return receive_all(sock)
 
     def stop(self):
         self.server.stop(timeout=0)
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -127,15 +127,7 @@
     assert reply.header("cairnferry-outcome") is None
 
 
-def read_to_end(sock):
-    try:
-        while sock.recv(65536):
-            pass
-    except ConnectionResetError:
-        pass
-
-
-def test_any_bytes_leave_the_listener_sound(entry):
+def test_any_bytes_leave_the_listener_sound(entry, read_to_end):
     """Fuzz with a fixed seed: mutated requests, each on its own connection."""
     rng = random.Random(11)
     seeds = [
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -173,17 +173,6 @@
     assert link.heartbeat(attrs.evolve(HEARTBEAT, spare=1)).spare == 1
 
 
-def read_to_end(sock):
-    """Give what comes until the connection ends, by a close or a reset."""
-    received = b""
-    try:
-        while part := sock.recv(65536):
-            received += part
-    except ConnectionResetError:
-        pass
-    return received
-
-
 def fuzz_cases():
     rng = random.Random(3)
     yield struct.pack("!i", 2**31 - 1)
@@ -194,7 +183,9 @@
         yield struct.pack("!i", len(body)) + body
 
 
-def test_any_frame_after_the_handshake_leaves_the_server_sound(server, handler, keys):
+def test_any_frame_after_the_handshake_leaves_the_server_sound(
+    server, handler, keys, read_to_end
+):
     ring = keys("client", OLD)
     for data in fuzz_cases():
         with socket.create_connection(("127.0.0.1", server.port)) as sock:
@@ -207,7 +198,7 @@
 
 
 @pytest.mark.parametrize("data", [b"", b"CFP1", b"GET / HTTP/1.1\r\n\r\n" + b"x" * 99])
-def test_anything_but_the_handshake_is_closed(server, handler, data):
+def test_anything_but_the_handshake_is_closed(server, handler, data, read_to_end):
     with socket.create_connection(("127.0.0.1", server.port)) as sock:
         sock.sendall(data)
         sock.shutdown(socket.SHUT_WR)
--- a/tests/policy/test_service.py
+++ b/tests/policy/test_service.py
@@ -238,7 +238,7 @@
         attempts.append(decision.attempt)
 
 
-def test_no_target_gets_more_than_its_slots():
+def test_no_more_is_in_flight_than_all_targets_have_slots():
     policy = make_policy(2, slots=3)
     assert len(fill(policy)) == 6
 
