Give back a place whose caller left in the same moment

Cause: test_a_caller_that_leaves_the_queue_gives_its_place_back failed once in a run of 291 tests: a place was given to a waiting request, and its caller left before its task had run again; the task dropped the decision unread, so that the slot stayed in use for ever. Ruled out: the test (it waits for the event; 30 s went by). Change: an interrupted wait leaves the decision for abandon, which undoes it. Conclusion: a leak of the product, found by a test that fails now and then.

--- a/packages/entry/src/cairnferry/entry/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/_runtime.py
@@ -52,10 +52,11 @@
 
     def wait(self, call: Call) -> Decision:
         """Wait until it is decided about a request that has to wait."""
-        try:
-            return self._waiting[call].get()
-        finally:
-            self._waiting.pop(call, None)
+        # If this is interrupted the decision stays, for `abandon` to undo it: a
+        # place may have been given to the request at the same moment.
+        decision = self._waiting[call].get()
+        del self._waiting[call]
+        return decision
 
     def abandon(self, call: Call) -> None:
         """Drop a request whose caller went away, in whatever state it is."""
--- /dev/null
+++ b/tests/entry/test_runtime.py
@@ -0,0 +1,40 @@
+"""A policy at work for many callers."""
+
+import random
+import time
+
+import gevent
+
+from cairnferry.entry._caller_watch import CallerGone
+from cairnferry.entry._runtime import ServiceRuntime
+from cairnferry.policy import Answered, Call, Send, ServicePolicy, Wait
+from cairnferry.records import Lifecycle, Service, Target
+
+
+def test_a_place_given_to_a_caller_that_leaves_is_given_back():
+    """Symptom: a slot stays in use for ever, and the daemon grows slower.
+
+    Events: a place is given to a waiting request; its caller leaves before its
+    task has run again. Cause: the task had dropped the decision unread.
+    """
+    policy = ServicePolicy(Service("s", 9000, 0.1, True, 8), "z", random.Random(1))
+    target = Target("t", "s", "z", "10.0.0.1", 80, 1, Lifecycle.ACTIVE, "/h", None)
+    policy.update(policy.service, [target], time.monotonic())
+    runtime = ServiceRuntime(policy)
+    calls = [Call(time.monotonic(), time.monotonic() + 9, True) for _ in range(2)]
+    first = runtime.arrive(calls[0])
+    assert isinstance(first, Send)
+    assert isinstance(runtime.arrive(calls[1]), Wait)
+
+    def wait():
+        try:
+            runtime.wait(calls[1])
+        except CallerGone:
+            runtime.abandon(calls[1])
+
+    waiting = gevent.spawn(wait)
+    gevent.sleep(0)
+    gevent.get_hub().loop.run_callback(waiting.throw, CallerGone)
+    runtime.finished(first.attempt, Answered())
+    waiting.join()
+    assert policy.in_flight == 0
