--- a/packages/platform/src/cairnferry/platform/__init__.py
+++ b/packages/cloudapi/src/cairnferry/cloudapi/__init__.py
@@ -5,16 +5,16 @@
 of Prometheus. No call is repeated here.
 """
 
-from cairnferry.platform._instances import Instance, InstanceList
-from cairnferry.platform._meter import CallMeter
-from cairnferry.platform._objects import ObjectStore, ObjectStoreUnavailable
-from cairnferry.platform._signing import (
+from cairnferry.cloudapi._instances import Instance, InstanceList
+from cairnferry.cloudapi._meter import CallMeter
+from cairnferry.cloudapi._objects import ObjectStore, ObjectStoreUnavailable
+from cairnferry.cloudapi._signing import (
     Credentials,
     CredentialsFault,
     Signer,
     read_credentials,
 )
-from cairnferry.platform._table import TableClient
+from cairnferry.cloudapi._table import TableClient
 
 __all__ = [
     "CallMeter",
--- a/packages/platform/src/cairnferry/platform/_instances.py
+++ b/packages/cloudapi/src/cairnferry/cloudapi/_instances.py
@@ -5,8 +5,8 @@
 import attrs
 from expression import Error, Ok, Result
 
+from cairnferry.cloudapi._meter import CallMeter
 from cairnferry.coordination import TableUnavailable
-from cairnferry.platform._meter import CallMeter
 from cairnferry.wire import Client, Reply, describe
 
 HTTP_OK = 200
--- a/packages/platform/src/cairnferry/platform/_objects.py
+++ b/packages/cloudapi/src/cairnferry/cloudapi/_objects.py
@@ -3,8 +3,8 @@
 import attrs
 from expression import Error, Ok, Result
 
-from cairnferry.platform._meter import CallMeter
-from cairnferry.platform._signing import Signer
+from cairnferry.cloudapi._meter import CallMeter
+from cairnferry.cloudapi._signing import Signer
 from cairnferry.wire import Client, Reply, describe
 
 HTTP_OK = 200
--- a/packages/platform/src/cairnferry/platform/_table.py
+++ b/packages/cloudapi/src/cairnferry/cloudapi/_table.py
@@ -6,6 +6,8 @@
 import attrs
 from expression import Error, Ok, Result
 
+from cairnferry.cloudapi._meter import CallMeter
+from cairnferry.cloudapi._signing import Signer
 from cairnferry.coordination import (
     ConditionFailed,
     Item,
@@ -14,8 +16,6 @@
     Write,
     WriteUnknown,
 )
-from cairnferry.platform._meter import CallMeter
-from cairnferry.platform._signing import Signer
 from cairnferry.wire import Client, Incomplete, NotSent, Reply, describe
 
 TARGET_PREFIX = "DynamoDB_20120810."
--- a/packages/entry/src/cairnferry/entry/_answers.py
+++ b/packages/entry/src/cairnferry/entry/_answers.py
@@ -7,6 +7,7 @@
 
 import enum
 import json
+import math
 
 import attrs
 
@@ -104,12 +105,15 @@
         Whole body.
     length : int or None
         Value of Content-Length; None leaves it out.
+    retry_after : float or None
+        When to come back, in seconds.
     """
 
     status: str
     headers: list[tuple[str, str]]
     body: bytes
     length: int | None = attrs.field()
+    retry_after: float | None = None
 
     @length.default
     def _length_of_body(self):
@@ -164,10 +168,10 @@
         ("Proxy-Status", f"{PROXY_NAME}; error={error}"),
     ]
     if retry_after is not None:
-        seconds = max(1, round(retry_after))
-        document["retry_after_s"] = seconds
-        headers.append(("Retry-After", str(seconds)))
-    return Answer(status, headers, json.dumps(document).encode())
+        whole = int(retry_after)
+        document["retry_after_s"] = whole if whole == retry_after else retry_after
+    body = json.dumps(document).encode()
+    return Answer(status, headers, body, retry_after=retry_after)
 
 
 def encode_raw(problem: Problem) -> bytes:
@@ -175,5 +179,7 @@
     answer = problem_answer(problem)
     lines = [f"HTTP/1.1 {answer.status}"]
     lines += [f"{name}: {value}" for name, value in answer.headers]
+    if answer.retry_after is not None:
+        lines.append(f"Retry-After: {math.ceil(answer.retry_after)}")
     lines += [f"Content-Length: {len(answer.body)}", "Connection: close"]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + answer.body
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_asking.py
@@ -0,0 +1,105 @@
+"""Status checks made right before a request is placed."""
+
+import time
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from cairnferry.coordination import TokenBucket
+from cairnferry.entry._conventions import CheckResult
+from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._runtime import ServiceRuntime
+from cairnferry.entry._upstreams import Upstreams
+from cairnferry.policy import DrainSource
+from cairnferry.records import Target
+
+# Longest wait in seconds for the answers of a round. A sound target answers within
+# 2 ms; what takes longer is at a target that one would not choose anyway.
+ROUND_S = 0.03
+# Time in seconds after which a check is given up and its connection closed.
+CHECK_TIMEOUT_S = 0.5
+# Part of the budget of status checks that is used; the rest covers instances that
+# this one does not know of yet.
+BUDGET_SHARE = 0.9
+# Seconds of the rate that may be spent at once, so that a burst can still ask.
+BURST_S = 4.0
+# Seconds for which a target at whose address another one answered gets no work.
+MISPLACED_S = 30.0
+
+
+@attrs.define(eq=False)
+class _Check:
+    """A check under way; requests that want the same one share it."""
+
+    target: Target
+    started: float
+    done: Event = attrs.field(factory=Event)
+
+
+@attrs.define
+class StatusChecks:
+    """Asks targets for their load, within a budget that all instances share.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        Connections to targets.
+    metrics : Metrics
+        Counts checks.
+    rate : float
+        Checks a second for each target, over all instances; 0 for no limit.
+    """
+
+    upstreams: Upstreams
+    metrics: Metrics
+    rate: float = 0.0
+    _bucket: TokenBucket = attrs.field(
+        factory=lambda: TokenBucket(0.0, 0.0, time.monotonic())
+    )
+    _running: dict[str, _Check] = attrs.field(factory=dict)
+
+    def share_with(self, instances: int, targets: int) -> None:
+        """Work out this instance's part of the budget."""
+        self._bucket.rate = BUDGET_SHARE * self.rate * targets / max(1, instances)
+        self._bucket.burst = self._bucket.rate * BURST_S
+
+    def ask(self, targets: tuple[Target, ...], runtime: ServiceRuntime) -> None:
+        """Ask all targets at the same time; come back when they have answered.
+
+        The policy is told each answer as it comes, also one that comes after the
+        wait: then the next request knows it.
+        """
+        checks = [self._check(target, runtime) for target in targets]
+        deadline = time.monotonic() + ROUND_S
+        for check in checks:
+            if check is not None:
+                check.done.wait(max(0.0, deadline - time.monotonic()))
+
+    def _check(self, target, runtime):
+        running = self._running.get(target.name)
+        if running is not None:
+            return running
+        if self.rate and not self._bucket.take(time.monotonic()):
+            self.metrics.probes["over-budget"] += 1
+            return None
+        check = self._running[target.name] = _Check(target, time.monotonic())
+        gevent.spawn(self._run, check, runtime)
+        return check
+
+    def _run(self, check, runtime):
+        target = check.target
+        try:
+            result = self.upstreams.check(target, CHECK_TIMEOUT_S)
+            self._tell(target, result, runtime)
+        finally:
+            self._running.pop(target.name, None)
+            check.done.set()
+
+    def _tell(self, target, result: CheckResult, runtime):
+        now = time.monotonic()
+        self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
+        runtime.policy.note_check(target.name, result.report, result.well, now)
+        if result.misplaced:
+            until = now + MISPLACED_S
+            runtime.policy.note_draining(target.name, DrainSource.REFUSAL, until)
--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -9,8 +9,9 @@
 
 from cairnferry.entry._answers import Answer, Problem, problem_answer
 from cairnferry.entry._caller_watch import CallerGone, CallerWatch
+from cairnferry.entry._conventions import CallerConvention, OwnCallers
 from cairnferry.entry._forward import Forwarder
-from cairnferry.entry._headers import BadDeadline, RequestHead, read_request_head
+from cairnferry.entry._headers import BadDeadline, RequestHead
 from cairnferry.entry._http_server import HANDLER_KEY, BadRequest, Handler
 from cairnferry.entry._logs import RateLimit
 from cairnferry.entry._metrics import Metrics
@@ -28,9 +29,9 @@
 log = logging.getLogger(__name__)
 
 
-@attrs.frozen
+@attrs.define
 class BodyLimits:
-    """Limits of request bodies.
+    """Limits of request bodies; they may be changed while requests are served.
 
     Attributes
     ----------
@@ -60,13 +61,16 @@
         Counts.
     limits : BodyLimits
         Limits of bodies.
+    convention : CallerConvention, optional
+        How callers speak.
     """
 
     services: Services
     forwarder: Forwarder
-    steering: Steering
+    steering: Steering | None
     metrics: Metrics
     limits: BodyLimits
+    convention: CallerConvention = attrs.field(factory=OwnCallers)
     _log_limit: RateLimit = attrs.field(factory=RateLimit)
 
     def __call__(self, environ, start_response):
@@ -81,41 +85,55 @@
             handler.close_connection = True
             start_response(GONE, [])
             return []
-        return _write(handler, answer, start_response)
+        return self._write(handler, answer, start_response)
+
+    def _write(self, handler, answer, start_response):
+        headers = list(answer.headers)
+        if answer.retry_after is not None:
+            value = self.convention.retry_after(answer.retry_after)
+            headers.append(("Retry-After", value))
+        if answer.length is not None:
+            headers.append(("Content-Length", str(answer.length)))
+        start_response(answer.status, headers)
+        return [answer.body] if handler.command != "HEAD" and answer.body else []
 
     def _answer(self, handler):
         arrived = time.monotonic()
         path = handler.path
-        if path.startswith(STEERING_PATH):
+        if self.steering is not None and path.startswith(STEERING_PATH):
             return self.steering_answer(path)
         if not path.startswith("/"):
             raise BadRequest(Problem.MALFORMED)
-        if self.services.records.revision == 0:
+        if self.services.revision == 0:
             raise BadRequest(Problem.NOT_READY)
-        route = self.services.route(path)
-        runtime = route and self.services.runtime(route.service)
+        route = self.services.route(path, handler.headers.get("host"))
+        runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
         return self._forward(handler, route, runtime, arrived)
 
     def _forward(self, handler: Handler, route: Route, runtime, arrived):
         try:
-            head = read_request_head(handler.header_pairs())
+            head = self.convention.read_head(handler.header_pairs())
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
         body = handler.read_body(self.limits.size, self.limits.seconds)
         headers = [*head.forwarded, ("Via", head.via)]
-        req = OutboundRequest(handler.command, handler.path, headers, body)
+        req = OutboundRequest(handler.command, handler.path, headers, body, head)
         call = _call(handler.command, route, head, runtime.policy.service, arrived)
         try:
             with CallerWatch(handler.socket):
                 forwarded = self.forwarder.forward(req, call, runtime)
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
-        self._note(route.service, call, forwarded)
-        return forwarded.answer
-
-    def _note(self, service, call, forwarded):
+        service = runtime.policy.service.name
+        self._note(service, call, forwarded, head.request_id)
+        if isinstance(forwarded.decision, Relay):
+            return forwarded.answer
+        own = self.convention.own_headers(head)
+        return attrs.evolve(forwarded.answer, headers=[*forwarded.answer.headers, *own])
+
+    def _note(self, service, call, forwarded, request_id):
         elapsed = time.monotonic() - call.arrived
         decision = forwarded.decision
         if isinstance(decision, Relay):
@@ -128,6 +146,7 @@
             log.warning(
                 "request given up",
                 extra={
+                    "request_id": request_id,
                     "service": service,
                     "outcome": outcome,
                     "cause": str(decision.cause),
@@ -157,21 +176,19 @@
 
 def _call(method, route, head: RequestHead, service, arrived):
     timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
+    if route.limit_ms is not None:
+        timeout_ms = min(timeout_ms, route.limit_ms)
+    objective = route.objective_ms and arrived + route.objective_ms / MS_PER_S
     priority = route.priority
     if head.priority is Priority.BACKGROUND:
         priority = Priority.BACKGROUND
     return Call(
         arrived=arrived,
         deadline=arrived + timeout_ms / MS_PER_S,
-        idempotent=method in route.idempotent_methods,
+        idempotent=route.allows_repeats(method),
         priority=priority,
         may_retry=not head.is_repeated,
+        max_attempts=route.max_attempts,
+        objective=objective,
+        rank=route.rank,
     )
-
-
-def _write(handler, answer, start_response):
-    headers = list(answer.headers)
-    if answer.length is not None:
-        headers.append(("Content-Length", str(answer.length)))
-    start_response(answer.status, headers)
-    return [answer.body] if handler.command != "HEAD" and answer.body else []
--- a/packages/entry/src/cairnferry/entry/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/_cluster.py
@@ -14,6 +14,7 @@
     NoteBoard,
 )
 from cairnferry.entry._configuration import Configuration
+from cairnferry.entry._ports import Records
 from cairnferry.peers import Heartbeat
 
 # A daemon whose last confirmed head is older than this may miss accepted
@@ -66,8 +67,8 @@
     ----------
     membership : Membership
         Who is there.
-    configuration : Configuration
-        Records in force here.
+    configuration : Configuration or Records
+        Tells the revision in force here.
     notes : NoteBoard
         Notes on targets.
     spare : callable
@@ -75,7 +76,7 @@
     """
 
     membership: Membership
-    configuration: Configuration
+    configuration: Configuration | Records
     notes: NoteBoard
     spare: object
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_conventions.py
@@ -0,0 +1,142 @@
+"""What callers and targets are spoken to with: names of headers, forms of answers.
+
+The daemon is given one convention for each side. Those of the own interface are
+here; an adapter to another platform brings its own.
+"""
+
+import typing
+
+import attrs
+
+from cairnferry.entry._exchange_result import REPORT_HEADER, classify, read_report
+from cairnferry.entry._headers import (
+    ATTEMPT_HEADER,
+    TIMEOUT_HEADER,
+    RequestHead,
+    read_request_head,
+)
+from cairnferry.policy import Attempt, AttemptKind, AttemptResult, LoadReport
+from cairnferry.records import Target
+from cairnferry.wire import AnswerRules, Outcome, Reply
+
+MS_PER_S = 1000
+HTTP_OK = 200
+
+
+@attrs.frozen
+class CheckResult:
+    """What a target said when it was asked for its load.
+
+    Attributes
+    ----------
+    report : LoadReport or None
+        Its load; None if it did not tell.
+    well : bool
+        Whether it calls itself well.
+    misplaced : bool
+        Whether another target has its address now.
+    """
+
+    report: LoadReport | None
+    well: bool
+    misplaced: bool = False
+
+
+class CallerConvention(typing.Protocol):
+    """How callers speak."""
+
+    def read_head(self, pairs: list[tuple[str, str]]) -> RequestHead:
+        """Sort the headers of a request.
+
+        Raises
+        ------
+        BadDeadline
+            If the deadline cannot be read.
+        """
+
+    def retry_after(self, seconds: float) -> str:
+        """Write the value of Retry-After."""
+
+    def own_headers(self, head: RequestHead | None) -> list[tuple[str, str]]:
+        """Give further headers of an answer that the system makes itself."""
+
+
+class TargetConvention(typing.Protocol):
+    """How targets speak."""
+
+    def rules(self, head: RequestHead) -> AnswerRules:
+        """Give what counts as the whole answer to a request."""
+
+    def host(self, head: RequestHead, target: Target) -> str:
+        """Give the Host header of an attempt."""
+
+    def attempt_headers(
+        self, attempt: Attempt, remaining: float
+    ) -> list[tuple[str, str]]:
+        """Give the headers that differ from attempt to attempt.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt.
+        remaining : float
+            Seconds left of the request's time.
+        """
+
+    def classify(self, outcome: Outcome, attempt: Attempt) -> AttemptResult:
+        """Give what an exchange proves."""
+
+    def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
+        """Read the answer to a status check."""
+
+
+@attrs.frozen
+class OwnCallers:
+    """Published formats, and own headers where these lack something."""
+
+    def read_head(self, pairs: list[tuple[str, str]]) -> RequestHead:
+        """Sort the headers of a request."""
+        return read_request_head(pairs)
+
+    def retry_after(self, seconds: float) -> str:
+        """Write whole seconds, as RFC 9110 has it."""
+        return str(max(1, round(seconds)))
+
+    def own_headers(self, head: RequestHead | None) -> list[tuple[str, str]]:
+        """Give none."""
+        return []
+
+
+@attrs.frozen
+class OwnTargets:
+    """Refusals by the contract in a target's record, load by the open standard."""
+
+    def rules(self, head: RequestHead) -> AnswerRules:
+        """Give the strict ones: nothing in an answer proves whose it is."""
+        return AnswerRules()
+
+    def host(self, head: RequestHead, target: Target) -> str:
+        """Give the target's address."""
+        return f"{target.host}:{target.port}"
+
+    def attempt_headers(
+        self, attempt: Attempt, remaining: float
+    ) -> list[tuple[str, str]]:
+        """Give the time left, and the number of a further attempt."""
+        headers = [(TIMEOUT_HEADER, str(max(1, int(remaining * MS_PER_S))))]
+        if attempt.kind is not AttemptKind.FIRST:
+            headers.append((ATTEMPT_HEADER, str(len(attempt.call.attempts))))
+        return headers
+
+    def classify(self, outcome: Outcome, attempt: Attempt) -> AttemptResult:
+        """Give what an exchange proves."""
+        return classify(outcome, attempt.refusal)
+
+    def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
+        """Read the load that comes with a health answer."""
+        match outcome:
+            case Reply() as reply:
+                report = read_report(reply.header(REPORT_HEADER))
+                return CheckResult(report, reply.status == HTTP_OK)
+            case _:
+                return CheckResult(None, False)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -0,0 +1,384 @@
+"""What every daemon consists of, whatever platform it runs on: its parts and life."""
+
+import json
+import logging
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from cairnferry.coordination import NoteBoard
+from cairnferry.entry._asking import StatusChecks
+from cairnferry.entry._callers import BodyLimits, CallersApp
+from cairnferry.entry._cluster import Cluster, new_membership
+from cairnferry.entry._conventions import (
+    CallerConvention,
+    OwnCallers,
+    OwnTargets,
+    TargetConvention,
+)
+from cairnferry.entry._forward import Forwarder
+from cairnferry.entry._gossip import Gossip
+from cairnferry.entry._http_server import HttpServer, Limits
+from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._ports import CallerLimits, Records
+from cairnferry.entry._services import Services
+from cairnferry.entry._steering import Steering
+from cairnferry.entry._upstreams import Upstreams
+from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
+from cairnferry.policy import DrainSource, PolicySettings
+from cairnferry.settings import Address
+
+HOUSEKEEPING_S = 0.1
+SHARE_OUT_ROUNDS = 10
+PEER_TIMEOUT_S = 0.8
+TASK_RETRY_S = 1.0
+
+log = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class LeavingTimes:
+    """How long a daemon that leaves goes on.
+
+    Attributes
+    ----------
+    serve_s : float
+        Seconds for which it takes new requests: callers still hold old answers.
+    limit_s : float
+        Further seconds for requests in progress to end.
+    """
+
+    serve_s: float
+    limit_s: float
+
+
+@attrs.frozen
+class PeerSettings:
+    """How a daemon speaks to others.
+
+    Attributes
+    ----------
+    listen : Address
+        Where it listens.
+    advertise : str
+        "IP:port" at which others reach it.
+    interval_s : float
+        Seconds between two rounds of heartbeats.
+    fanout : int
+        Peers called in a round.
+    seeds : tuple of str
+        Addresses to try at the start.
+    """
+
+    listen: Address
+    advertise: str
+    interval_s: float
+    fanout: int
+    seeds: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class CoreSettings:
+    """Checked settings that do not depend on the platform.
+
+    Attributes
+    ----------
+    name, zone : str
+        Name and availability zone of this instance.
+    callers : Address
+        Where callers connect.
+    caller_limits : Limits
+        Limits of their connections.
+    bodies : BodyLimits
+        Limits of their requests' bodies.
+    answer_ttl_s : float
+        Seconds for which callers keep a steering answer.
+    shard : int
+        Entry instances for one service; 0 for all.
+    peers : PeerSettings
+        How to speak to other daemons.
+    connect_s : float
+        Seconds to open a connection to a target.
+    max_answer_bytes : int
+        Longest body of a target's answer.
+    policy : PolicySettings
+        Constants of the decisions.
+    checks_per_s : float
+        Status checks a second and target, over all instances; 0 for no limit.
+    leaving : LeavingTimes
+        How long a daemon that leaves goes on.
+    seed : int or None
+        Seed of the random choices.
+    """
+
+    name: str
+    zone: str
+    callers: Address
+    caller_limits: Limits
+    bodies: BodyLimits
+    answer_ttl_s: float
+    shard: int
+    peers: PeerSettings
+    connect_s: float
+    max_answer_bytes: int
+    policy: PolicySettings
+    checks_per_s: float
+    leaving: LeavingTimes
+    seed: int | None = None
+
+
+@attrs.frozen
+class Conventions:
+    """How callers and targets are spoken to."""
+
+    callers: CallerConvention = attrs.field(factory=OwnCallers)
+    targets: TargetConvention = attrs.field(factory=OwnTargets)
+
+
+class Core:
+    """The parts of a daemon that are the same on every platform.
+
+    Parameters
+    ----------
+    cfg : CoreSettings
+        Checked settings.
+    conventions : Conventions
+        How callers and targets are spoken to.
+    keys : KeyRing or SharedKey
+        What peers prove themselves by.
+    """
+
+    def __init__(
+        self, cfg: CoreSettings, conventions: Conventions, keys: KeyRing | SharedKey
+    ):
+        self.cfg = cfg
+        self.rng = random.Random(cfg.seed or time.time_ns())
+        self.metrics = Metrics()
+        self.services = Services(cfg.zone, self.rng, self._tell_known, cfg.policy)
+        self.upstreams = Upstreams(
+            cfg.connect_s, cfg.max_answer_bytes, conventions.targets
+        )
+        self.checks = StatusChecks(self.upstreams, self.metrics, cfg.checks_per_s)
+        self.notes = NoteBoard(self._note_draining)
+        self.keys = keys
+        self.peer_meter = ByteMeter()
+        self.conventions = conventions
+        self.cluster = None
+        self.instances = 1
+        self._listeners = []
+        self._tasks = []
+        self._leaving = Event()
+        self.reload = Event()
+
+    # -- parts ------------------------------------------------------------------
+
+    def join(self, records: Records, configuration) -> None:
+        """Make the parts that speak to peers.
+
+        Parameters
+        ----------
+        records : Records
+            Where revisions come from.
+        configuration : Configuration or Records
+            Tells the revision in force.
+        """
+        cfg = self.cfg
+        membership = new_membership(
+            cfg.name, cfg.zone, cfg.peers.advertise, str(cfg.callers)
+        )
+        self.cluster = Cluster(membership, configuration, self.notes, self._spare)
+        self.gossip = Gossip(
+            self.cluster,
+            records,
+            PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S),
+            cfg.peers.interval_s,
+            cfg.peers.fanout,
+            cfg.peers.seeds,
+        )
+        self.peer_server = PeerServer(
+            cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
+        )
+        self.steering = Steering(self.cluster, cfg.zone, cfg.answer_ttl_s, cfg.shard)
+
+    def listen_for_callers(self, steer_on_it: bool) -> HttpServer:
+        """Make the callers' listener.
+
+        Parameters
+        ----------
+        steer_on_it : bool
+            Whether it also says which entry instances to use.
+        """
+        cfg = self.cfg
+        app = CallersApp(
+            self.services,
+            Forwarder(self.upstreams, self.checks),
+            self.steering if steer_on_it else None,
+            self.metrics,
+            cfg.bodies,
+            self.conventions.callers,
+        )
+        self.callers_app = app
+        self.callers_server = self.listen(cfg.callers, app, cfg.caller_limits)
+        return self.callers_server
+
+    def listen(self, address: Address, app, limits: Limits) -> HttpServer:
+        """Make a further listener, which lives as long as the daemon."""
+        server = HttpServer(address.as_tuple(), app, limits)
+        self._listeners.append(server)
+        return server
+
+    # -- life -------------------------------------------------------------------
+
+    def run(self, tasks: list[Callable[[], None]]) -> int:
+        """Serve until told to leave; give the exit code.
+
+        Parameters
+        ----------
+        tasks : list of callable
+            Run beside the core's own ones as long as the daemon does.
+        """
+        self.peer_server.start()
+        for server in self._listeners:
+            server.start()
+        gevent.signal_handler(signal.SIGTERM, self.leave)
+        gevent.signal_handler(signal.SIGINT, self.leave)
+        gevent.signal_handler(signal.SIGHUP, self.reload.set)
+        gevent.signal_handler(signal.SIGUSR1, self._print_dump)
+        for task in (self.gossip.run, self._keep_house, *tasks):
+            self.spawn(task)
+        log.info("serving", extra={"callers": str(self.cfg.callers)})
+        self._leaving.wait()
+        return self._finish()
+
+    def spawn(self, function: Callable[[], None]) -> None:
+        """Run a task as long as the daemon does."""
+        self._tasks.append(gevent.spawn(self._guard, function))
+
+    def _guard(self, function):
+        """Run a task for ever; an unforeseen error is logged and it goes on.
+
+        A task that died unseen would leave a daemon that serves and looks well,
+        but learns of no change any more.
+        """
+        while True:
+            try:
+                function()
+                return
+            except Exception:
+                name = getattr(function, "__qualname__", str(function))
+                log.exception("task failed", extra={"task": name})
+                gevent.sleep(TASK_RETRY_S)
+
+    def _keep_house(self):
+        while True:
+            members = len(self.cluster.membership.live())
+            self.instances = max(members, len(self.cluster.listed), 1)
+            targets = len(self.services.targets())
+            self.checks.share_with(self.instances, targets)
+            for runtime in self.services.active().values():
+                runtime.policy.share_with(self.instances)
+            gevent.sleep(HOUSEKEEPING_S * SHARE_OUT_ROUNDS)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this daemon takes no new callers."""
+        return self._leaving.is_set()
+
+    def leave(self) -> None:
+        """Begin to leave; a second call does nothing."""
+        self._leaving.set()
+
+    def _finish(self):
+        """Leave without cutting a request.
+
+        Callers keep a steering answer for its time to live. So this daemon
+        serves on for that time after it dropped out of the answers.
+        """
+        log.info("leaving")
+        self.cluster.membership.leave()
+        self.gossip.hurry()
+        gevent.sleep(self.cfg.leaving.serve_s)
+        whole = self.callers_server.finish(self.cfg.leaving.limit_s)
+        for server in self._listeners:
+            if server is not self.callers_server:
+                server.finish(1.0)
+        gevent.killall(self._tasks)
+        self.peer_server.stop()
+        self.upstreams.close()
+        log.info("left", extra={"every_request_answered": whole})
+        return 0 if whole else 1
+
+    def limit_callers(self, limits: CallerLimits) -> None:
+        """Put limits of callers in force."""
+        connections = self.cfg.caller_limits
+        connections.head_s = limits.head_s
+        connections.idle_s = limits.idle_s
+        connections.head_bytes = limits.head_bytes
+        self.cfg.bodies.size = limits.body_bytes
+
+    # -- what happens -----------------------------------------------------------
+
+    def _note_draining(self, target_name, source, until):
+        for runtime in self.services.active().values():
+            runtime.policy.note_draining(target_name, DrainSource(source), until)
+
+    def _tell_known(self, policy):
+        now = time.monotonic()
+        policy.share_with(self.instances)
+        for note in self.notes.in_force(now):
+            source = DrainSource(note.source)
+            policy.note_draining(note.subject, source, now + note.remaining)
+
+    def _spare(self):
+        runtimes = self.services.active().values()
+        return min((runtime.policy.spare for runtime in runtimes), default=1.0)
+
+    # -- what is shown ----------------------------------------------------------
+
+    def status(self) -> dict:
+        """Give this daemon's view of all daemons, as plain values."""
+        me = self.cluster.membership.me
+        configuration = self.cluster.configuration
+        return {
+            "instance": me.name,
+            "zone": me.zone,
+            "state": me.state.name.lower(),
+            "revision": configuration.revision,
+            "behind": str(getattr(configuration.behind, "fault", configuration.behind))
+            if configuration.behind
+            else None,
+            **self.cluster.snapshot(),
+        }
+
+    def dump(self) -> dict:
+        """Give this daemon's state, as plain values without secrets."""
+        now = time.monotonic()
+        meter = self.peer_meter
+        return {
+            **self.status(),
+            "connections": {
+                "callers": self.callers_server.connections,
+                "callers_busy": self.callers_server.busy,
+                "callers_refused": self.callers_server.refused_connections,
+                "targets": self.upstreams.counts(),
+            },
+            "peers": {
+                "sent_bytes": meter.sent,
+                "received_bytes": meter.received,
+                "messages": meter.messages,
+                "rounds": self.gossip.rounds,
+            },
+            "services": {
+                name: runtime.policy.snapshot(now)
+                for name, runtime in self.services.active().items()
+            },
+            "metrics": self.metrics.snapshot(),
+        }
+
+    def _print_dump(self):
+        log.info("dump", extra={"dump": json.loads(json.dumps(self.dump()))})
--- a/packages/entry/src/cairnferry/entry/_distribution.py
+++ b/packages/entry/src/cairnferry/entry/_distribution.py
@@ -7,11 +7,16 @@
 import attrs
 from expression import Error, Ok, Result
 
-from cairnferry.coordination import ChangeLog, TableUnavailable, lowest_ranked
+from cairnferry.cloudapi import ObjectStore
+from cairnferry.coordination import (
+    ChangeLog,
+    LogRow,
+    TableUnavailable,
+    lowest_ranked,
+)
 from cairnferry.entry._cluster import Cluster
 from cairnferry.entry._configuration import Configuration, Gap
 from cairnferry.peers import PeerCallFailed, PeerLink
-from cairnferry.platform import ObjectStore
 
 SNAPSHOT_NAME = "snapshots/latest"
 SNAPSHOT_EVERY = 100
@@ -123,6 +128,24 @@
         if self.objects.put(SNAPSHOT_NAME, data).is_ok():
             self.snapshot_revision = revision
 
+    @property
+    def revision(self) -> int:
+        """Revision in force here."""
+        return self.configuration.revision
+
+    @property
+    def behind(self):
+        """What could not be applied here, if anything."""
+        return self.configuration.behind
+
+    def rows_from(self, first: int) -> list[LogRow]:
+        """Give the kept rows from a revision on, for a peer."""
+        return self.configuration.rows_from(first)
+
+    def snapshot(self) -> bytes:
+        """Give the records in force, for a peer."""
+        return self.configuration.records.to_snapshot()
+
     def pull_from(self, link: PeerLink, offered: int) -> None:
         """Fetch from a peer what it has and this daemon has not.
 
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -0,0 +1,195 @@
+"""Records that come from two followed tables: rules in one row, a row each target."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from cairnferry.entry._core import Core
+from cairnferry.entry._following import Follower
+from cairnferry.entry._ports import (
+    ChangeFeed,
+    DecodeFault,
+    Item,
+    RecordDecoders,
+    Rules,
+)
+from cairnferry.peers import PeerCallFailed, PeerLink
+from cairnferry.records import Target
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define
+class FollowedRecords:
+    """Puts in force what two followed tables hold.
+
+    Parameters
+    ----------
+    rules_feed, targets_feed : ChangeFeed
+        The tables.
+    rules_key : str
+        Row that holds all rules.
+    decoders : RecordDecoders
+        Turn rows into the internal form.
+    core : Core
+        The daemon in which they are put in force.
+    """
+
+    rules_feed: ChangeFeed
+    targets_feed: ChangeFeed
+    rules_key: str
+    decoders: RecordDecoders
+    core: Core
+    behind: DecodeFault | None = None
+    in_force: Event = attrs.field(factory=Event)
+    _rules: Rules | None = None
+    _document: bytes = b""
+    _targets: dict[str, Target] = attrs.field(factory=dict)
+    _rows: dict[str, Item] = attrs.field(factory=dict)
+
+    @property
+    def revision(self) -> int:
+        """Revision of the rules in force; 0 before the first."""
+        return self._rules.revision if self._rules else 0
+
+    def tasks(self) -> list[Callable[[], None]]:
+        """Give the functions that run as long as the daemon does."""
+        rng = self.core.rng
+        rules = Follower("rules", self.rules_feed, self._take_rules, rng)
+        targets = Follower("targets", self.targets_feed, self._take_targets, rng)
+        return [lambda: self._follow_rules(rules), targets.run]
+
+    def _follow_rules(self, follower):
+        while True:
+            pause = follower.one_call()
+            if follower.confirmed_at is not None and self.revision:
+                self.core.cluster.confirmation.confirm(follower.confirmed_at)
+            gevent.sleep(pause)
+
+    # -- rules ------------------------------------------------------------------
+
+    def _take_rules(self, rows):
+        row = rows.get(self.rules_key)
+        if row is not None:
+            self.apply(row.value)
+
+    def apply(self, document: bytes) -> bool:
+        """Put a document in force if it is newer; what cannot be read changes nothing.
+
+        A late answer, or a peer that lags, must not bring back older rules.
+        """
+        decoded = self.decoders.rules(document)
+        if decoded.is_error():
+            self.behind = decoded.error
+            log.error(
+                "rules cannot be read",
+                extra={"why": str(decoded.error), "in_force": self.revision},
+            )
+            return False
+        rules = decoded.ok
+        if rules.revision <= self.revision:
+            return False
+        before = self.revision
+        self._rules = rules
+        self._document = document
+        self.behind = None
+        services = self.core.services
+        services.install_rules(rules.revision, rules.services, rules.routes)
+        self._install_targets()
+        self.core.limit_callers(rules.limits)
+        self.in_force.set()
+        log.info(
+            "in force",
+            extra={
+                "revision": rules.revision,
+                "before": before,
+                "routes": len(rules.routes),
+                "services": len(rules.services),
+            },
+        )
+        self.core.gossip.hurry()
+        return True
+
+    # -- targets ----------------------------------------------------------------
+
+    def _take_targets(self, rows):
+        targets = {}
+        for key, row in rows.items():
+            if self._rows.get(key) is row and key in self._targets:
+                targets[key] = self._targets[key]
+                continue
+            decoded = self.decoders.target(key, row.value)
+            if decoded.is_error():
+                log.warning(
+                    "target cannot be read",
+                    extra={"target": key, "why": str(decoded.error)},
+                )
+                continue
+            targets[key] = decoded.ok
+        self._log_changes(targets)
+        self._targets = targets
+        self._rows = rows
+        self._install_targets()
+
+    def _log_changes(self, targets):
+        came = sorted(targets.keys() - self._targets.keys())
+        went = sorted(self._targets.keys() - targets.keys())
+        changed = sorted(
+            name
+            for name, target in targets.items()
+            if self._targets.get(name, target).lifecycle is not target.lifecycle
+        )
+        if came or went or changed:
+            log.info(
+                "targets", extra={"came": came, "went": went, "lifecycle": changed}
+            )
+
+    def _install_targets(self):
+        if self._rules is None:
+            return
+        paths = {service.name: service.health_path for service in self._rules.services}
+        targets = [
+            attrs.evolve(target, health_path=paths[target.service])
+            for target in self._targets.values()
+            if paths.get(target.service)
+        ]
+        self.core.services.install_targets(targets)
+        self.core.upstreams.keep_only({target.address for target in targets})
+
+    # -- peers ------------------------------------------------------------------
+
+    def rows_from(self, first: int) -> list:
+        """Give none: there is no log, only the newest rules."""
+        return []
+
+    def snapshot(self) -> bytes:
+        """Give the rules in force, for a peer."""
+        return self._document
+
+    def pull_from(self, link: PeerLink, offered: int) -> None:
+        """Take over a peer's rules: it reaches the store, or did so later.
+
+        Raises
+        ------
+        PeerCallFailed
+            If the peer did not answer.
+        """
+        if self.revision >= offered:
+            return
+        document = link.snapshot()
+        if not document:
+            raise PeerCallFailed(link.address, "no rules")
+        self.apply(document)
+
+    def dump(self) -> dict:
+        """Give the state for a dump, as plain values."""
+        age = self.core.cluster.confirmation.age(time.monotonic())
+        return {
+            "revision": self.revision,
+            "targets": len(self._targets),
+            "confirmed_age_s": None if age == float("inf") else round(age, 3),
+        }
--- a/packages/entry/src/cairnferry/entry/_forward.py
+++ b/packages/entry/src/cairnferry/entry/_forward.py
@@ -8,12 +8,13 @@
 from gevent.queue import Empty, SimpleQueue
 
 from cairnferry.entry._answers import Answer, not_run, unknown
-from cairnferry.entry._exchange_result import classify
+from cairnferry.entry._asking import StatusChecks
 from cairnferry.entry._headers import answer_headers
 from cairnferry.entry._runtime import ServiceRuntime
 from cairnferry.entry._upstreams import OutboundRequest, Upstreams
 from cairnferry.policy import (
     Abandoned,
+    Ask,
     Attempt,
     Call,
     Decision,
@@ -50,9 +51,12 @@
     ----------
     upstreams : Upstreams
         Connections to targets.
+    checks : StatusChecks, optional
+        Asks targets for their load, where the policy wants that.
     """
 
     upstreams: Upstreams
+    checks: StatusChecks | None = None
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -69,6 +73,9 @@
                 match decision:
                     case Send(attempt):
                         decision, reply = self._attempt(req, attempt, runtime)
+                    case Ask(targets):
+                        self.checks.ask(targets, runtime)
+                        decision = runtime.asked(call)
                     case Wait():
                         decision = runtime.wait(call)
                     case Relay():
@@ -100,7 +107,7 @@
         self, attempt: Attempt, outcome: Outcome, runtime: ServiceRuntime
     ) -> tuple[Decision, Reply | None]:
         """Tell the policy of an attempt's end; give its decision and the reply."""
-        result = classify(outcome, attempt.refusal)
+        result = self.upstreams.classify(outcome, attempt)
         reply = outcome if isinstance(outcome, Reply) else None
         return runtime.finished(attempt, result), reply
 
--- a/packages/entry/src/cairnferry/entry/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/_gossip.py
@@ -10,7 +10,7 @@
 
 from cairnferry.coordination import LogRow, MemberState
 from cairnferry.entry._cluster import Cluster
-from cairnferry.entry._distribution import Distribution
+from cairnferry.entry._ports import Records
 from cairnferry.peers import Heartbeat, PeerCallFailed, PeerLinks
 
 UNUSED_LINK_S = 60.0
@@ -29,7 +29,7 @@
     ----------
     cluster : Cluster
         This daemon's view.
-    distribution : Distribution
+    records : Records
         Fetches revisions from peers that have newer ones.
     links : PeerLinks
         Connections to peers.
@@ -42,7 +42,7 @@
     """
 
     cluster: Cluster
-    distribution: Distribution
+    records: Records
     links: PeerLinks
     interval: float
     fanout: int
@@ -109,7 +109,7 @@
         fresh = self.cluster.take_in(theirs)
         before = self.cluster.configuration.revision
         if theirs.revision > before:
-            self.distribution.pull_from(link, theirs.revision)
+            self.records.pull_from(link, theirs.revision)
             self.cluster.take_in(theirs)
         if fresh or self.cluster.configuration.revision > before:
             self.hurry()
@@ -130,7 +130,7 @@
         link = self.links.to(theirs.sender.peer_address)
         before = self.cluster.configuration.revision
         try:
-            self.distribution.pull_from(link, theirs.revision)
+            self.records.pull_from(link, theirs.revision)
         except PeerCallFailed as exc:
             log.info("pull failed", extra={"peer": exc.address, "why": exc.reason})
             return
@@ -140,8 +140,8 @@
 
     def rows_from(self, first: int) -> list[LogRow]:
         """Give rows of the log held here."""
-        return self.cluster.configuration.rows_from(first)
+        return self.records.rows_from(first)
 
     def snapshot(self) -> bytes:
         """Give the records in force here."""
-        return self.cluster.configuration.records.to_snapshot()
+        return self.records.snapshot()
--- a/packages/entry/src/cairnferry/entry/_headers.py
+++ b/packages/entry/src/cairnferry/entry/_headers.py
@@ -57,6 +57,10 @@
         Value of the Via header to send on.
     forwarded : list of (str, str)
         Headers to send on.
+    request_id : str or None
+        Identifies the request in logs and answers.
+    host : str or None
+        Host that the caller named.
     """
 
     timeout_ms: int | None
@@ -64,9 +68,35 @@
     priority: Priority | None
     via: str
     forwarded: list[tuple[str, str]]
+    request_id: str | None = None
+    host: str | None = None
 
 
-def read_request_head(pairs: list[tuple[str, str]]) -> RequestHead:
+@attrs.frozen
+class FieldNames:
+    """Names, in lower case, of the headers that speak to the system itself.
+
+    Attributes
+    ----------
+    timeout : str
+        Time that the caller gives the request, in milliseconds.
+    attempt : str or None
+        Number of the attempt of a layer above.
+    request_id : str or None
+        Identifies the request.
+    """
+
+    timeout: str
+    attempt: str | None = None
+    request_id: str | None = None
+
+
+OWN_FIELDS = FieldNames(TIMEOUT_HEADER, ATTEMPT_HEADER)
+
+
+def read_request_head(
+    pairs: list[tuple[str, str]], names: FieldNames = OWN_FIELDS
+) -> RequestHead:
     """Sort the headers of a request.
 
     Raises
@@ -74,27 +104,28 @@
     BadDeadline
         If the deadline cannot be read. Ignoring it would run work too late.
     """
-    timeout_ms = None
-    is_repeated = False
-    priority = None
-    via = VIA
+    found = {}
     forwarded = []
     dropped = _named_by_connection(pairs)
     for name, value in pairs:
         lower = name.lower()
         if lower in _HOP_BY_HOP or lower in dropped:
             continue
-        if lower not in _REPLACED_IN_REQUEST:
+        found.setdefault(lower, value)
+        if lower not in _REPLACED_IN_REQUEST and lower != names.timeout:
             forwarded.append((name, value))
-            if lower == PRIORITY_HEADER:
-                priority = _read_priority(value)
-        elif lower == TIMEOUT_HEADER:
-            timeout_ms = _read_timeout(value)
-        elif lower == ATTEMPT_HEADER:
-            is_repeated = value.strip() != "1"
-        elif lower == "via":
-            via = f"{value}, {VIA}"
-    return RequestHead(timeout_ms, is_repeated, priority, via, forwarded)
+    timeout = found.get(names.timeout)
+    priority = found.get(PRIORITY_HEADER)
+    via = found.get("via")
+    return RequestHead(
+        timeout_ms=None if timeout is None else _read_timeout(timeout),
+        is_repeated=found.get(names.attempt, "1").strip() != "1",
+        priority=None if priority is None else _read_priority(priority),
+        via=f"{via}, {VIA}" if via else VIA,
+        forwarded=forwarded,
+        request_id=found.get(names.request_id),
+        host=found.get("host"),
+    )
 
 
 def answer_headers(pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -5,6 +5,7 @@
 import re
 from socket import SHUT_RDWR
 
+import attrs
 import gevent
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
@@ -20,6 +21,26 @@
 log = logging.getLogger(__name__)
 
 
+@attrs.define
+class Limits:
+    """Limits of a listener; they may be changed while it runs.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections at the same time.
+    idle_s, head_s : float
+        Seconds between requests, and for a head to arrive.
+    head_bytes : int
+        Longest head of a request.
+    """
+
+    max_connections: int
+    idle_s: float
+    head_s: float
+    head_bytes: int = MAX_HEAD_BYTES
+
+
 class BadRequest(ValueError):
     """A request whose framing is ambiguous, or whose head is too large.
 
@@ -37,9 +58,9 @@
 class _HeadReader:
     """Reader of header lines that stops at a total size."""
 
-    def __init__(self, rfile):
+    def __init__(self, rfile, limit):
         self._rfile = rfile
-        self._left = MAX_HEAD_BYTES
+        self._left = limit
 
     def readline(self):
         line = self._rfile.readline(self._left + 1)
@@ -64,7 +85,9 @@
         for the next one, of another caller.
         """
         try:
-            message = read_fields(_HeadReader(self.rfile).readline)
+            message = read_fields(
+                _HeadReader(self.rfile, self.server.limits.head_bytes).readline
+            )
         except MalformedField as exc:
             raise BadRequest(Problem.AMBIGUOUS_FRAMING) from exc
         lengths = message.get_all("content-length")
--- a/packages/entry/src/cairnferry/entry/_listing.py
+++ b/packages/entry/src/cairnferry/entry/_listing.py
@@ -4,11 +4,11 @@
 
 import attrs
 
+from cairnferry.cloudapi import InstanceList
 from cairnferry.coordination import Note
 from cairnferry.entry._cluster import Cluster, Listed
 from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._services import Services
-from cairnferry.platform import InstanceList
 from cairnferry.policy import DrainSource
 
 ENTRY_ROLE = "entry"
--- a/packages/entry/src/cairnferry/entry/_logs.py
+++ b/packages/entry/src/cairnferry/entry/_logs.py
@@ -10,14 +10,24 @@
 BURST = 20.0
 
 
-def configure(instance: str, debug: bool) -> None:
-    """Send all logs to standard error, one JSON object a line."""
+def configure(instance: str, debug: bool, stream=None) -> None:
+    """Send all logs to a stream, one JSON object a line.
+
+    Parameters
+    ----------
+    instance : str
+        Named in each line.
+    debug : bool
+        Whether lines for debugging are written too.
+    stream : file, optional
+        Standard error if it is left out.
+    """
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "part"},
         static_fields={"instance": instance},
     )
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -0,0 +1,216 @@
+"""Ports: what the daemon needs of the platform that it runs on.
+
+The own interface and the adapter to another platform implement them, and the daemon
+cannot tell which one it was given.
+"""
+
+import typing
+from collections.abc import Callable
+
+import attrs
+from expression import Result
+
+from cairnferry.peers import PeerLink
+from cairnferry.records import Route, Service, Target
+
+
+class Records(typing.Protocol):
+    """Brings rules and targets into force, from the platform or from a peer.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the rules in force; 0 before the first.
+    behind : object or None
+        Set once a revision was seen that cannot be applied.
+    """
+
+    revision: int
+    behind: object | None
+
+    def tasks(self) -> list[Callable[[], None]]:
+        """Give the functions that run as long as the daemon does."""
+
+    def rows_from(self, first: int) -> list:
+        """Give the log of changes from a revision on, for a peer."""
+
+    def snapshot(self) -> bytes:
+        """Give the rules in force, for a peer."""
+
+    def pull_from(self, link: PeerLink, offered: int) -> None:
+        """Fetch from a peer what it has and this daemon has not."""
+
+
+@attrs.frozen
+class FeedUnavailable:
+    """A call gave no answer, or one that says that nothing was done.
+
+    Attributes
+    ----------
+    reason : str
+        What was seen.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class HistoryLost:
+    """Changes since the version asked for are no longer kept: list again."""
+
+
+FeedFault = FeedUnavailable | HistoryLost
+
+
+@attrs.frozen
+class Item:
+    """One row of a feed.
+
+    Attributes
+    ----------
+    key : str
+        Name of the row.
+    value : bytes or None
+        Content; None if the row was removed.
+    version : int
+        Version at which it was written or removed.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@attrs.frozen
+class Batch:
+    """Rows, and the version up to which they are complete."""
+
+    items: tuple[Item, ...]
+    version: int
+
+
+class ChangeFeed(typing.Protocol):
+    """A table of which rows can be listed and changes waited for."""
+
+    def everything(self) -> Result[Batch, FeedFault]:
+        """List all rows."""
+
+    def since(self, version: int) -> Result[Batch, FeedFault]:
+        """Wait for changes after a version; an empty batch if there were none."""
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send, and how long it may take.
+
+    Attributes
+    ----------
+    head_bytes, body_bytes : int
+        Longest head and body of a request.
+    head_s, idle_s : float
+        Seconds for a head to arrive, and between two requests.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+@attrs.frozen
+class Rules:
+    """Services and routes of one revision.
+
+    Attributes
+    ----------
+    revision : int
+        The revision.
+    services : tuple of Service
+        Services.
+    routes : tuple of Route
+        Routes.
+    limits : CallerLimits
+        Limits of callers.
+    """
+
+    revision: int
+    services: tuple[Service, ...]
+    routes: tuple[Route, ...]
+    limits: CallerLimits
+
+
+@attrs.frozen
+class DecodeFault:
+    """A document that cannot be read.
+
+    Attributes
+    ----------
+    where, reason : str
+        Part of the document, and what is wrong with it.
+    """
+
+    where: str
+    reason: str
+
+    def __str__(self):
+        return f"{self.where}: {self.reason}"
+
+
+@attrs.frozen
+class RecordDecoders:
+    """Turn the platform's documents into the internal form.
+
+    Attributes
+    ----------
+    rules : callable
+        From the bytes of the one document that holds all rules.
+    target : callable
+        From the name and the bytes of a target's row.
+    """
+
+    rules: Callable[[bytes], Result[Rules, DecodeFault]]
+    target: Callable[[str, bytes], Result[Target, DecodeFault]]
+
+
+@attrs.frozen
+class EntryRow:
+    """An entry instance as the registry holds it.
+
+    Attributes
+    ----------
+    name, zone : str
+        Name and availability zone.
+    peer_address, caller_address : str
+        "IP:port" for other daemons and for callers.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    caller_address: str
+
+
+@attrs.frozen
+class Enrolled:
+    """What the registry holds once this instance is in it.
+
+    Attributes
+    ----------
+    key : bytes
+        Shared key of the daemons.
+    entries : tuple of EntryRow
+        All instances that are enrolled, also those that are gone by now.
+    """
+
+    key: bytes
+    entries: tuple[EntryRow, ...]
+
+
+class Registry(typing.Protocol):
+    """Where entry instances find each other."""
+
+    def enrol(self, me: EntryRow) -> Result[Enrolled, FeedFault]:
+        """Write this instance's row, and give what is there."""
+
+    def remove(self, name: str) -> Result[None, FeedFault]:
+        """Take an instance's row away."""
--- a/packages/entry/src/cairnferry/entry/_probing.py
+++ b/packages/entry/src/cairnferry/entry/_probing.py
@@ -62,7 +62,7 @@
         alive = set(zones)
         for name, listed in self.cluster.listed.items():
             zones.setdefault(name, listed.zone)
-        basis = (zones, alive, self.services.records.revision)
+        basis = (zones, alive, self.services.revision)
         if basis == self._shared_basis:
             return
         self._shared_basis = basis
--- a/packages/entry/src/cairnferry/entry/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/_runtime.py
@@ -38,6 +38,10 @@
         """Decide about a request that arrives."""
         return self._noted(call, self.policy.arrive(call, time.monotonic()))
 
+    def asked(self, call: Call) -> Decision:
+        """Decide about a request once the targets to ask have been asked."""
+        return self._noted(call, self.policy.asked(call, time.monotonic()))
+
     def finished(self, attempt: Attempt, result: AttemptResult) -> Decision:
         """Decide what follows an attempt, and let others use the room it left."""
         decision = self.policy.finished(attempt, result, time.monotonic())
--- a/packages/entry/src/cairnferry/entry/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/_upstreams.py
@@ -1,11 +1,14 @@
 """Connections to targets and the exchanges over them."""
 
+import re
 import time
 
 import attrs
 
-from cairnferry.entry._headers import ATTEMPT_HEADER, TIMEOUT_HEADER
-from cairnferry.policy import Attempt, AttemptKind
+from cairnferry.entry._conventions import CheckResult, OwnTargets, TargetConvention
+from cairnferry.entry._headers import RequestHead
+from cairnferry.policy import Attempt, AttemptResult
+from cairnferry.records import Target
 from cairnferry.wire import (
     ConnectFailed,
     ConnectionPool,
@@ -17,7 +20,9 @@
     exchange,
 )
 
-MS_PER_S = 1000
+# Longest answer to a status check, in bytes; it has no content of interest.
+MAX_CHECK_BYTES = 65536
+_IDLE_TIMEOUT = re.compile(r"(?:^|[,\s])timeout=([0-9]{1,6})")
 
 
 @attrs.frozen
@@ -32,12 +37,15 @@
         Without those that differ from attempt to attempt.
     body : bytes
         Whole body.
+    head : RequestHead
+        What the headers say to the system itself.
     """
 
     method: str
     path: str
     headers: list[tuple[str, str]]
     body: bytes
+    head: RequestHead
 
 
 @attrs.define
@@ -50,41 +58,77 @@
         Seconds to open a connection.
     max_answer : int
         Longest body of an answer, in bytes.
+    convention : TargetConvention, optional
+        How targets speak.
     """
 
     connect_timeout: float
     max_answer: int
+    convention: TargetConvention = attrs.field(factory=OwnTargets)
     _pools: dict[tuple[str, int], ConnectionPool] = attrs.field(factory=dict)
 
     def send(self, req: OutboundRequest, attempt: Attempt) -> Outcome:
         """Make one attempt: one exchange, never repeated here."""
         call = attempt.call
-        address = attempt.address
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = ConnectionPool(address)
-        remaining = call.deadline - time.monotonic()
-        timeout = min(self.connect_timeout, remaining)
+        pool = self._pool(attempt.address)
+        timeout = min(self.connect_timeout, call.deadline - time.monotonic())
         conn = pool.take(call.idempotent, timeout)
         if isinstance(conn, ConnectFailed):
             late = time.monotonic() >= call.deadline
             return NotSent(Failure.TIMEOUT if late else Failure.CONNECT)
         payload = self._encode(req, attempt)
-        outcome = exchange(conn, req.method, payload, call.deadline, self.max_answer)
-        if isinstance(outcome, Reply) and conn.is_open:
-            pool.give(conn)
+        rules = self.convention.rules(req.head)
+        outcome = exchange(
+            conn, req.method, payload, call.deadline, self.max_answer, rules
+        )
+        self._give_back(pool, conn, outcome)
         return outcome
 
+    def classify(self, outcome: Outcome, attempt: Attempt) -> AttemptResult:
+        """Give what an exchange proves."""
+        return self.convention.classify(outcome, attempt)
+
+    def check(self, target: Target, timeout: float) -> CheckResult:
+        """Ask a target for its load.
+
+        Parameters
+        ----------
+        target : Target
+            Record of the target.
+        timeout : float
+            Seconds for the whole check.
+        """
+        deadline = time.monotonic() + timeout
+        pool = self._pool(target.address)
+        conn = pool.take(True, timeout)
+        if isinstance(conn, ConnectFailed):
+            return self.convention.read_check(NotSent(Failure.CONNECT), target)
+        host = f"{target.host}:{target.port}"
+        payload = encode_request("GET", target.health_path, host, [], b"")
+        outcome = exchange(conn, "GET", payload, deadline, MAX_CHECK_BYTES)
+        self._give_back(pool, conn, outcome)
+        return self.convention.read_check(outcome, target)
+
+    def _pool(self, address):
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(address)
+        return pool
+
+    def _give_back(self, pool, conn, outcome):
+        if not isinstance(outcome, Reply) or not conn.is_open:
+            return
+        told = _IDLE_TIMEOUT.search(outcome.header("keep-alive") or "")
+        if told:
+            conn.idle_limit = float(told.group(1))
+        pool.give(conn)
+
     def _encode(self, req, attempt):
         remaining = attempt.call.deadline - time.monotonic()
-        headers = [
-            *req.headers,
-            (TIMEOUT_HEADER, str(max(1, int(remaining * MS_PER_S)))),
-        ]
-        if attempt.kind is not AttemptKind.FIRST:
-            headers.append((ATTEMPT_HEADER, str(len(attempt.call.attempts))))
-        host, port = attempt.address
-        return encode_request(req.method, req.path, f"{host}:{port}", headers, req.body)
+        target = attempt.target.record
+        headers = [*req.headers, *self.convention.attempt_headers(attempt, remaining)]
+        host = self.convention.host(req.head, target)
+        return encode_request(req.method, req.path, host, headers, req.body)
 
     def keep_only(self, addresses: set[tuple[str, int]]) -> None:
         """Close the connections to addresses that are no longer in use."""
--- a/packages/entry/src/cairnferry/entry/command.py
+++ b/packages/entry/src/cairnferry/entry/command.py
@@ -11,11 +11,11 @@
 import attrs  # noqa: E402
 import cappa  # noqa: E402
 
+from cairnferry.cloudapi import CredentialsFault  # noqa: E402
 from cairnferry.entry._daemon import Daemon  # noqa: E402
 from cairnferry.entry._keys import KEYS  # noqa: E402
 from cairnferry.entry._logs import configure  # noqa: E402
 from cairnferry.peers import KeyFileFault  # noqa: E402
-from cairnferry.platform import CredentialsFault  # noqa: E402
 from cairnferry.settings import describe, read_settings  # noqa: E402
 
 EXIT_SETTINGS = 2
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -1,7 +1,7 @@
 """Thrift protocol between daemons: heartbeats and the changes of the log."""
 
 from cairnferry.peers._client import PeerCallFailed, PeerLink, PeerLinks
-from cairnferry.peers._keys import KeyFileFault, KeyRing
+from cairnferry.peers._keys import KeyFileFault, KeyRing, SharedKey
 from cairnferry.peers._messages import Heartbeat
 from cairnferry.peers._server import PeerHandler, PeerServer
 from cairnferry.peers._transport import ByteMeter
@@ -16,4 +16,5 @@
     "PeerLink",
     "PeerLinks",
     "PeerServer",
+    "SharedKey",
 ]
--- a/packages/peers/src/cairnferry/peers/_keys.py
+++ b/packages/peers/src/cairnferry/peers/_keys.py
@@ -101,6 +101,39 @@
                 raise
 
 
+@attrs.define
+class SharedKey:
+    """One key that is learnt after the start, where there is no file to hold it.
+
+    Until it is known every handshake fails, as it would with a wrong one.
+    """
+
+    _key: bytes = attrs.field(default=b"", repr=False)
+
+    def set(self, key: bytes) -> None:
+        """Use a key from now on.
+
+        Raises
+        ------
+        ValueError
+            If it is too short to be one.
+        """
+        if len(key) < MIN_KEY_BYTES:
+            raise ValueError(f"a key has fewer than {MIN_KEY_BYTES} bytes")
+        self._key = key
+
+    def own(self) -> bytes:
+        """Give the key for own calls."""
+        if not self._key:
+            raise KeyFileFault("shared key", "not known yet")
+        return self._key
+
+    def find(self, key_id: bytes) -> bytes | None:
+        """Give the key with an identifier."""
+        key = self.own()
+        return key if identify(key) == key_id else None
+
+
 def identify(key: bytes) -> bytes:
     """Give a short identifier of a key that does not reveal it."""
     return hashlib.blake2b(key, digest_size=KEY_ID_BYTES).digest()
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -30,6 +30,7 @@
 )
 from cairnferry.policy._model import (
     Abandoned,
+    Ask,
     Attempt,
     AttemptKind,
     Call,
@@ -43,6 +44,7 @@
     Wait,
 )
 from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
+from cairnferry.policy._seeking import SeekSettings
 from cairnferry.policy._service import ServicePolicy
 from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
 from cairnferry.policy._target import DrainSource
@@ -51,6 +53,7 @@
     "STRATEGY_NAMES",
     "Abandoned",
     "Answered",
+    "Ask",
     "Attempt",
     "AttemptKind",
     "AttemptResult",
@@ -72,6 +75,7 @@
     "Relay",
     "RoundRobin",
     "Send",
+    "SeekSettings",
     "ServicePolicy",
     "Strategy",
     "TargetRefused",
--- a/packages/policy/src/cairnferry/policy/_budget.py
+++ b/packages/policy/src/cairnferry/policy/_budget.py
@@ -1,4 +1,6 @@
-"""Budget of retries and hedges, a share of first attempts."""
+"""Budgets of retries and hedges, a share of first attempts."""
+
+from collections import deque
 
 import attrs
 
@@ -31,18 +33,20 @@
     def __attrs_post_init__(self):
         self._debt = self.tokens
 
-    def earn(self) -> None:
+    def earn(self, now: float = 0.0) -> None:
         """Count a first attempt."""
         if self._debt > 0:
             self._debt -= self.ratio
         else:
             self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def spend(self, on_credit: bool = False) -> bool:
+    def spend(self, now: float = 0.0, on_credit: bool = False) -> bool:
         """Take a token for a further attempt, if there is one.
 
         Parameters
         ----------
+        now : float, optional
+            Not looked at.
         on_credit : bool, optional
             Whether a token that is not yet earned will do. As it is paid back
             before the next, the share of further attempts stays what it is.
@@ -52,3 +56,63 @@
             return False
         self.tokens -= 1
         return True
+
+    def give_back(self) -> None:
+        """Take back the last `spend`: nothing was sent."""
+        self.tokens = min(self.burst, self.tokens + 1)
+
+
+@attrs.define
+class WindowBudget:
+    """Budget of retries and hedges in any window of a given length.
+
+    All instances share it. Each spends the share that its own requests earn, and
+    an equal part of what is allowed beyond that, so that no message is needed
+    between them, and none can spend what another has spent.
+
+    Parameters
+    ----------
+    ratio : float
+        Further attempts for each first one.
+    slack : float
+        Further attempts in a window beyond that, for this instance.
+    window : float
+        Length in seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+    _firsts: deque[float] = attrs.field(factory=deque)
+    _further: deque[float] = attrs.field(factory=deque)
+
+    def earn(self, now: float) -> None:
+        """Count a first attempt."""
+        self._firsts.append(now)
+        self._forget(now)
+
+    def spend(self, now: float, on_credit: bool = False) -> bool:
+        """Count a further attempt, if the window allows one.
+
+        There is no credit: the bound holds in each window.
+        """
+        self._forget(now)
+        if len(self._further) + 1 > self.ratio * len(self._firsts) + self.slack:
+            return False
+        self._further.append(now)
+        return True
+
+    def give_back(self) -> None:
+        """Take back the last `spend`: nothing was sent."""
+        if self._further:
+            self._further.pop()
+
+    @property
+    def tokens(self) -> float:
+        """Further attempts that the window still allows."""
+        return self.ratio * len(self._firsts) + self.slack - len(self._further)
+
+    def _forget(self, now):
+        for times in (self._firsts, self._further):
+            while times and times[0] <= now - self.window:
+                times.popleft()
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cairnferry.records import Priority, RefusalContract
+from cairnferry.records import Priority, RefusalContract, Target
 
 if typing.TYPE_CHECKING:
     from cairnferry.policy._target import TargetState
@@ -38,9 +38,12 @@
     ----------
     in_use : float
         Requests that it runs or holds in its own queue.
+    pace : float
+        How long work takes there at this moment, as a multiple of the usual.
     """
 
     in_use: float
+    pace: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -61,6 +64,14 @@
         Attempts made so far.
     possibly_run : bool
         Whether an attempt ended that may have run.
+    max_attempts : int or None
+        Most attempts that its route allows; None leaves it to the settings.
+    objective : float or None
+        Time in seconds up to which an answer is of full use.
+    rank : int
+        Order among waiting requests; 0 goes first.
+    search : Search
+        Targets asked for the attempt that is being prepared.
     """
 
     arrived: float
@@ -70,6 +81,10 @@
     may_retry: bool = True
     attempts: list["Attempt"] = attrs.field(factory=list)
     possibly_run: bool = False
+    max_attempts: int | None = None
+    objective: float | None = None
+    rank: int = 0
+    search: "Search" = attrs.field(factory=lambda: Search())
 
     def tried(self, target_name: str) -> bool:
         """Tell whether an attempt went to this target."""
@@ -81,6 +96,25 @@
         return sum(not attempt.ended for attempt in self.attempts)
 
 
+@attrs.define
+class Search:
+    """How far the search for a target has come.
+
+    Attributes
+    ----------
+    kind : AttemptKind
+        Why an attempt is to be made.
+    rounds : int
+        Rounds of status checks made.
+    asked : set of str
+        Names of the targets that were asked.
+    """
+
+    kind: AttemptKind = AttemptKind.FIRST
+    rounds: int = 0
+    asked: set[str] = attrs.field(factory=set)
+
+
 @attrs.define(eq=False)
 class Attempt:
     """One sending of a request to one target.
@@ -131,6 +165,19 @@
     attempt: Attempt
 
 
+@attrs.frozen
+class Ask:
+    """Ask these targets for their load, all at once, then call `asked`.
+
+    Attributes
+    ----------
+    targets : tuple of Target
+        Records of the targets.
+    """
+
+    targets: tuple[Target, ...]
+
+
 @attrs.frozen
 class Wait:
     """Wait; `ServicePolicy.release` decides later.
@@ -178,4 +225,4 @@
     retry_after: float
 
 
-Decision = Send | Wait | Relay | Abandoned | Refuse | GiveUp
+Decision = Send | Ask | Wait | Relay | Abandoned | Refuse | GiveUp
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -0,0 +1,169 @@
+"""Choice of a target by asking a few of them right before the request is sent.
+
+Neighbours on a target's machine change its pace several times a second, by a factor
+of four. What a target said with its last answer is worthless by the next request,
+whereas a status check answers within a millisecond and tells load and pace as they
+are now.
+"""
+
+import random
+
+import attrs
+
+from cairnferry.policy._model import Ask, Call
+from cairnferry.policy._target import TargetState
+
+
+@attrs.frozen
+class SeekSettings:
+    """How many targets are asked, and when an answer is good enough.
+
+    Attributes
+    ----------
+    rounds : tuple of int
+        Targets asked in each round. Asking stops as soon as one that is idle and at
+        its usual pace was heard: in a trial that served more than asking 3, 5 or 8 at
+        once, and asked least.
+    fresh_s : float
+        Age in seconds up to which an earlier answer spares a question: a small part
+        of the 300 ms after which the pace of a machine has changed.
+    known_s : float
+        Age in seconds up to which an answer is used if no newer one was had.
+    good_cost : float
+        Cost up to which no further target is asked; 1 is an idle one at its usual
+        pace.
+    crowded_share : float
+        Share of slots in use from which targets slow down.
+    crowded_cost : float
+        Added cost of a target that is full.
+    full_share : float
+        Requests at a target as a share of its slots from which it is sent none:
+        what waits here can still go to the first one that has room.
+    far_cost : float
+        Added cost of another availability zone: the longer way, and its price.
+    warmup_cost : float
+        Factor for a target that has just started.
+    unwell_cost : float
+        Factor for a target whose check says that it is not well. It may be wrong, so
+        that such a target is the last choice and not none.
+    """
+
+    rounds: tuple[int, ...] = (4, 4, 6)
+    fresh_s: float = 0.004
+    known_s: float = 0.15
+    good_cost: float = 1.35
+    crowded_share: float = 0.6
+    crowded_cost: float = 0.7
+    full_share: float = 1.5
+    far_cost: float = 0.06
+    warmup_cost: float = 1.6
+    unwell_cost: float = 4.0
+
+
+@attrs.frozen
+class Full:
+    """Every target that may be used has as much as it can take."""
+
+
+@attrs.frozen
+class Seeker:
+    """Asks for and compares what targets say of themselves.
+
+    Parameters
+    ----------
+    settings : SeekSettings
+        Constants.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    settings: SeekSettings
+    rng: random.Random
+
+    def seek(
+        self, call: Call, near: list[TargetState], far: list[TargetState], now: float
+    ) -> TargetState | Ask | Full | None:
+        """Choose a target, or say which ones to ask first.
+
+        Parameters
+        ----------
+        call : Call
+            The request; its search is moved on.
+        near, far : list of TargetState
+            Those in the own zone and in others that may be used for it.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        TargetState, Ask, Full or None
+            None if there is no target at all.
+        """
+        if not near and not far:
+            return None
+        cost, best = self._cheapest(near, far, now, self.settings.fresh_s)
+        if best is not None and cost <= self.settings.good_cost:
+            return best
+        ask = self._next_round(call, near, far)
+        if ask is not None:
+            return ask
+        _, best = self._cheapest(near, far, now, self.settings.known_s)
+        if best is None:
+            # Checks get lost where requests still go through.
+            return self.rng.choice(near or far)
+        if self._is_full(best, now):
+            return Full()
+        return best
+
+    def _next_round(self, call, near, far):
+        search = call.search
+        if search.rounds >= len(self.settings.rounds):
+            return None
+        count = self.settings.rounds[search.rounds]
+        search.rounds += 1
+        chosen = self._draw(near, count, search.asked)
+        chosen += self._draw(far, count - len(chosen), search.asked)
+        if not chosen:
+            return None
+        search.asked.update(target.name for target in chosen)
+        return Ask(tuple(target.record for target in chosen))
+
+    def _draw(self, targets, count, asked):
+        left = [target for target in targets if target.name not in asked]
+        if len(left) <= count:
+            return left
+        return self.rng.sample(left, count)
+
+    def _cheapest(self, near, far, now, max_age):
+        best_cost, best = 0.0, None
+        for targets, added in ((near, 0.0), (far, self.settings.far_cost)):
+            for target in targets:
+                if now - target.reported_at > max_age:
+                    continue
+                cost = self.cost(target, now) + added
+                if best is None or cost < best_cost:
+                    best_cost, best = cost, target
+        return best_cost, best
+
+    def cost(self, target: TargetState, now: float) -> float:
+        """Estimate how long a request takes there, as a multiple of the usual."""
+        cfg = self.settings
+        slots = target.record.slots
+        share = (target.expected_in_use() + 1) / slots
+        cost = 1.0
+        if share > cfg.crowded_share:
+            excess = min(share, 1.0) - cfg.crowded_share
+            cost += cfg.crowded_cost * excess / (1 - cfg.crowded_share)
+        if share > 1:
+            # It waits there for one of the slots first.
+            cost += share - 1 + 1 / slots
+        cost *= target.pace
+        if now < target.warm_at:
+            cost *= cfg.warmup_cost
+        if now < target.unwell_until:
+            cost *= cfg.unwell_cost
+        return cost
+
+    def _is_full(self, target, now):
+        allowed = self.settings.full_share * target.record.slots
+        return target.expected_in_use() + 1 > allowed
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cairnferry.policy._budget import RetryBudget
+from cairnferry.policy._budget import RetryBudget, WindowBudget
 from cairnferry.policy._evidence import (
     Answered,
     AttemptResult,
@@ -14,19 +14,23 @@
 )
 from cairnferry.policy._model import (
     Abandoned,
+    Ask,
     Attempt,
     AttemptKind,
     Call,
     Cause,
     Decision,
     GiveUp,
+    LoadReport,
     Refuse,
     Relay,
+    Search,
     Send,
     Wait,
 )
 from cairnferry.policy._queue import CLASSES, WaitingCalls
 from cairnferry.policy._room import Room
+from cairnferry.policy._seeking import Full
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import DrainSource
 from cairnferry.policy._targetset import TargetSet
@@ -61,14 +65,30 @@
         self.attempts = dict.fromkeys(AttemptKind, 0)
         self._targets = TargetSet(zone, rng, self.settings)
         self._room = Room(self.settings)
-        self._budget = RetryBudget(
-            service.retry_ratio, self.settings.retry_burst, self.settings.retry_start
-        )
+        self._instances = 1
+        self._budget = self._new_budget()
         self._waiting = WaitingCalls()
         self._displaced: list[Call] = []
 
+    def _new_budget(self):
+        service = self.service
+        if service.retry_window_s is None:
+            return RetryBudget(
+                service.retry_ratio,
+                self.settings.retry_burst,
+                self.settings.retry_start,
+            )
+        slack = service.retry_slack / self._instances
+        return WindowBudget(service.retry_ratio, slack, service.retry_window_s)
+
     # -- what is known of the service and its targets --------------------------
 
+    def share_with(self, instances: int) -> None:
+        """Take in how many instances share the service's retry budget."""
+        self._instances = max(1, instances)
+        if isinstance(self._budget, WindowBudget):
+            self._budget.slack = self.service.retry_slack / self._instances
+
     def update(self, service: Service, targets: list[Target], now: float) -> None:
         """Take in the records in force; what was learnt of targets is kept."""
         is_new = not self._targets
@@ -97,6 +117,24 @@
         """Take in the result of a probe."""
         self._targets.note_probe(target_name, healthy, now)
 
+    def note_check(
+        self, target_name: str, report: LoadReport | None, well: bool, now: float
+    ) -> None:
+        """Take in what a target said when it was asked for its load.
+
+        Parameters
+        ----------
+        target_name : str
+            Name of the target.
+        report : LoadReport or None
+            Its load; None if it gave no answer.
+        well : bool
+            Whether it calls itself well.
+        now : float
+            Time in seconds.
+        """
+        self._targets.note_check(target_name, report, well, now)
+
     # -- requests --------------------------------------------------------------
 
     def arrive(self, call: Call, now: float) -> Decision:
@@ -105,7 +143,9 @@
             return self._refuse(Cause.DEADLINE)
         if not self._targets:
             return self._refuse(Cause.NO_TARGET)
-        self._budget.earn()
+        self._budget.earn(now)
+        if self.settings.seek is not None:
+            return self._seek(call, AttemptKind.FIRST, now)
         if not self._waiting.ahead_of(call.priority):
             attempt = self._place(call, AttemptKind.FIRST, now)
             if attempt is not None:
@@ -125,6 +165,30 @@
             return _while_others_run(result)
         return self._follow(call, result, now)
 
+    def asked(self, call: Call, now: float) -> Decision:
+        """Decide about a request once the targets to ask have been asked."""
+        if now >= call.deadline:
+            return self._settle(call, Cause.DEADLINE)
+        return self._search_on(call, now)
+
+    def _seek(self, call, kind, now):
+        call.search = Search(kind)
+        trial = self._targets.choose_for_trial(call, now)
+        if trial is not None:
+            return Send(self._start(call, trial, kind, now, True))
+        return self._search_on(call, now)
+
+    def _search_on(self, call, now):
+        match self._targets.seek(call, now):
+            case Ask() as ask:
+                return ask
+            case None:
+                return self._settle(call, Cause.NO_TARGET)
+            case Full():
+                return self._settle(call, Cause.OVERLOAD)
+            case target:
+                return Send(self._start(call, target, call.search.kind, now, False))
+
     def _adapt_room(self, now):
         latency = self._targets.latency.usual
         self._room.adapt(self._targets.reported_load, now, latency)
@@ -169,7 +233,7 @@
             return None
         if not self._may_add(call) or not self._room.has(call.priority):
             return None
-        if not self._budget.spend():
+        if not self._budget.spend(now):
             return None
         attempt = self._place(call, AttemptKind.HEDGE, now)
         return Send(attempt) if attempt else None
@@ -245,14 +309,17 @@
     # -- attempts --------------------------------------------------------------
 
     def _may_add(self, call):
-        return call.may_retry and len(call.attempts) < self.settings.max_attempts
+        limit = call.max_attempts or self.settings.max_attempts
+        return call.may_retry and len(call.attempts) < limit
 
     def _again(self, call, now, on_credit):
         """Give a decision that goes on with the request, or None."""
         if not self._may_add(call) or now >= call.deadline:
             return None
-        if not self._budget.spend(on_credit):
+        if not self._budget.spend(now, on_credit):
             return None
+        if self.settings.seek is not None:
+            return self._seek_again(call, now)
         attempt = self._place(call, AttemptKind.RETRY, now)
         if attempt is not None:
             return Send(attempt)
@@ -263,6 +330,13 @@
         self._waiting.push(call)
         return Wait(self._start_by(call))
 
+    def _seek_again(self, call, now):
+        decision = self._seek(call, AttemptKind.RETRY, now)
+        if isinstance(decision, Send | Ask):
+            return decision
+        self._budget.give_back()
+        return None
+
     def _place(self, call, kind, now):
         """Choose a target and count the attempt; None if there is no room."""
         if not self._room.has(call.priority):
@@ -273,6 +347,9 @@
             target = self._targets.choose(call, now)
         if target is None:
             return None
+        return self._start(call, target, kind, now, trial)
+
+    def _start(self, call, target, kind, now, trial):
         attempt = Attempt(call, target, kind, now, trial)
         call.attempts.append(attempt)
         target.note_sent(now)
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -10,6 +10,7 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy._seeking import SeekSettings
 
 UNLIMITED = 1_000_000
 
@@ -86,6 +87,9 @@
         Time in seconds between two probes of one target, over all daemons.
     retry_after_s : float
         Retry-After in seconds where nothing better is known.
+    seek : SeekSettings or None
+        How targets are asked for their load before a request is sent; None does not
+        ask.
     """
 
     strategy: Strategy = LoadAware()
@@ -118,6 +122,7 @@
     wait_share: float = 0.4
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
+    seek: SeekSettings | None = None
 
 
 _BASELINES = {
@@ -126,7 +131,7 @@
     "round-robin": RoundRobin(),
     "random": RandomChoice(),
 }
-STRATEGY_NAMES = ("load-aware", *_BASELINES)
+STRATEGY_NAMES = ("load-aware", "ask-first", *_BASELINES)
 
 
 def settings_for(strategy_name: str) -> PolicySettings:
@@ -142,6 +147,8 @@
     """
     if strategy_name == "load-aware":
         return PolicySettings()
+    if strategy_name == "ask-first":
+        return PolicySettings(min_window=UNLIMITED, seek=SeekSettings())
     return PolicySettings(
         strategy=_BASELINES[strategy_name],
         min_window=UNLIMITED,
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/_target.py
@@ -58,6 +58,14 @@
         Time from which its share grows.
     ejected_until : float
         Time of the next trial; 0 if it is in use.
+    pace : float
+        How long work took there at the last report, as a multiple of the usual.
+    reported_in_use : float
+        Requests there at the last report.
+    warm_at : float
+        Time to which it is slow after its start.
+    unwell_until : float
+        Time to which its last check that said so counts.
     """
 
     record: Target
@@ -76,6 +84,10 @@
     draining_until: dict[DrainSource, float] = attrs.field(factory=dict)
     refusals: int = 0
     sent: int = 0
+    pace: float = 1.0
+    reported_in_use: float = 0.0
+    warm_at: float = -math.inf
+    unwell_until: float = -math.inf
 
     @property
     def name(self) -> str:
@@ -180,3 +192,14 @@
         others = max(0.0, report.in_use - self.in_flight)
         self.others_load = others / self.record.slots
         self.reported_at = now
+        self.reported_in_use = report.in_use
+        self.pace = report.pace
+
+    def expected_in_use(self) -> float:
+        """Give the requests there at the last report and those sent since."""
+        since = 0
+        for started in reversed(self.starts):
+            if started < self.reported_at:
+                break
+            since += 1
+        return self.reported_in_use + since
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -13,7 +13,8 @@
     TargetRefused,
 )
 from cairnferry.policy._latency import LatencyEstimate
-from cairnferry.policy._model import Attempt, Call, LoadReport
+from cairnferry.policy._model import Ask, Attempt, Call, LoadReport
+from cairnferry.policy._seeking import Full, Seeker, SeekSettings
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import (
     CLEARLY_SLOWER,
@@ -26,6 +27,8 @@
 
 REPORTED_LOAD_GAIN = 0.05
 PROBE_RETURN_S = 5.0
+# Seconds for which the word of a check holds; the next check comes sooner.
+UNWELL_S = 0.5
 MAX_REFUSAL_DOUBLINGS = 6
 
 
@@ -62,6 +65,7 @@
             settings.latency_memory_s,
             settings.ramp_s,
         )
+        self._seeker = Seeker(settings.seek or SeekSettings(), rng)
         self._ejector = Ejector(
             settings.eject_failures,
             settings.eject_base_s,
@@ -87,6 +91,8 @@
             state = known.get(target.name)
             if state is None or state.record.address != target.address:
                 state = TargetState(target, ready_since=start)
+                if target.warmup_s:
+                    state.warm_at = now + target.warmup_s
             state.record = target
             self._states[target.name] = state
         self._usable.forget()
@@ -104,6 +110,14 @@
             max_load = self.settings.background_load
         return self._chooser.choose(near, far, now, self.latency.usual, max_load)
 
+    def seek(self, call: Call, now: float) -> TargetState | Ask | Full | None:
+        """Choose a target by what some say of themselves, or say which to ask."""
+        near, far = self._usable.lists(self._states, now)
+        if call.attempts:
+            near = [target for target in near if not call.tried(target.name)]
+            far = [target for target in far if not call.tried(target.name)]
+        return self._seeker.seek(call, near, far, now)
+
     def choose_for_trial(self, call: Call, now: float) -> TargetState | None:
         """Choose an ejected target for which it is time to be tested."""
         if not self._usable.ejected or not call.idempotent or call.attempts:
@@ -194,6 +208,33 @@
             target.draining_until[source] = until
             self._usable.forget()
 
+    def note_check(
+        self, name: str, report: LoadReport | None, well: bool, now: float
+    ) -> None:
+        """Take in what a target said when it was asked.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        report : LoadReport or None
+            Its load; None if it gave no answer.
+        well : bool
+            Whether it calls itself well.
+        now : float
+            Time in seconds.
+        """
+        target = self._states.get(name)
+        if target is None:
+            return
+        if report is None:
+            # It would look idle by what it said last.
+            target.reported_at = -math.inf
+        else:
+            self._learn_report(target, report, now)
+        if not well:
+            target.unwell_until = now + UNWELL_S
+
     def note_probe(self, name: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe.
 
--- a/packages/records/src/cairnferry/records/__init__.py
+++ b/packages/records/src/cairnferry/records/__init__.py
@@ -11,6 +11,7 @@
     UnknownSchemaVersion,
 )
 from cairnferry.records._model import (
+    Backend,
     Kind,
     Lifecycle,
     Priority,
@@ -25,6 +26,7 @@
 from cairnferry.records._recordset import Draft, Entry, RecordSet
 
 __all__ = [
+    "Backend",
     "Change",
     "Draft",
     "Edit",
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -75,6 +75,13 @@
         Whether idempotent requests may be sent a second time early.
     queue_limit : int
         Requests that may wait for a target at one entry instance.
+    retry_slack : int
+        Retries and hedges in one window beyond that share, over all instances.
+    retry_window_s : float or None
+        Length of the sliding window in seconds in which they are counted; None
+        counts them against what was earned and not yet spent.
+    health_path : str or None
+        Path of the targets' health endpoint, where their own records do not tell.
     """
 
     name: str
@@ -82,6 +89,9 @@
     retry_ratio: float
     hedging: bool
     queue_limit: int
+    retry_slack: int = 0
+    retry_window_s: float | None = None
+    health_path: str | None = None
 
     @property
     def key(self):
@@ -109,6 +119,9 @@
         Path of the health endpoint.
     refusal : RefusalContract or None
         How the target says that it did not run a request.
+    warmup_s : float
+        Seconds for which the target is still slow after its start, from the time
+        at which the record was made.
     """
 
     name: str
@@ -120,6 +133,7 @@
     lifecycle: Lifecycle
     health_path: str
     refusal: RefusalContract | None
+    warmup_s: float = 0.0
 
     @property
     def key(self):
@@ -132,6 +146,22 @@
         return (self.host, self.port)
 
 
+@attrs.frozen
+class Backend:
+    """A service that gets a part of a route's requests.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
+    weight : int
+        Its part, in proportion to the weights of the others.
+    """
+
+    service: str
+    weight: int
+
+
 @attrs.frozen
 class Route:
     """Rule that sends a path prefix to a service.
@@ -150,6 +180,20 @@
         Time for a request in milliseconds; None takes the service's.
     priority : Priority
         Class of the requests.
+    host : str or None
+        Host that the request must name, in lower case; None takes any.
+    idempotent : bool or None
+        Whether its requests may be sent more than once; None goes by the method.
+    backends : tuple of Backend
+        Services that share the requests by weight; empty sends all to `service`.
+    max_attempts : int or None
+        Most targets that one request may be sent to; None leaves it to the policy.
+    objective_ms : int or None
+        Time within which an answer is of full use, in milliseconds.
+    rank : int
+        Order among requests that wait for the same service; 0 goes first.
+    limit_ms : int or None
+        Longest time for a request in milliseconds, whatever its caller gives it.
     """
 
     name: str
@@ -158,6 +202,19 @@
     idempotent_methods: frozenset[str]
     deadline_ms: int | None
     priority: Priority
+    host: str | None = None
+    idempotent: bool | None = None
+    backends: tuple[Backend, ...] = ()
+    max_attempts: int | None = None
+    objective_ms: int | None = None
+    rank: int = 0
+    limit_ms: int | None = None
+
+    def allows_repeats(self, method: str) -> bool:
+        """Tell whether a request with this method may be sent more than once."""
+        if self.idempotent is not None:
+            return self.idempotent
+        return method in self.idempotent_methods
 
     @property
     def key(self):
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -7,6 +7,7 @@
 from cairnferry.wire._connection import ConnectFailed, Connection, connect
 from cairnferry.wire._exchange import (
     BODILESS_STATUSES,
+    AnswerRules,
     Failure,
     Incomplete,
     NotSent,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "BODILESS_STATUSES",
+    "AnswerRules",
     "Client",
     "ConnectFailed",
     "Connection",
--- a/packages/wire/src/cairnferry/wire/_connection.py
+++ b/packages/wire/src/cairnferry/wire/_connection.py
@@ -1,5 +1,6 @@
 """A TCP connection to one address and what is known of its liveness."""
 
+import math
 import time
 
 import attrs
@@ -33,11 +34,14 @@
         Remote IP address and port.
     idle_since : float
         Monotonic time in seconds of opening or of the last whole exchange.
+    idle_limit : float
+        Seconds without use after which the remote side has said it would close.
     """
 
     sock: socket.socket
     address: tuple[str, int]
     idle_since: float = attrs.field(factory=time.monotonic)
+    idle_limit: float = math.inf
 
     def is_quiet(self) -> bool:
         """Tell whether the remote side has neither closed nor sent anything.
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -2,6 +2,7 @@
 
 import enum
 import time
+from collections.abc import Callable
 
 import attrs
 from geventhttpclient.response import HTTPParseError, HTTPResponse
@@ -68,6 +69,34 @@
 Outcome = Reply | NotSent | Incomplete
 
 
+@attrs.frozen
+class AnswerRules:
+    """What counts as the whole answer to a request.
+
+    The defaults are the strictest ones. The others may be chosen only where
+    something in the answer proves by itself that it is the request's own and whole.
+
+    Attributes
+    ----------
+    is_foreign : callable or None
+        Tells from the headers of an answer whether it belongs to another request.
+        Such an answer, which came late, is passed over.
+    close_ends_body : bool
+        Whether an answer without a length is whole when the target closes in
+        order. One that ends by a reset never is.
+    ignore_overrun : bool
+        Whether bytes behind a whole answer are dropped with the connection; if not,
+        the answer is not taken either.
+    """
+
+    is_foreign: Callable[[list[tuple[str, str]]], bool] | None = None
+    close_ends_body: bool = False
+    ignore_overrun: bool = False
+
+
+STRICT = AnswerRules()
+
+
 def describe(outcome: Outcome) -> str:
     """Say in a few words how an exchange ended, for messages and logs."""
     match outcome:
@@ -82,19 +111,35 @@
 class _StrictResponse(HTTPResponse):
     """Parser that takes one final answer and nothing behind it."""
 
-    def __init__(self, method):
+    def __init__(self, method, rules):
         super().__init__(method)
         self.overrun = False
+        self.passed_over = False
         self.received = []
+        self.whole: Reply | None = None
+        self._rules = rules
 
     def _on_message_begin(self):
         # Bytes behind a whole answer would start a second one, whose headers
         # replace those of the first while the body is appended to it: an answer
         # made of two. The library does so on purpose for interim answers.
-        if self.message_complete and self.get_code() >= FIRST_FINAL_STATUS:
+        if self.whole is not None:
             self.overrun = True
+        self.received = []
         super()._on_message_begin()
 
+    def _on_message_complete(self):
+        super()._on_message_complete()
+        if self.whole is not None or self.get_code() < FIRST_FINAL_STATUS:
+            return
+        is_foreign = self._rules.is_foreign
+        if is_foreign is not None and is_foreign(self.received):
+            self.passed_over = True
+            self._body_buffer.clear()
+            return
+        body = bytes(self._body_buffer)
+        self.whole = Reply(self.get_code(), self.received, body)
+
     def _flush_header(self):
         # The library's index joins repeated headers; a relay keeps them apart.
         if self._current_header_field is not None:
@@ -109,6 +154,7 @@
     payload: bytes,
     deadline: float,
     max_body: int,
+    rules: AnswerRules = STRICT,
 ) -> Outcome:
     """Send a request and read its whole answer.
 
@@ -124,6 +170,8 @@
         Monotonic time in seconds.
     max_body : int
         Longest body taken, in bytes.
+    rules : AnswerRules, optional
+        What counts as a whole answer.
 
     Returns
     -------
@@ -144,7 +192,7 @@
         outcome = _send(conn.sock, payload)
         if outcome is not None:
             return outcome
-        outcome, keep = _receive(conn.sock, method, deadline, max_body)
+        outcome, keep = _receive(conn.sock, method, deadline, max_body, rules)
         return outcome
     finally:
         if keep:
@@ -163,20 +211,23 @@
     return None
 
 
-def _receive(sock, method, deadline, max_body):
+def _receive(sock, method, deadline, max_body, rules):
     """Read until the answer is whole; tell also if the connection may be kept."""
-    parser = _StrictResponse(method)
+    parser = _StrictResponse(method, rules)
     head_bytes = 0
-    while not _is_final(parser):
+    while parser.whole is None:
         data = _recv(sock, deadline)
         if isinstance(data, Incomplete):
             return data, False
         try:
             parser.feed(data)
         except HTTPParseError:
+            if parser.whole is not None and rules.ignore_overrun:
+                parser.overrun = True
+                break
             failure = Failure.BAD_FRAMING if data else Failure.CUT_SHORT
             return Incomplete(failure), False
-        if not data and not _is_final(parser):
+        if not data and parser.whole is None:
             return Incomplete(Failure.CUT_SHORT), False
         if len(parser._body_buffer) > max_body:
             return Incomplete(Failure.TOO_LARGE), False
@@ -184,11 +235,7 @@
             head_bytes += len(data)
             if head_bytes > MAX_HEAD:
                 return Incomplete(Failure.TOO_LARGE), False
-    return _finish(parser)
-
-
-def _is_final(parser):
-    return parser.message_complete and parser.get_code() >= FIRST_FINAL_STATUS
+    return _finish(parser, rules)
 
 
 def _recv(sock, deadline):
@@ -204,11 +251,16 @@
         return Incomplete(Failure.RESET)
 
 
-def _finish(parser):
-    if parser.overrun or not _has_explicit_length(parser):
+def _finish(parser, rules):
+    if parser.overrun:
+        if rules.ignore_overrun:
+            return parser.whole, False
+        return Incomplete(Failure.BAD_FRAMING), False
+    if not _has_explicit_length(parser):
+        if rules.close_ends_body and parser.get("transfer-encoding") is None:
+            return parser.whole, False
         return Incomplete(Failure.BAD_FRAMING), False
-    reply = Reply(parser.get_code(), parser.received, bytes(parser._body_buffer))
-    return reply, not parser.should_close()
+    return parser.whole, not (parser.passed_over or parser.should_close())
 
 
 def _has_explicit_length(parser):
--- a/packages/wire/src/cairnferry/wire/_pool.py
+++ b/packages/wire/src/cairnferry/wire/_pool.py
@@ -7,6 +7,10 @@
 
 from cairnferry.wire._connection import ConnectFailed, Connection, connect
 
+# Seconds before the time at which the remote side closes an idle connection, from
+# which a request might cross the close.
+CLOSE_MARGIN_S = 0.7
+
 
 @attrs.define(eq=False)
 class ConnectionPool:
@@ -42,10 +46,11 @@
         non-idempotent one gets a connection used lately, or a new one.
         """
         max_age = self.max_idle_s if idempotent else self.trusted_idle_s
-        oldest = time.monotonic() - max_age
+        now = time.monotonic()
         while self._idle:
             conn = self._idle.pop()
-            if conn.idle_since >= oldest and conn.is_quiet():
+            limit = min(max_age, conn.idle_limit - CLOSE_MARGIN_S)
+            if now - conn.idle_since <= limit and conn.is_quiet():
                 return conn
             conn.close()
         self.opened += 1
--- a/packages/wire/src/cairnferry/wire/_simple.py
+++ b/packages/wire/src/cairnferry/wire/_simple.py
@@ -8,6 +8,7 @@
 from cairnferry.wire._exchange import Failure, NotSent, Outcome, Reply, exchange
 from cairnferry.wire._pool import ConnectionPool
 from cairnferry.wire._request import encode_request
+from cairnferry.wire._sockets import watch_liveness
 
 DEFAULT_MAX_BODY = 64 * 1024 * 1024
 
@@ -60,6 +61,7 @@
         conn = self._pool.take(idempotent, timeout)
         if isinstance(conn, ConnectFailed):
             return NotSent(Failure.CONNECT)
+        watch_liveness(conn.sock)
         outcome = exchange(conn, method, payload, deadline, self.max_body)
         if isinstance(outcome, Reply) and conn.is_open:
             self._pool.give(conn)
--- a/tests/platform/test_platform.py
+++ b/tests/cloudapi/test_cloudapi.py
@@ -2,14 +2,7 @@
 
 import pytest
 
-from cairnferry.coordination import (
-    ConditionFailed,
-    Item,
-    TableUnavailable,
-    Write,
-    WriteUnknown,
-)
-from cairnferry.platform import (
+from cairnferry.cloudapi import (
     Credentials,
     CredentialsFault,
     Instance,
@@ -20,6 +13,13 @@
     TableClient,
     read_credentials,
 )
+from cairnferry.coordination import (
+    ConditionFailed,
+    Item,
+    TableUnavailable,
+    Write,
+    WriteUnknown,
+)
 from cairnferry.standins import Outage, PlatformStandin
 from cairnferry.wire import Client
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,9 +12,8 @@
 from gevent.server import StreamServer  # noqa: E402
 
 from cairnferry.entry._callers import BodyLimits, CallersApp  # noqa: E402
-from cairnferry.entry._daemon import Limits  # noqa: E402
 from cairnferry.entry._forward import Forwarder  # noqa: E402
-from cairnferry.entry._http_server import HttpServer  # noqa: E402
+from cairnferry.entry._http_server import HttpServer, Limits  # noqa: E402
 from cairnferry.entry._metrics import Metrics  # noqa: E402
 from cairnferry.entry._services import Services  # noqa: E402
 from cairnferry.entry._upstreams import Upstreams  # noqa: E402
