Test asking, window budgets, weights and followed tables; prefer the emptier target

Of two targets equally fast the first in order was taken while both were below 60 % of their slots: seen by a test in which four requests of one moment went to two of four idle targets. A small cost in proportion to the load decides now.

--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -20,6 +20,11 @@
 from cairnferry.peers import PeerCallFailed, PeerLink
 from cairnferry.records import Target
 
+# Seconds between two calls for targets. Targets that start one after the other would
+# else be heard of one by one, at every daemon; a target that leaves may be given work
+# for two seconds more.
+TARGETS_COALESCE_S = 0.6
+
 log = logging.getLogger(__name__)
 
 
@@ -60,7 +65,9 @@
         """Give the functions that run as long as the daemon does."""
         rng = self.core.rng
         rules = Follower("rules", self.rules_feed, self._take_rules, rng)
-        targets = Follower("targets", self.targets_feed, self._take_targets, rng)
+        targets = Follower(
+            "targets", self.targets_feed, self._take_targets, rng, TARGETS_COALESCE_S
+        )
         return [lambda: self._follow_rules(rules), targets.run]
 
     def _follow_rules(self, follower):
--- a/packages/entry/src/cairnferry/entry/_following.py
+++ b/packages/entry/src/cairnferry/entry/_following.py
@@ -16,9 +16,6 @@
     Item,
 )
 
-# Pause in seconds between two calls: changes come in groups, and each call has its
-# price. Far below the seconds within which a change has to be in force.
-COALESCE_S = 0.25
 # Pause in seconds after a failed call, doubled up to the longest, with jitter. All
 # instances lose the store at once, and would come back at once.
 RETRY_S = 0.1
@@ -45,6 +42,9 @@
         Called with all rows by key, whenever they differ.
     rng : random.Random
         For jitter.
+    coalesce_s : float
+        Pause in seconds between two calls: changes come in groups, and each call has
+        its price. To be far below the time within which a change has to be in force.
 
     Attributes
     ----------
@@ -56,6 +56,7 @@
     feed: ChangeFeed
     on_change: Callable[[dict[str, Item]], None]
     rng: random.Random
+    coalesce_s: float = 0.25
     confirmed_at: float | None = None
     _items: dict[str, Item] = attrs.field(factory=dict)
     _version: int | None = None
@@ -84,7 +85,7 @@
             self._take_listing(result.ok)
         else:
             self._take_changes(result.ok)
-        return COALESCE_S * (0.8 + 0.4 * self.rng.random())
+        return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
     def _failed(self, fault):
         match fault:
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -32,6 +32,9 @@
     good_cost : float
         Cost up to which no further target is asked; 1 is an idle one at its usual
         pace.
+    load_cost : float
+        Added cost of a target that is full, in proportion below that: of two that
+        are equally fast the emptier one is taken, not the first in order.
     crowded_share : float
         Share of slots in use from which targets slow down.
     crowded_cost : float
@@ -52,6 +55,7 @@
     fresh_s: float = 0.004
     known_s: float = 0.15
     good_cost: float = 1.35
+    load_cost: float = 0.1
     crowded_share: float = 0.6
     crowded_cost: float = 0.7
     full_share: float = 1.5
@@ -150,7 +154,7 @@
         cfg = self.settings
         slots = target.record.slots
         share = (target.expected_in_use() + 1) / slots
-        cost = 1.0
+        cost = 1.0 + cfg.load_cost * share
         if share > cfg.crowded_share:
             excess = min(share, 1.0) - cfg.crowded_share
             cost += cfg.crowded_cost * excess / (1 - cfg.crowded_share)
--- /dev/null
+++ b/tests/entry/test_following.py
@@ -0,0 +1,157 @@
+"""A followed table: each state of the feed, and what vanishes in an outage."""
+
+import random
+
+import gevent
+import pytest
+from expression import Error, Ok
+
+from cairnferry.entry import _following
+from cairnferry.entry._following import Follower
+from cairnferry.entry._ports import Batch, FeedUnavailable, HistoryLost, Item
+
+
+class ScriptedFeed:
+    """Gives prepared results and notes what was asked."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.asked = []
+
+    def everything(self):
+        self.asked.append("all")
+        return self.results.pop(0)
+
+    def since(self, version):
+        self.asked.append(version)
+        return self.results.pop(0)
+
+
+def put(key, version, value=b"v"):
+    return Item(key, value, version)
+
+
+def removed(key, version):
+    return Item(key, None, version)
+
+
+def batch(version, *items):
+    return Ok(Batch(items, version))
+
+
+DOWN = Error(FeedUnavailable("status 503"))
+
+
+@pytest.fixture
+def follow():
+    def start(*results):
+        seen = []
+        feed = ScriptedFeed(*results)
+
+        def note(rows):
+            seen.append({key: item.version for key, item in rows.items()})
+
+        follower = Follower("rows", feed, note, random.Random(1))
+        return follower, feed, seen
+
+    return start
+
+
+def play(follower, calls):
+    return [follower.one_call() for _ in range(calls)]
+
+
+def test_it_lists_once_and_then_waits_for_changes(follow):
+    follower, feed, seen = follow(
+        batch(5, put("a", 3)), batch(7, put("b", 7)), batch(9, removed("a", 9))
+    )
+    play(follower, 3)
+    assert feed.asked == ["all", 5, 7]
+    assert seen == [{"a": 3}, {"a": 3, "b": 7}, {"b": 7}]
+
+
+def test_an_answer_without_changes_changes_nothing(follow):
+    follower, feed, seen = follow(batch(5, put("a", 3)), batch(6), batch(6))
+    play(follower, 3)
+    assert feed.asked == ["all", 5, 6]
+    assert len(seen) == 1
+
+
+def test_a_late_answer_does_not_bring_an_older_row_back(follow):
+    follower, _, seen = follow(batch(5, put("a", 5)), batch(6, put("a", 4)))
+    play(follower, 2)
+    assert seen == [{"a": 5}]
+
+
+def test_lost_history_is_listed_again_at_once(follow):
+    """Symptom: a target that left during the gap gets requests for ever.
+
+    Cause: its removal is in the history that the store no longer has.
+    """
+    follower, feed, seen = follow(
+        batch(5, put("a", 3), put("b", 4)),
+        Error(HistoryLost()),
+        batch(50, put("b", 4)),
+    )
+    pauses = play(follower, 3)
+    assert feed.asked == ["all", 5, "all"]
+    assert pauses[1] == 0
+    assert seen[-1] == {"b": 4}
+
+
+def test_failures_are_tried_again_with_growing_pauses_and_keep_what_is_held(follow):
+    follower, feed, seen = follow(batch(5, put("a", 3)), *[DOWN] * 8, batch(5))
+    pauses = play(follower, 10)
+    assert feed.asked == ["all", *[5] * 9]
+    assert seen == [{"a": 3}]
+    assert max(pauses) <= _following.MAX_RETRY_S
+    assert pauses[6] > pauses[1]
+
+
+def test_a_feed_that_is_down_from_the_start_is_listed_when_it_is_up(follow):
+    follower, feed, seen = follow(DOWN, DOWN, batch(5, put("a", 3)))
+    play(follower, 3)
+    assert feed.asked == ["all"] * 3
+    assert seen == [{"a": 3}]
+
+
+def test_what_lapsed_in_an_outage_is_held_until_it_may_be_back(follow, monkeypatch):
+    """Symptom: after an outage of the store all targets are gone for two seconds.
+
+    Events: targets cannot renew their rows while the store is away; the rows lapse,
+    and are written again within two seconds of its return. Cause: the removals were
+    taken at their word.
+    """
+    monkeypatch.setattr(_following, "RETURN_GRACE_S", 0.05)
+    follower, _, seen = follow(
+        batch(5, put("a", 3), put("b", 4)),
+        DOWN,
+        batch(8, removed("a", 7), removed("b", 8)),
+        batch(9, put("a", 9)),
+    )
+    play(follower, 4)
+    assert seen[-1] == {"a": 9, "b": 4}
+    while len(seen[-1]) > 1:
+        gevent.sleep(0.01)
+    assert seen[-1] == {"a": 9}
+
+
+def test_a_listing_after_an_outage_holds_what_is_missing(follow, monkeypatch):
+    monkeypatch.setattr(_following, "RETURN_GRACE_S", 0.05)
+    follower, _, seen = follow(
+        batch(5, put("a", 3), put("b", 4)),
+        DOWN,
+        Error(HistoryLost()),
+        batch(90, put("b", 4)),
+    )
+    play(follower, 4)
+    assert seen == [{"a": 3, "b": 4}]
+    while "a" in seen[-1]:
+        gevent.sleep(0.01)
+    assert seen[-1] == {"b": 4}
+
+
+def test_without_an_outage_a_removal_counts_at_once(follow):
+    follower, _, seen = follow(batch(5, put("a", 3)), batch(6, removed("a", 6)))
+    play(follower, 2)
+    assert seen[-1] == {}
--- /dev/null
+++ b/tests/entry/test_weights.py
@@ -0,0 +1,24 @@
+"""Shares of services in a route's requests."""
+
+import collections
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cairnferry.entry._weights import WeightedTurns
+from cairnferry.records import Backend
+
+
+@given(
+    st.lists(st.integers(1, 100), min_size=1, max_size=4),
+    st.integers(0, 2**32),
+    st.integers(1, 300),
+)
+def test_each_part_stays_within_a_request_or_two_of_its_weight(weights, seed, requests):
+    backends = tuple(Backend(f"s{i}", weight) for i, weight in enumerate(weights))
+    turns = WeightedTurns.start(backends, random.Random(seed))
+    taken = collections.Counter(turns.take() for _ in range(requests))
+    for backend in backends:
+        due = requests * backend.weight / sum(weights)
+        assert abs(taken[backend.service] - due) <= len(weights) + 1
--- /dev/null
+++ b/tests/policy/test_budget.py
@@ -0,0 +1,52 @@
+"""Retry budgets: none is exceeded in any window, however many instances share it."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cairnferry.policy._budget import WindowBudget
+
+WINDOW_S = 10.0
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.5), st.booleans()), min_size=1, max_size=400)
+)
+def test_no_window_holds_more_than_the_budget(steps):
+    budget = WindowBudget(ratio=0.2, slack=3.0, window=WINDOW_S)
+    now = 100.0
+    firsts, further = [], []
+    for pause, wants_more in steps:
+        now += pause
+        if not wants_more:
+            budget.earn(now)
+            firsts.append(now)
+        elif budget.spend(now):
+            further.append(now)
+        start = now - WINDOW_S
+        earned = sum(at > start for at in firsts)
+        assert sum(at > start for at in further) <= 0.2 * earned + 3
+
+
+def test_what_was_not_sent_is_given_back():
+    budget = WindowBudget(ratio=0.0, slack=1.0, window=WINDOW_S)
+    assert budget.spend(1.0)
+    assert not budget.spend(1.0)
+    budget.give_back()
+    assert budget.spend(1.0)
+
+
+@pytest.mark.parametrize("instances", [1, 3, 18])
+def test_instances_together_spend_no_more_than_the_slack(instances):
+    """Symptom: targets get more repeats than the budget allows, all from restarts.
+
+    Events: no requests yet, so that the ratio gives nothing; each instance spends
+    the whole slack. Cause: the slack was not divided.
+    """
+    slack = 64
+    spent = 0
+    for _ in range(instances):
+        budget = WindowBudget(0.2, slack / instances, WINDOW_S)
+        while budget.spend(5.0):
+            spent += 1
+    assert spent <= slack
--- /dev/null
+++ b/tests/policy/test_seeking.py
@@ -0,0 +1,226 @@
+"""Choice by asking: whom, when it is enough, and what is chosen."""
+
+import random
+
+import attrs
+import pytest
+
+from cairnferry.policy import (
+    Answered,
+    Ask,
+    AttemptKind,
+    Call,
+    Cause,
+    LoadReport,
+    Refuse,
+    Relay,
+    Send,
+    ServicePolicy,
+    TargetRefused,
+    settings_for,
+)
+from cairnferry.records import Lifecycle, Service, Target
+
+SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
+
+
+def target(name, zone="near", slots=4, **more):
+    return Target(
+        name, "s", zone, "10.0.0.1", 80, slots, Lifecycle.ACTIVE, "/h", None, **more
+    )
+
+
+def policy_of(*targets, now=0.0):
+    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings_for("ask-first"))
+    policy.update(SERVICE, list(targets), now)
+    return policy
+
+
+def call(now=1.0, **more):
+    return Call(arrived=now, deadline=now + 1, idempotent=True, **more)
+
+
+IDLE = LoadReport(0)
+
+
+def answer(policy, ask, now, reports=None):
+    for record in ask.targets:
+        report = (reports or {}).get(record.name, IDLE)
+        policy.note_check(record.name, report, report is not None, now)
+
+
+def settle(policy, req, now=1.0, **reports):
+    """Answer rounds of questions until something else is decided."""
+    decision = policy.arrive(req, now)
+    rounds = []
+    while isinstance(decision, Ask):
+        rounds.append([record.name for record in decision.targets])
+        answer(policy, decision, now, reports)
+        decision = policy.asked(req, now)
+    return decision, rounds
+
+
+def near(count):
+    return [target(f"n{index}") for index in range(count)]
+
+
+def far(count):
+    return [target(f"f{index}", "far") for index in range(count)]
+
+
+def test_an_idle_target_of_the_own_zone_ends_the_asking():
+    decision, rounds = settle(policy_of(*near(8), *far(8)), call())
+    assert isinstance(decision, Send)
+    assert len(rounds) == 1
+    assert len(rounds[0]) == 4
+    assert all(name.startswith("n") for name in rounds[0])
+
+
+def test_the_faster_of_two_machines_is_chosen():
+    """Symptom: requests take four times as long although other machines are calm.
+
+    Cause: a busy neighbour on the target's machine, which its slots do not show.
+    """
+    reports = {"n0": LoadReport(0, pace=4.0), "n1": LoadReport(1, pace=1.0)}
+    decision, _ = settle(policy_of(*near(2)), call(), **reports)
+    assert decision.attempt.target_name == "n1"
+
+
+def test_more_are_asked_only_if_none_will_do():
+    busy = LoadReport(4, pace=4.0)
+    targets = [*near(4), *far(8)]
+    reports = {f"n{index}": busy for index in range(4)}
+    decision, rounds = settle(policy_of(*targets), call(), **reports)
+    assert [len(names) for names in rounds] == [4, 4]
+    assert decision.attempt.target_name.startswith("f")
+
+
+def test_no_target_is_asked_twice_for_one_attempt():
+    busy = {f"n{index}": LoadReport(5) for index in range(20)}
+    _, rounds = settle(policy_of(*near(20)), call(), **busy)
+    asked = [name for names in rounds for name in names]
+    assert len(asked) == len(set(asked)) == 14
+
+
+def test_what_was_heard_a_moment_ago_is_not_asked_again():
+    policy = policy_of(*near(4))
+    settle(policy, call(now=1.0), now=1.0)
+    decision, rounds = settle(policy, call(now=1.002), now=1.002)
+    assert isinstance(decision, Send)
+    assert rounds == []
+
+
+def test_own_requests_since_the_report_count():
+    """Symptom: requests of one moment all go to the target that was idle.
+
+    Cause: each was compared by a report made before any of them was sent.
+    """
+    policy = policy_of(*near(4))
+    chosen = set()
+    for index in range(4):
+        now = 1.0 + index / 1000
+        decision, _ = settle(policy, call(now=now), now=now)
+        chosen.add(decision.attempt.target_name)
+    assert len(chosen) == 4
+
+
+def test_targets_that_give_no_answer_are_the_last_choice():
+    """Symptom: requests hang at a target that has crashed without a word.
+
+    Cause: its last report, made before, called it idle.
+    """
+    silent = {"n0": None, "n1": None, "n2": None}
+    policy = policy_of(*near(4))
+    for index in range(20):
+        now = 1.0 + index
+        decision, _ = settle(policy, call(now=now), now=now, **silent)
+        assert decision.attempt.target_name == "n3"
+        policy.finished(decision.attempt, Answered(), now + 0.1)
+
+
+def test_if_no_check_is_answered_requests_still_go_out():
+    policy = policy_of(*near(2))
+    decision, rounds = settle(policy, call(), n0=None, n1=None)
+    assert isinstance(decision, Send)
+    assert len(rounds) == 1
+
+
+def test_a_target_that_calls_itself_ill_is_used_if_all_others_are_worse():
+    policy = policy_of(*near(2))
+    req = call()
+    ask = policy.arrive(req, 1.0)
+    assert isinstance(ask, Ask)
+    policy.note_check("n0", LoadReport(0), False, 1.0)
+    policy.note_check("n1", LoadReport(0), True, 1.0)
+    decision = policy.asked(req, 1.0)
+    assert decision.attempt.target_name == "n1"
+    policy = policy_of(target("n0"))
+    req = call()
+    policy.arrive(req, 1.0)
+    policy.note_check("n0", LoadReport(0), False, 1.0)
+    assert policy.asked(req, 1.0).attempt.target_name == "n0"
+
+
+def test_a_target_that_has_just_started_gets_less():
+    warm, cold = target("warm"), target("cold", warmup_s=3.0)
+    policy = policy_of(warm, cold, now=0.5)
+    decision, _ = settle(policy, call(), warm=LoadReport(1), cold=LoadReport(0))
+    assert decision.attempt.target_name == "warm"
+    decision, _ = settle(policy, call(5.0), 5.0, warm=LoadReport(3), cold=LoadReport(0))
+    assert decision.attempt.target_name == "cold"
+
+
+def test_a_request_that_no_target_has_room_for_is_told_at_once():
+    full = {f"n{index}": LoadReport(8) for index in range(3)}
+    decision, _ = settle(policy_of(*near(3)), call(), **full)
+    assert decision == Refuse(Cause.OVERLOAD, decision.retry_after)
+    assert decision.retry_after > 0
+
+
+def test_a_refusal_is_followed_by_a_new_search_without_that_target():
+    policy = policy_of(*near(2))
+    decision, _ = settle(policy, call())
+    first = decision.attempt
+    again = policy.finished(first, TargetRefused(), 1.01)
+    while isinstance(again, Ask):
+        assert first.target_name not in [record.name for record in again.targets]
+        answer(policy, again, 1.01)
+        again = policy.asked(first.call, 1.01)
+    assert again.attempt.kind is AttemptKind.RETRY
+    assert again.attempt.target_name != first.target_name
+
+
+def test_the_route_bounds_the_attempts():
+    policy = policy_of(*near(6))
+    decision, _ = settle(policy, call(max_attempts=1))
+    assert isinstance(policy.finished(decision.attempt, TargetRefused(), 1.1), Refuse)
+
+
+def test_a_failed_answer_is_relayed_if_no_other_target_is_left():
+    policy = policy_of(target("n0"))
+    decision, _ = settle(policy, call())
+    tokens = policy.snapshot(1.0)["retry_tokens"]
+    assert policy.finished(decision.attempt, Answered(failed=True), 1.1) == Relay()
+    assert policy.snapshot(1.1)["retry_tokens"] == tokens
+
+
+def test_a_deadline_that_passes_while_targets_are_asked_ends_the_request():
+    policy = policy_of(*near(2))
+    req = call()
+    assert isinstance(policy.arrive(req, 1.0), Ask)
+    assert policy.asked(req, 3.0).cause is Cause.DEADLINE
+
+
+@pytest.mark.parametrize("instances", [1, 6])
+def test_instances_share_what_may_be_repeated_beyond_the_ratio(instances):
+    service = attrs.evolve(SERVICE, retry_ratio=0.0)
+    policy = ServicePolicy(service, "near", random.Random(3), settings_for("ask-first"))
+    policy.update(service, near(30), 0.0)
+    policy.share_with(instances)
+    repeats = 0
+    for index in range(20):
+        now = 1.0 + index / 100
+        decision, _ = settle(policy, call(now=now), now=now)
+        after = policy.finished(decision.attempt, TargetRefused(), now)
+        repeats += isinstance(after, Ask | Send)
+    assert repeats == 6 // instances
