Prove the adapter against stand-ins of its platform's store and targets

The stand-ins follow the platform's protocol, so that the tests need nothing of its kit.

- In the first second after a start no target was asked: the budget of status checks began empty and was sized a second later.
It starts full now, and is sized when targets come.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/lint-imports
+	PYTHONPATH=platform $(BIN)/lint-imports
 
 format: install
 	$(BIN)/ruff format .
--- a/packages/entry/src/cairnferry/entry/_asking.py
+++ b/packages/entry/src/cairnferry/entry/_asking.py
@@ -61,8 +61,13 @@
 
     def share_with(self, instances: int, targets: int) -> None:
         """Work out this instance's part of the budget."""
-        self._bucket.rate = BUDGET_SHARE * self.rate * targets / max(1, instances)
-        self._bucket.burst = self._bucket.rate * BURST_S
+        bucket = self._bucket
+        was_empty = not bucket.burst
+        bucket.rate = BUDGET_SHARE * self.rate * targets / max(1, instances)
+        bucket.burst = bucket.rate * BURST_S
+        if was_empty:
+            # The requests of the first seconds would go out unasked.
+            bucket.tokens = bucket.burst
 
     def ask(self, targets: tuple[Target, ...], runtime: ServiceRuntime) -> None:
         """Ask all targets at the same time; come back when they have answered.
--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -33,8 +33,9 @@
 from cairnferry.policy import DrainSource, PolicySettings
 from cairnferry.settings import Address
 
-HOUSEKEEPING_S = 0.1
-SHARE_OUT_ROUNDS = 10
+# Seconds between two looks at how many instances there are: the shares are wrong for
+# that long after some were lost or came, in sum by the part of those.
+SHARE_OUT_S = 1.0
 PEER_TIMEOUT_S = 0.8
 TASK_RETRY_S = 1.0
 
@@ -242,18 +243,34 @@
         tasks : list of callable
             Run beside the core's own ones as long as the daemon does.
         """
-        self.peer_server.start()
-        for server in self._listeners:
-            server.start()
         gevent.signal_handler(signal.SIGTERM, self.leave)
         gevent.signal_handler(signal.SIGINT, self.leave)
         gevent.signal_handler(signal.SIGHUP, self.reload.set)
         gevent.signal_handler(signal.SIGUSR1, self._print_dump)
+        self.start(tasks)
+        return self.run_to_end()
+
+    def run_to_end(self) -> int:
+        """Wait until told to leave, leave, and give the exit code."""
+        self._leaving.wait()
+        return self._finish()
+
+    def start(self, tasks: list[Callable[[], None]]) -> None:
+        """Start the listeners and the tasks."""
+        self.peer_server.start()
+        for server in self._listeners:
+            server.start()
         for task in (self.gossip.run, self._keep_house, *tasks):
             self.spawn(task)
         log.info("serving", extra={"callers": str(self.cfg.callers)})
-        self._leaving.wait()
-        return self._finish()
+
+    def stop(self) -> None:
+        """End everything at once."""
+        gevent.killall(self._tasks)
+        for server in self._listeners:
+            server.stop(timeout=0)
+        self.peer_server.stop()
+        self.upstreams.close()
 
     def spawn(self, function: Callable[[], None]) -> None:
         """Run a task as long as the daemon does."""
@@ -276,13 +293,16 @@
 
     def _keep_house(self):
         while True:
-            members = len(self.cluster.membership.live())
-            self.instances = max(members, len(self.cluster.listed), 1)
-            targets = len(self.services.targets())
-            self.checks.share_with(self.instances, targets)
-            for runtime in self.services.active().values():
-                runtime.policy.share_with(self.instances)
-            gevent.sleep(HOUSEKEEPING_S * SHARE_OUT_ROUNDS)
+            self.share_out()
+            gevent.sleep(SHARE_OUT_S)
+
+    def share_out(self) -> None:
+        """Work out this instance's part of what all share."""
+        members = len(self.cluster.membership.live())
+        self.instances = max(members, len(self.cluster.listed), 1)
+        self.checks.share_with(self.instances, len(self.services.targets()))
+        for runtime in self.services.active().values():
+            runtime.policy.share_with(self.instances)
 
     @property
     def is_leaving(self) -> bool:
@@ -307,9 +327,7 @@
         for server in self._listeners:
             if server is not self.callers_server:
                 server.finish(1.0)
-        gevent.killall(self._tasks)
-        self.peer_server.stop()
-        self.upstreams.close()
+        self.stop()
         log.info("left", extra={"every_request_answered": whole})
         return 0 if whole else 1
 
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -19,8 +19,6 @@
 from cairnferry.entry._callers import BodyLimits
 from cairnferry.entry._configuration import Configuration
 from cairnferry.entry._core import (
-    HOUSEKEEPING_S,
-    SHARE_OUT_ROUNDS,
     Conventions,
     Core,
     CoreSettings,
@@ -42,6 +40,8 @@
 LIST_POLL_FACTOR = 2
 START_RETRY_S = 0.2
 WRITE_PAUSE_S = 0.03
+HOUSEKEEPING_S = 0.1
+SHARE_OUT_ROUNDS = 10
 
 log = logging.getLogger(__name__)
 
--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -166,6 +166,7 @@
         ]
         self.core.services.install_targets(targets)
         self.core.upstreams.keep_only({target.address for target in targets})
+        self.core.share_out()
 
     # -- peers ------------------------------------------------------------------
 
--- a/packages/wire/src/cairnferry/wire/_simple.py
+++ b/packages/wire/src/cairnferry/wire/_simple.py
@@ -23,10 +23,13 @@
         IP address.
     port : int
         TCP port.
+    host_name : str, optional
+        Value of the Host header; the address if it is left out.
     """
 
     host: str
     port: int
+    host_name: str | None = None
     max_body: int = DEFAULT_MAX_BODY
     _pool: ConnectionPool = attrs.field(init=False)
 
@@ -36,7 +39,7 @@
     @property
     def authority(self) -> str:
         """Value of the Host header."""
-        return f"{self.host}:{self.port}"
+        return self.host_name or f"{self.host}:{self.port}"
 
     def call(
         self, method, path, *, timeout, headers=(), body=b"", idempotent=False
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,132 @@
+"""The adapter with stand-ins of its platform, in this process."""
+
+import pytest
+
+from cairnferry.entry import _asking
+from cairnferry.standins import free_port, wait_for
+from cairnferry.wire import Client
+from hosting._settings import read_host_settings
+from hosting._store import Store
+from hosting.command import build
+
+from ._standins import HOST, HostedTarget, StoreStandin, manifest, target_row
+
+SETTINGS = """\
+node_name={name}
+zone=hall
+region=there
+listen.front={host}:{front}
+listen.ready={host}:{ready}
+listen.directory={host}:{directory}
+port_range={peer},{peer}
+limits.max_fds=4100
+bounds.drain=2000ms
+bounds.grace=6s
+bounds.config_apply=2000ms
+bounds.ttl_max=5s
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_slack=64
+bounds.retry_window=10s
+bounds.probes_per_s=60
+platform.address={host}:{store}
+a.field.of.later={{"new"=1}}
+"""
+
+
+def settings_text(store_port, name="front-1"):
+    ports = {part: free_port() for part in ("front", "ready", "directory", "peer")}
+    return SETTINGS.format(name=name, host=HOST, store=store_port, **ports)
+
+
+@pytest.fixture(autouse=True)
+def patient_checks(monkeypatch):
+    """Let a round of checks end by its answers, not by time."""
+    monkeypatch.setattr(_asking, "ROUND_S", 10.0)
+
+
+@pytest.fixture
+def store():
+    standin = StoreStandin()
+    yield standin
+    standin.down = None
+    standin.resume.set()
+    standin.stop()
+
+
+@pytest.fixture
+def client(store):
+    return Store(Client(HOST, store.port))
+
+
+@pytest.fixture
+def start_target(store):
+    targets = []
+
+    def start(name="i-1", behave=None, service="svc", **more):
+        target = HostedTarget(name, behave, **more)
+        targets.append(target)
+        store.put("servers", name, target_row(target.port, service))
+        return target
+
+    yield start
+    for target in targets:
+        target.stop()
+
+
+class HostedDaemon:
+    """A daemon of the adapter whose tasks run in this process."""
+
+    def __init__(self, store_port, name):
+        self.cfg = read_host_settings(settings_text(store_port, name)).ok
+        self.built = build(self.cfg)
+        self.core = self.built.core
+        self.core.start(self.built.tasks)
+
+    def call(self, path="/a/x", method="GET", host="shop.example", **options):
+        """Send a request as a caller does."""
+        headers = [
+            ("Cairnferry-Request-Id", options.pop("request_id", "req-1")),
+            ("Cairnferry-Deadline-Ms", str(options.pop("deadline_ms", 20_000))),
+            *options.pop("headers", ()),
+        ]
+        client = Client(HOST, self.cfg.callers.port, host_name=host)
+        return client.call(method, path, timeout=30, headers=headers, **options)
+
+    def get(self, address, path):
+        return Client(HOST, address.port).call("GET", path, timeout=10)
+
+    def stop(self):
+        self.core.stop()
+
+
+@pytest.fixture
+def start_daemon(store):
+    daemons = []
+
+    def start(name="front-1", wait=True):
+        daemon = HostedDaemon(store.port, name)
+        daemons.append(daemon)
+        if wait:
+            wait_for(lambda: daemon.core.services.revision > 0)
+        return daemon
+
+    yield start
+    for daemon in daemons:
+        daemon.stop()
+
+
+@pytest.fixture
+def daemon(store, start_daemon):
+    """Give a daemon with one route to the service "svc"."""
+    store.put("op", "config", manifest())
+    return start_daemon()
+
+
+@pytest.fixture
+def knows():
+    """Wait until a daemon knows exactly these targets."""
+
+    def wait(daemon, *names):
+        wait_for(lambda: {t.name for t in daemon.core.services.targets()} == set(names))
+
+    return wait
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,124 @@
+"""Calls to the store, and the registry in it."""
+
+import gevent
+import pytest
+
+from cairnferry.entry.adapter import EntryRow, FeedUnavailable, HistoryLost
+from hosting._registry import TABLE, StoreRegistry
+from hosting._store import Conflict, RowRef, TableFeed
+
+ROW = RowRef("t", "k")
+
+
+def entry(name):
+    return EntryRow(name, "hall", f"10.0.0.1:{len(name)}", "10.0.0.1:80")
+
+
+def test_a_table_is_listed_page_by_page(store, client):
+    for index in range(8):
+        store.put("t", f"k{index}", {"n": index})
+    batch = client.rows("t").ok
+    assert [item.key for item in batch.items] == [f"k{index}" for index in range(8)]
+    assert batch.version == 8
+    assert store.calls["/api/rows-get"] == 3
+
+
+def test_an_empty_table_is_an_empty_batch(client):
+    assert client.rows("t").ok.items == ()
+
+
+def test_changes_are_waited_for(store, client):
+    feed = TableFeed(client, "t")
+    waiting = gevent.spawn(feed.since, 0)
+    while not store.calls["/api/rows-feed"]:
+        gevent.sleep(0)
+    store.put("t", "a", b"x")
+    batch = waiting.get().ok
+    assert [(item.key, item.value, item.version) for item in batch.items] == [
+        ("a", b"x", 1)
+    ]
+    store.drop("t", "a")
+    (item,) = feed.since(1).ok.items
+    assert (item.key, item.value) == ("a", None)
+
+
+def test_changes_that_are_no_longer_kept_are_a_type_of_their_own(store, client):
+    store.put("t", "a", b"x")
+    store.put("t", "a", b"y")
+    store.forget_history()
+    assert client.changes("t", 1).error == HistoryLost()
+
+
+@pytest.mark.parametrize("fault", [429, 503, "cut", "lost", "words"])
+def test_a_call_without_a_good_answer_says_why(store, client, fault):
+    store.faults["/api/rows-get"] = [fault]
+    error = client.rows("t").error
+    assert isinstance(error, FeedUnavailable)
+    assert error.reason
+    assert client.rows("t").is_ok()
+
+
+def test_a_write_happens_once_even_if_its_answer_is_lost(store, client):
+    """Symptom: a row is written twice. Cause: a library sends the call again."""
+    store.faults["/api/rows-tx"] = ["lost"]
+    assert client.write({ROW: b"1"}).is_error()
+    assert store.calls["/api/rows-tx"] == 1
+    assert store.rows["t"]["k"].value == b"1"
+
+
+def test_a_condition_that_does_not_hold_gives_the_rows_as_they_are(store, client):
+    assert client.write({ROW: b"1"}, absent=(ROW,)).is_ok()
+    conflict = client.write({ROW: b"2"}, absent=(ROW,)).error
+    assert isinstance(conflict, Conflict)
+    assert conflict.items[0].value == b"1"
+
+
+def test_a_row_is_deleted(store, client):
+    client.write({ROW: b"1"})
+    assert client.delete(ROW).is_ok()
+    assert client.rows("t").ok.items == ()
+
+
+# -- registry -----------------------------------------------------------------------
+
+
+def test_all_instances_get_the_same_key_and_see_each_other(store, client):
+    registry = StoreRegistry(client)
+    first = registry.enrol(entry("a")).ok
+    second = registry.enrol(entry("bb")).ok
+    assert first.key == second.key
+    assert first.entries == (entry("a"),)
+    assert set(second.entries) == {entry("a"), entry("bb")}
+
+
+def test_an_instance_that_comes_back_has_one_row(store, client):
+    registry = StoreRegistry(client)
+    registry.enrol(entry("a"))
+    assert registry.enrol(entry("a")).ok.entries == (entry("a"),)
+
+
+def test_a_lost_answer_to_the_first_write_does_not_change_the_key(store, client):
+    """Symptom: two groups of daemons that refuse each other.
+
+    Events: the write of the key is done and its answer lost; it is tried again.
+    Cause: another key written over the first one.
+    """
+    registry = StoreRegistry(client)
+    store.faults["/api/rows-tx"] = ["lost"]
+    assert registry.enrol(entry("a")).is_error()
+    key = store.rows[TABLE][" key"].value
+    assert registry.enrol(entry("a")).ok.key == key
+    assert registry.enrol(entry("bb")).ok.key == key
+
+
+def test_a_row_of_another_release_is_passed_over(store, client):
+    store.put(TABLE, "odd", {"name": "odd", "new": 1})
+    store.put(TABLE, "worse", b"\xff")
+    assert StoreRegistry(client).enrol(entry("a")).ok.entries == (entry("a"),)
+
+
+def test_a_row_is_taken_away(store, client):
+    registry = StoreRegistry(client)
+    registry.enrol(entry("a"))
+    assert registry.remove("a").is_ok()
+    assert registry.enrol(entry("bb")).ok.entries == (entry("bb"),)
