--- /dev/null
+++ b/tests/entry/test_settings_watch.py
@@ -0,0 +1,49 @@
+"""Settings that change while a daemon runs."""
+
+import pytest
+from expression import Error, Ok
+from gevent.event import Event
+
+from cairnferry.entry._settings_watch import SettingsWatch
+
+
+@pytest.fixture
+def watch(tmp_path):
+    path = tmp_path / "settings"
+    path.write_text("a=1\n")
+    applied = []
+
+    def read(text):
+        return Error(["a: is wrong"]) if "wrong" in text else Ok(text)
+
+    watch = SettingsWatch(str(path), read, applied.append, Event(), "a=1\n")
+    return watch, path, applied
+
+
+def test_a_change_is_applied_once(watch, caplog):
+    caplog.set_level("INFO")
+    watch, path, applied = watch
+    path.write_text("a=2\nb=3\n")
+    watch.look(was_told=False)
+    watch.look(was_told=False)
+    assert applied == ["a=2\nb=3\n"]
+    (record,) = [r for r in caplog.records if r.message == "reload"]
+    assert record.changed == ["a=2", "b=3"]
+
+
+def test_a_signal_without_a_change_is_logged(watch, caplog):
+    caplog.set_level("INFO")
+    watch, _, applied = watch
+    watch.look(was_told=True)
+    assert applied == []
+    assert "reload" in caplog.text
+
+
+def test_what_cannot_be_read_changes_nothing(watch, caplog):
+    watch, path, applied = watch
+    path.write_text("a=wrong\n")
+    watch.look(was_told=True)
+    path.unlink()
+    watch.look(was_told=True)
+    assert applied == []
+    assert caplog.text.count("settings kept") == 2
