Send lookups elsewhere when their target falls silent, and spare silent ones questions

Cause: a target whose machine goes dark answers nothing, so that lookups there took their whole deadline, and each request that asked it waited 30 ms for nothing. A target that gave no answer in time is not asked for 0.3 s, doubled up to 2.4 s. An idempotent request that takes longer than expected lets its target be asked; if that is silent, or after three times the expected time, it goes to a second target within the retry budget. Orders are never sent again.

--- a/packages/entry/src/cairnferry/entry/_asking.py
+++ b/packages/entry/src/cairnferry/entry/_asking.py
@@ -78,8 +78,11 @@
         checks = [self._check(target, runtime) for target in targets]
         deadline = time.monotonic() + ROUND_S
         for check in checks:
-            if check is not None:
-                check.done.wait(max(0.0, deadline - time.monotonic()))
+            if check is None:
+                continue
+            if not check.done.wait(max(0.0, deadline - time.monotonic())):
+                # The next request need not wait for it as well.
+                runtime.policy.note_unheard(check.target.name, time.monotonic())
 
     def _check(self, target, runtime):
         running = self._running.get(target.name)
--- a/packages/entry/src/cairnferry/entry/_forward.py
+++ b/packages/entry/src/cairnferry/entry/_forward.py
@@ -141,8 +141,7 @@
                 try:
                     attempt, outcome = self._results.get(timeout=timeout)
                 except Empty:
-                    timeout = None
-                    self._hedge(first.call)
+                    timeout = self._hedge(first.call, delay)
                     continue
                 del self._running[attempt]
                 if isinstance(outcome, BaseException):
@@ -166,10 +165,16 @@
             outcome = exc
         self._results.put((attempt, outcome))
 
-    def _hedge(self, call):
+    def _hedge(self, call, delay):
+        """Send the request once more if it is time; give the time to the next look."""
         decision = self.runtime.policy.hedge(call, time.monotonic())
-        if decision is not None:
-            self._start(decision.attempt)
+        match decision:
+            case Send(attempt):
+                self._start(attempt)
+                return None
+            case Ask(targets):
+                gevent.spawn(self.forwarder.checks.ask, targets, self.runtime)
+        return delay if self.runtime.policy.looks_again else None
 
     def _cut_losers(self):
         """Cut what still runs.
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -54,6 +54,14 @@
     less_urgent_share : float
         The same part for requests that are less urgent than others of the service,
         so that these find room.
+    look_s : float
+        Seconds between two looks at an attempt of an idempotent request.
+    doubt_factor : float
+        Multiple of the expected time from which its target is asked whether it is
+        still there.
+    stuck_factor : float
+        Multiple of the expected time from which the request is sent to a second
+        target although the first one still answers checks.
     far_cost : float
         Added cost of another availability zone: the longer way, and its price.
     warmup_cost : float
@@ -74,6 +82,9 @@
     objective_margin: float = 0.4
     less_urgent_share: float = 0.25
     calm_share: float = 0.8
+    look_s: float = 0.03
+    doubt_factor: float = 1.3
+    stuck_factor: float = 3.0
     far_cost: float = 0.06
     warmup_cost: float = 1.6
     unwell_cost: float = 4.0
@@ -121,8 +132,14 @@
         ask = self._next_round(call, near, far)
         if ask is not None:
             return ask
+        return self.best_known(near, far, now)
+
+    def best_known(
+        self, near: list[TargetState], far: list[TargetState], now: float
+    ) -> TargetState | None:
+        """Choose by what was heard lately; any, if nothing was."""
         _, best = self._cheapest(near, far, now, self.settings.known_s)
-        if best is None:
+        if best is None and (near or far):
             # Checks get lost where requests still go through.
             return self.rng.choice(near or far)
         return best
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -119,6 +119,10 @@
         """Take in the result of a probe."""
         self._targets.note_probe(target_name, healthy, now)
 
+    def note_unheard(self, target_name: str, now: float) -> None:
+        """Take in that a target has not answered a check in time."""
+        self._targets.note_unheard(target_name, now)
+
     def note_check(
         self, target_name: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
@@ -246,16 +250,29 @@
 
     def hedge_delay(self) -> float | None:
         """Give the seconds after which an attempt may be doubled; None: never."""
+        if self.settings.seek is not None:
+            return self.settings.seek.look_s
         latency = self._targets.latency
         if not self.service.hedging or not latency.high:
             return None
         late = self.settings.hedge_factor * latency.usual
         return max(self.settings.hedge_min_s, late, latency.high)
 
-    def hedge(self, call: Call, now: float) -> Send | None:
-        """Send an idempotent request a second time, if the budget has room."""
+    @property
+    def looks_again(self) -> bool:
+        """Whether `hedge` is to be called again after another such delay."""
+        return self.settings.seek is not None
+
+    def hedge(self, call: Call, now: float) -> Send | Ask | None:
+        """Send an idempotent request a second time, if the budget has room.
+
+        Where targets can be asked, only if the first one is stuck: an answer to
+        `Ask` is followed by another call.
+        """
         if not call.idempotent or call.open_attempts != 1 or now >= call.deadline:
             return None
+        if self.settings.seek is not None:
+            return self._hedge_if_stuck(call, now)
         if not self._may_add(call) or not self._room.has(call.priority):
             return None
         if not self._budget.spend(now):
@@ -263,6 +280,28 @@
         attempt = self._place(call, AttemptKind.HEDGE, now)
         return Send(attempt) if attempt else None
 
+    def _hedge_if_stuck(self, call, now):
+        if not self._may_add(call):
+            return None
+        attempt = next(each for each in call.attempts if not each.ended)
+        target = attempt.target
+        cfg = self.settings.seek
+        elapsed = now - attempt.started
+        expected = self._work.seconds(call.route) * attempt.cost
+        if not expected or elapsed < cfg.doubt_factor * expected:
+            return None
+        is_silent = target.unheard and target.checked_at > attempt.started
+        if not is_silent and elapsed < cfg.stuck_factor * expected:
+            wants_check = now - target.checked_at > cfg.look_s
+            return Ask((target.record,)) if wants_check else None
+        other = self._targets.best_known(call, now)
+        if other is None or not self._budget.spend(now):
+            return None
+        cost = self._targets.seeker.cost(other, now)
+        second = self._start(call, other, AttemptKind.HEDGE, now, False)
+        second.cost = cost
+        return Send(second)
+
     # -- waiting ---------------------------------------------------------------
 
     def _enqueue(self, call, now):
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/_target.py
@@ -13,6 +13,10 @@
 # Answers this many times slower than usual are taken for a slow target.
 CLEARLY_SLOWER = 2.0
 SLOW_GAIN = 0.7
+# Seconds for which a target is not asked again after it gave no answer in time, and
+# how often that is doubled. Each request that asks it waits 30 ms for nothing.
+MUTE_S = 0.3
+MAX_MUTE_DOUBLINGS = 3
 
 
 class DrainSource(enum.StrEnum):
@@ -66,6 +70,12 @@
         Time to which it is slow after its start.
     unwell_until : float
         Time to which its last check that said so counts.
+    checked_at : float
+        Time of the last check, answered or not.
+    unheard : int
+        Checks in a row that were not answered in time.
+    mute_until : float
+        Time to which it is not asked, after such a check.
     """
 
     record: Target
@@ -88,6 +98,9 @@
     reported_in_use: float = 0.0
     warm_at: float = -math.inf
     unwell_until: float = -math.inf
+    checked_at: float = -math.inf
+    unheard: int = 0
+    mute_until: float = -math.inf
 
     @property
     def name(self) -> str:
@@ -194,6 +207,16 @@
         self.reported_at = now
         self.reported_in_use = report.in_use
         self.pace = report.pace
+        self.unheard = 0
+        self.mute_until = -math.inf
+
+    def note_unheard(self, now: float) -> None:
+        """Take in that it did not answer a check in time."""
+        self.checked_at = now
+        self.reported_at = -math.inf
+        pause = MUTE_S * 2 ** min(self.unheard, MAX_MUTE_DOUBLINGS)
+        self.unheard += 1
+        self.mute_until = now + pause
 
     def expected_in_use(self) -> float:
         """Give the requests there at the last report and those sent since."""
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -112,11 +112,25 @@
 
     def seek(self, call: Call, now: float) -> TargetState | Ask | None:
         """Choose a target by what some say of themselves, or say which to ask."""
+        near, far = self._candidates(call, now)
+        return self.seeker.seek(call, near, far, now)
+
+    def best_known(self, call: Call, now: float) -> TargetState | None:
+        """Choose a target without asking any."""
+        near, far = self._candidates(call, now)
+        return self.seeker.best_known(near, far, now)
+
+    def _candidates(self, call, now):
+        """List the targets that may be used, those not heard of only if need be."""
         near, far = self._usable.lists(self._states, now)
         if call.attempts:
             near = [target for target in near if not call.tried(target.name)]
             far = [target for target in far if not call.tried(target.name)]
-        return self.seeker.seek(call, near, far, now)
+        heard_near = [target for target in near if target.mute_until <= now]
+        heard_far = [target for target in far if target.mute_until <= now]
+        if heard_near or heard_far:
+            return heard_near, heard_far
+        return near, far
 
     def choose_for_trial(self, call: Call, now: float) -> TargetState | None:
         """Choose an ejected target for which it is time to be tested."""
@@ -227,14 +241,21 @@
         target = self._states.get(name)
         if target is None:
             return
+        target.checked_at = now
         if report is None:
             # It would look idle by what it said last.
-            target.reported_at = -math.inf
+            target.note_unheard(now)
         else:
             self._learn_report(target, report, now)
         if not well:
             target.unwell_until = now + UNWELL_S
 
+    def note_unheard(self, name: str, now: float) -> None:
+        """Take in that a target has not answered a check in time."""
+        target = self._states.get(name)
+        if target is not None:
+            target.note_unheard(now)
+
     def note_probe(self, name: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe.
 
