Notice that the store is back within its grace, and keep a margin in the retry budget

The call after a failed one waited 8 s for changes and 2 s more for its answer, which the silent store never gave; all 18 daemons did so in step, as the last change had woken them together. A tenth of the budget is kept.

Tests: tests/entry/test_following.py, tests/policy/test_seeking.py.

--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from cairnferry.coordination import Note
 from cairnferry.entry._core import Core
 from cairnferry.entry._following import Follower
 from cairnferry.entry._ports import (
@@ -18,13 +19,19 @@
     Rules,
 )
 from cairnferry.peers import PeerCallFailed, PeerLink
-from cairnferry.records import Target
+from cairnferry.policy import DrainSource
+from cairnferry.records import Lifecycle, Target
 
 # Seconds between two calls for targets. Targets that start one after the other would
 # else be heard of one by one, at every daemon; a target that leaves may be given work
 # for two seconds more.
 TARGETS_COALESCE_S = 0.6
 
+# Seconds between two looks at how old the knowledge of the rules is.
+CONFIRM_S = 0.5
+# Seconds for which other daemons keep in mind that a target leaves.
+LEAVING_NOTE_S = 15.0
+
 log = logging.getLogger(__name__)
 
 
@@ -68,14 +75,16 @@
         targets = Follower(
             "targets", self.targets_feed, self._take_targets, rng, TARGETS_COALESCE_S
         )
-        return [lambda: self._follow_rules(rules), targets.run]
+        rules.partners.append(targets)
+        targets.partners.append(rules)
+        return [rules.run, targets.run, lambda: self._confirm(rules)]
 
-    def _follow_rules(self, follower):
+    def _confirm(self, follower):
+        """Tell the cluster now and then how old the knowledge of the rules is."""
         while True:
-            pause = follower.one_call()
+            gevent.sleep(CONFIRM_S)
             if follower.confirmed_at is not None and self.revision:
                 self.core.cluster.confirmation.confirm(follower.confirmed_at)
-            gevent.sleep(pause)
 
     # -- rules ------------------------------------------------------------------
 
@@ -148,6 +157,7 @@
                 continue
             targets[key] = decoded.ok
         self._log_changes(targets)
+        self._tell_leaving(targets)
         self._targets = targets
         self._rows = rows
         self._install_targets()
@@ -165,6 +175,20 @@
                 "targets", extra={"came": came, "went": went, "lifecycle": changed}
             )
 
+    def _tell_leaving(self, targets):
+        """Tell other daemons of targets that leave: they may be cut from the store."""
+        leaving = self._targets.keys() - targets.keys()
+        for name, target in targets.items():
+            if target.lifecycle is Lifecycle.DRAINING:
+                leaving.add(name)
+        source = str(DrainSource.PLATFORM)
+        posted = [
+            self.core.cluster.post(Note(name, source, LEAVING_NOTE_S))
+            for name in leaving
+        ]
+        if any(posted):
+            self.core.gossip.hurry()
+
     def _install_targets(self):
         if self._rules is None:
             return
--- a/packages/entry/src/cairnferry/entry/_following.py
+++ b/packages/entry/src/cairnferry/entry/_following.py
@@ -24,11 +24,21 @@
 # Rows lapse while their writers cannot reach the store; the platform says that those
 # of living writers are back within two seconds.
 RETURN_GRACE_S = 1.9
+# Longest time in seconds for which a call waits for changes, and the shortest as a
+# part of it. A store that falls silent is noticed when the wait is over: waits of
+# different lengths keep instances out of step, so that one of them soon finds it back
+# and tells the others.
+MAX_WAIT_S = 8.0
+MIN_WAIT_SHARE = 0.4
 
 log = logging.getLogger(__name__)
 
 
-@attrs.define
+class _Restart(BaseException):
+    """Ends a call that may wait for an answer which was lost."""
+
+
+@attrs.define(eq=False)
 class Follower:
     """Follows one feed.
 
@@ -58,6 +68,11 @@
     rng: random.Random
     coalesce_s: float = 0.25
     confirmed_at: float | None = None
+    partners: list["Follower"] = attrs.field(factory=list)
+    _task: gevent.Greenlet | None = None
+    _asked_at: float = 0.0
+    _is_asking: bool = False
+    _in_doubt: bool = False
     _items: dict[str, Item] = attrs.field(factory=dict)
     _version: int | None = None
     _failures: int = 0
@@ -66,19 +81,41 @@
 
     def run(self) -> None:
         """Follow for ever."""
+        self._task = gevent.getcurrent()
         while True:
-            gevent.sleep(self.one_call())
+            pause = self._one_call_or_restart()
+            gevent.sleep(pause)
+
+    def _one_call_or_restart(self):
+        try:
+            return self.one_call()
+        except _Restart:
+            self._is_asking = False
+            self._in_doubt = True
+            return 0.0
+
+    def doubt_calls_before(self, moment: float) -> None:
+        """Give up a call that began before a moment at which the store was away.
+
+        Its answer may be lost, and it would wait for it to its timeout, while changes
+        come.
+        """
+        if self._is_asking and self._asked_at < moment:
+            self._task.kill(_Restart, block=False)
 
     def one_call(self) -> float:
         """Make one call and take in its result; give the seconds to pause."""
-        asked_at = time.monotonic()
+        asked_at = self._asked_at = time.monotonic()
         listing = self._version is None
+        self._is_asking = True
         if listing:
             result = self.feed.everything()
         else:
-            result = self.feed.since(self._version)
+            result = self.feed.since(self._version, self._wait())
+        self._is_asking = False
         if result.is_error():
             return self._failed(result.error)
+        self._in_doubt = False
         self._succeeded()
         self.confirmed_at = asked_at
         if listing:
@@ -87,6 +124,13 @@
             self._take_changes(result.ok)
         return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
+    def _wait(self):
+        """Give the seconds to wait for changes; none while the store may be away."""
+        if self._failures or self._in_doubt:
+            return 0.0
+        share = MIN_WAIT_SHARE + (1 - MIN_WAIT_SHARE) * self.rng.random()
+        return MAX_WAIT_S * share
+
     def _failed(self, fault):
         match fault:
             case HistoryLost():
@@ -105,6 +149,8 @@
             return
         log.info("feed is back", extra={"feed": self.name, "failed": self._failures})
         self._failures = 0
+        for partner in self.partners:
+            partner.doubt_calls_before(self._asked_at)
         if self._items:
             self._grace_until = time.monotonic() + RETURN_GRACE_S
 
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -95,8 +95,8 @@
     def everything(self) -> Result[Batch, FeedFault]:
         """List all rows."""
 
-    def since(self, version: int) -> Result[Batch, FeedFault]:
-        """Wait for changes after a version; an empty batch if there were none."""
+    def since(self, version: int, wait_s: float) -> Result[Batch, FeedFault]:
+        """Wait for changes after a version, so long at most."""
 
 
 @attrs.frozen
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -80,8 +80,9 @@
                 self.settings.retry_burst,
                 self.settings.retry_start,
             )
-        slack = service.retry_slack / self._instances
-        return WindowBudget(service.retry_ratio, slack, service.retry_window_s)
+        part = self.settings.budget_share
+        slack = part * service.retry_slack / self._instances
+        return WindowBudget(part * service.retry_ratio, slack, service.retry_window_s)
 
     # -- what is known of the service and its targets --------------------------
 
@@ -89,13 +90,16 @@
         """Take in how many instances share the service's retry budget."""
         self._instances = max(1, instances)
         if isinstance(self._budget, WindowBudget):
-            self._budget.slack = self.service.retry_slack / self._instances
+            part = self.settings.budget_share
+            self._budget.slack = part * self.service.retry_slack / self._instances
 
     def update(self, service: Service, targets: list[Target], now: float) -> None:
         """Take in the records in force; what was learnt of targets is kept."""
         is_new = not self._targets
         self.service = service
         self._budget.ratio = service.retry_ratio
+        if isinstance(self._budget, WindowBudget):
+            self._budget.ratio *= self.settings.budget_share
         self._targets.update(targets, now)
         self._room.set_slots(sum(target.slots for target in targets), is_new)
 
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -87,6 +87,10 @@
         Time in seconds between two probes of one target, over all daemons.
     retry_after_s : float
         Retry-After in seconds where nothing better is known.
+    budget_share : float
+        Part of a budget in windows that is spent. Instances see the windows a little
+        shifted, and count requests that others do not: with all of it spent, 334
+        repeats were seen in a window that allowed 331.
     min_retry_after_s : float
         Shortest Retry-After in seconds: below it a caller would come back before
         anything has changed.
@@ -125,6 +129,7 @@
     wait_share: float = 0.4
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
+    budget_share: float = 0.9
     min_retry_after_s: float = 0.05
     seek: SeekSettings | None = None
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -29,7 +29,7 @@
 
 def test_changes_are_waited_for(store, client):
     feed = TableFeed(client, "t")
-    waiting = gevent.spawn(feed.since, 0)
+    waiting = gevent.spawn(feed.since, 0, 30.0)
     while not store.calls["/api/rows-feed"]:
         gevent.sleep(0)
     store.put("t", "a", b"x")
@@ -38,7 +38,7 @@
         ("a", b"x", 1)
     ]
     store.drop("t", "a")
-    (item,) = feed.since(1).ok.items
+    (item,) = feed.since(1, 30.0).ok.items
     assert (item.key, item.value) == ("a", None)
 
 
@@ -46,7 +46,7 @@
     store.put("t", "a", b"x")
     store.put("t", "a", b"y")
     store.forget_history()
-    assert client.changes("t", 1).error == HistoryLost()
+    assert client.changes("t", 1, 30.0).error == HistoryLost()
 
 
 @pytest.mark.parametrize("fault", [429, 503, "cut", "lost", "words"])
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -17,13 +17,15 @@
     def __init__(self, *results):
         self.results = list(results)
         self.asked = []
+        self.waits = []
 
     def everything(self):
         self.asked.append("all")
         return self.results.pop(0)
 
-    def since(self, version):
+    def since(self, version, wait_s):
         self.asked.append(version)
+        self.waits.append(wait_s)
         return self.results.pop(0)
 
 
@@ -155,3 +157,54 @@
     follower, _, seen = follow(batch(5, put("a", 3)), batch(6, removed("a", 6)))
     play(follower, 2)
     assert seen[-1] == {}
+
+
+def test_while_the_store_may_be_away_calls_do_not_wait(follow):
+    """Symptom: ten seconds after an outage old rules are still in force.
+
+    Events: the store is silent for five seconds; in that time a call is made that is
+    to wait eight seconds for changes. Its answer never comes. Cause: the wait, and the
+    time allowed for it, although the call before it had failed.
+    """
+    follower, feed, _ = follow(batch(5), batch(6), DOWN, DOWN, batch(6), batch(6))
+    play(follower, 6)
+    assert [wait > 0 for wait in feed.waits] == [True, True, False, False, True]
+
+
+def test_waits_differ_so_that_instances_get_out_of_step(follow):
+    follower, feed, _ = follow(batch(5), *[batch(5)] * 10)
+    play(follower, 11)
+    assert len(set(feed.waits)) == 10
+    longest = _following.MAX_WAIT_S
+    shortest = _following.MIN_WAIT_SHARE * longest
+    assert all(shortest <= wait <= longest for wait in feed.waits)
+
+
+class HangingFeed(ScriptedFeed):
+    """Its first wait for changes gets no answer."""
+
+    def since(self, version, wait_s):
+        result = super().since(version, wait_s)
+        if result is None:
+            gevent.sleep(1000)
+        return result
+
+
+def test_a_feed_that_finds_the_store_back_wakes_the_other_one(follow):
+    """Symptom: rules are up to date after an outage, and targets are not.
+
+    Cause: the call for targets waits for an answer that was lost in the outage.
+    """
+    rules, _, _ = follow(batch(5), DOWN, batch(5))
+    hanging = HangingFeed(batch(5, put("a", 3)), None, batch(7, removed("a", 7)))
+    targets = Follower("targets", hanging, lambda rows: None, random.Random(1))
+    rules.partners.append(targets)
+    play(rules, 2)
+    task = gevent.spawn(targets.run)
+    while len(hanging.asked) < 2:
+        gevent.sleep(0.01)
+    rules.one_call()
+    while len(hanging.asked) < 3:
+        gevent.sleep(0.01)
+    task.kill()
+    assert hanging.waits[1] == 0.0
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/test_seeking.py
@@ -223,7 +223,8 @@
         decision, _ = settle(policy, call(now=now), now=now)
         after = policy.finished(decision.attempt, TargetRefused(), now)
         repeats += isinstance(after, Ask | Send)
-    assert repeats == 6 // instances
+    # A tenth of what is allowed is never spent.
+    assert repeats == int(0.9 * 6 / instances)
 
 
 # -- more than the targets can do ---------------------------------------------------
