Log what is believed of targets, and requests that were sent more than once

One line for each target that falls silent, is heard again, is ejected or returns, with what decided it; one for each request that went to more than one target or was given up, with its ID, the revision in force, the targets asked and tried, and the time it had.

--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -138,6 +138,11 @@
         decision = forwarded.decision
         if isinstance(decision, Relay):
             self.metrics.note_answer(service, "relayed", elapsed)
+            if len(call.attempts) > 1 and self._log_limit.allows():
+                log.info(
+                    "request sent more than once",
+                    extra=self._facts(service, call, request_id, elapsed),
+                )
             return
         outcome = "unknown" if isinstance(decision, GiveUp) else "not-run"
         self.metrics.note_answer(service, outcome, elapsed)
@@ -146,16 +151,26 @@
             log.warning(
                 "request given up",
                 extra={
-                    "request_id": request_id,
-                    "service": service,
+                    **self._facts(service, call, request_id, elapsed),
                     "outcome": outcome,
                     "cause": str(decision.cause),
-                    "attempts": [a.target_name for a in call.attempts],
-                    "after_ms": round(elapsed * MS_PER_S, 1),
-                    "left_out": self._log_limit.take_left_out(),
+                    "retry_after_s": round(decision.retry_after, 3),
                 },
             )
 
+    def _facts(self, service, call, request_id, elapsed):
+        """Give what a log line on a request says of it."""
+        return {
+            "request_id": request_id,
+            "service": service,
+            "revision": self.services.revision,
+            "attempts": [f"{a.kind} {a.target_name}" for a in call.attempts],
+            "asked": sorted(call.search.asked),
+            "after_ms": round(elapsed * MS_PER_S, 1),
+            "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
+            "left_out": self._log_limit.take_left_out(),
+        }
+
     def steering_answer(self, path: str) -> Answer:
         """Say which entry instances to use for a service."""
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(path).query)
--- a/packages/entry/src/cairnferry/entry/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/_runtime.py
@@ -1,10 +1,12 @@
 """A service's policy at work: clock, waiting requests, wake-ups."""
 
+import logging
 import time
 
 import gevent
 from gevent.event import AsyncResult
 
+from cairnferry.entry._logs import RateLimit
 from cairnferry.policy import (
     Attempt,
     AttemptResult,
@@ -19,6 +21,8 @@
 # while requests wait, in seconds.
 LOOK_INTERVAL_S = 0.002
 
+log = logging.getLogger(__name__)
+
 
 class ServiceRuntime:
     """Drives one policy for the tasks of many callers.
@@ -33,6 +37,7 @@
         self.policy = policy
         self._waiting: dict[Call, AsyncResult] = {}
         self._looker = None
+        self._log_limit = RateLimit()
 
     def arrive(self, call: Call) -> Decision:
         """Decide about a request that arrives."""
@@ -47,8 +52,23 @@
         decision = self.policy.finished(attempt, result, time.monotonic())
         self._noted(attempt.call, decision)
         self.settle_waiting()
+        self._log_events()
         return decision
 
+    def _log_events(self):
+        """Write what changed in the belief about targets, up to a rate."""
+        for event in self.policy.take_events():
+            if self._log_limit.allows():
+                log.info(
+                    "target " + event.belief,
+                    extra={
+                        "service": self.policy.service.name,
+                        "target": event.target,
+                        **event.inputs,
+                        "left_out": self._log_limit.take_left_out(),
+                    },
+                )
+
     def cancelled(self, attempt: Attempt) -> None:
         """Take in that an attempt was cut off here."""
         self.policy.cancelled(attempt, time.monotonic())
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -21,6 +21,7 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy._events import Belief, TargetEvent
 from cairnferry.policy._evidence import (
     Answered,
     AttemptResult,
@@ -57,6 +58,7 @@
     "Attempt",
     "AttemptKind",
     "AttemptResult",
+    "Belief",
     "Call",
     "Cause",
     "Decision",
@@ -78,6 +80,7 @@
     "SeekSettings",
     "ServicePolicy",
     "Strategy",
+    "TargetEvent",
     "TargetRefused",
     "TwoChoices",
     "Wait",
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/_events.py
@@ -0,0 +1,54 @@
+"""Changes in what the policy believes of a target, for those who log them."""
+
+import enum
+from collections import deque
+
+import attrs
+
+# Events kept until they are taken; a driver takes them after each result.
+MAX_KEPT = 256
+
+
+class Belief(enum.StrEnum):
+    """What is believed from now on."""
+
+    EJECTED = "ejected"
+    RETURNED = "returned"
+    SILENT = "silent"
+    HEARD = "heard again"
+
+
+@attrs.frozen
+class TargetEvent:
+    """A change.
+
+    Attributes
+    ----------
+    target : str
+        Name of the target.
+    belief : Belief
+        What is believed now.
+    inputs : dict
+        What decided it.
+    """
+
+    target: str
+    belief: Belief
+    inputs: dict
+
+
+@attrs.define
+class EventLog:
+    """Events in their order; the oldest are dropped if nobody takes them."""
+
+    _events: deque[TargetEvent] = attrs.field(factory=lambda: deque(maxlen=MAX_KEPT))
+
+    def note(self, target: str, belief: Belief, **inputs) -> None:
+        """Add an event."""
+        self._events.append(TargetEvent(target, belief, inputs))
+
+    def take(self) -> list[TargetEvent]:
+        """Give the events since the last call."""
+        taken = list(self._events)
+        self._events.clear()
+        return taken
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -3,6 +3,7 @@
 import random
 
 from cairnferry.policy._budget import RetryBudget, WindowBudget
+from cairnferry.policy._events import TargetEvent
 from cairnferry.policy._evidence import (
     Answered,
     AttemptResult,
@@ -443,6 +444,10 @@
         self.given_up[cause] += 1
         return Refuse(cause, self.settings.retry_after_s)
 
+    def take_events(self) -> list[TargetEvent]:
+        """Give the changes in what is believed of targets since the last call."""
+        return self._targets.events.take()
+
     # -- what is shown ---------------------------------------------------------
 
     def snapshot(self, now: float) -> dict:
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -5,6 +5,7 @@
 
 from cairnferry.policy._choice import Chooser
 from cairnferry.policy._ejection import Ejector
+from cairnferry.policy._events import Belief, EventLog
 from cairnferry.policy._evidence import (
     Answered,
     AttemptResult,
@@ -50,12 +51,15 @@
         Answer times of the service.
     reported_load : float
         Mean load that targets report, as a share of their slots.
+    events : EventLog
+        Changes in what is believed.
     """
 
     def __init__(self, zone: str, rng: random.Random, settings: PolicySettings):
         self.settings = settings
         self.latency = LatencyEstimate(settings.high_quantile)
         self.reported_load = 0.0
+        self.events = EventLog()
         self._states: dict[str, TargetState] = {}
         self._usable = UsableTargets(zone)
         self._chooser = Chooser(
@@ -187,6 +191,7 @@
         self._ejector.note_success(target, now)
         if was_out:
             self._usable.forget()
+            self.events.note(target.name, Belief.RETURNED, by="answer")
         if report is not None:
             self._learn_report(target, report, now)
 
@@ -201,8 +206,16 @@
     def _learn_failure(self, target, elapsed, now):
         slow = self.latency.usual * self.settings.failure_latency_factor
         target.note_latency(max(elapsed, slow), self.settings.latency_gain, now)
+        was_out = bool(target.ejected_until)
         self._ejector.note_failure(target, self, now)
         self._usable.forget()
+        if target.ejected_until and not was_out:
+            self.events.note(
+                target.name,
+                Belief.EJECTED,
+                failures=target.failures,
+                for_s=round(target.ejected_until - now, 3),
+            )
 
     def _learn_refusal(self, target, draining, report, now):
         if draining:
@@ -244,9 +257,11 @@
         target.checked_at = now
         if report is None:
             # It would look idle by what it said last.
-            target.note_unheard(now)
-        else:
-            self._learn_report(target, report, now)
+            self._note_silence(target, now)
+            return
+        if target.unheard:
+            self.events.note(target.name, Belief.HEARD, after_checks=target.unheard)
+        self._learn_report(target, report, now)
         if not well:
             target.unwell_until = now + UNWELL_S
 
@@ -254,7 +269,14 @@
         """Take in that a target has not answered a check in time."""
         target = self._states.get(name)
         if target is not None:
-            target.note_unheard(now)
+            self._note_silence(target, now)
+
+    def _note_silence(self, target, now):
+        target.note_unheard(now)
+        if target.unheard == 1:
+            self.events.note(
+                target.name, Belief.SILENT, in_flight=target.in_flight, checks=1
+            )
 
     def note_probe(self, name: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe.
@@ -268,6 +290,7 @@
         if now >= target.ejected_until + PROBE_RETURN_S:
             self._ejector.note_success(target, now)
             self._usable.forget()
+            self.events.note(target.name, Belief.RETURNED, by="probe")
 
     def snapshot(self, now: float) -> list[dict]:
         """Give the state for a dump, as plain values."""
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/test_seeking.py
@@ -396,3 +396,28 @@
         attempt = in_flight(policy, now)
         hedges += isinstance(policy.hedge(attempt.call, now + 0.6), Send)
     assert 0 < hedges <= 0.2 * 90 + 6
+
+
+# -- what is told of targets ---------------------------------------------------------
+
+
+def test_what_is_believed_of_a_target_is_told_once():
+    policy = policy_of(*near(2))
+    for now in (1.0, 2.0, 5.0):
+        policy.note_check("n0", None, False, now)
+    policy.note_check("n0", LoadReport(0), True, 6.0)
+    told = [(event.target, str(event.belief)) for event in policy.take_events()]
+    assert told == [("n0", "silent"), ("n0", "heard again")]
+    assert policy.take_events() == []
+
+
+def test_an_ejection_is_told_with_what_decided_it():
+    policy = policy_of(*near(4))
+    for index in range(3):
+        now = 1.0 + index
+        others = dict.fromkeys(["n1", "n2", "n3"], LoadReport(3))
+        decision, _ = settle(policy, call(now=now), now=now, **others)
+        policy.finished(decision.attempt, Answered(failed=True), now + 0.1)
+    (event,) = policy.take_events()
+    assert (event.target, str(event.belief)) == ("n0", "ejected")
+    assert event.inputs == {"failures": 3, "for_s": 1.0}
