--- a/packages/entry/src/cairnferry/entry/_asking.py
+++ b/packages/entry/src/cairnferry/entry/_asking.py
@@ -17,6 +17,9 @@
 # Longest wait in seconds for the answers of a round. A sound target answers within
 # 2 ms; what takes longer is at a target that one would not choose anyway.
 ROUND_S = 0.03
+# Turns of the event loop in which answers that are there already are still taken: one
+# to notice that a socket is readable, one to read it, one to tell.
+LOOKS_AFTER_TIME = 3
 # Time in seconds after which a check is given up and its connection closed.
 CHECK_TIMEOUT_S = 0.5
 # Part of the budget of status checks that is used; the rest covers instances that
@@ -76,11 +79,18 @@
         wait: then the next request knows it.
         """
         checks = [self._check(target, runtime) for target in targets]
+        checks = [check for check in checks if check is not None]
         deadline = time.monotonic() + ROUND_S
         for check in checks:
-            if check is None:
-                continue
-            if not check.done.wait(max(0.0, deadline - time.monotonic())):
+            check.done.wait(max(0.0, deadline - time.monotonic()))
+        if all(check.done.is_set() for check in checks):
+            return
+        # A process that was held up finds its time over and the answers there at the
+        # same moment. Without a look at these all targets would count as silent.
+        for _ in range(LOOKS_AFTER_TIME):
+            gevent.sleep(0)
+        for check in checks:
+            if not check.done.is_set():
                 # The next request need not wait for it as well.
                 runtime.policy.note_unheard(check.target.name, time.monotonic())
 
