Tell all that are refused to come back while they can still be in time

Requests that targets shed were told to wait 1 s, and those refused here came back so late that half of them missed their objective.

--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -182,7 +182,7 @@
     def asked(self, call: Call, now: float) -> Decision:
         """Decide about a request once the targets to ask have been asked."""
         if now >= call.deadline:
-            return self._settle(call, Cause.DEADLINE)
+            return self._settle(call, Cause.DEADLINE, now)
         return self._search_on(call, now)
 
     def _seek(self, call, kind, now):
@@ -197,7 +197,7 @@
             case Ask() as ask:
                 return ask
             case None:
-                return self._settle(call, Cause.NO_TARGET)
+                return self._settle(call, Cause.NO_TARGET, now)
             case target:
                 return self._send_or_refuse(call, target, now)
 
@@ -206,7 +206,7 @@
         work = self._work.seconds(call.route)
         urgent = self._work.is_urgent(call.rank)
         if not seeker.is_worth_sending(call, target, work, urgent, now):
-            return self._settle(call, Cause.OVERLOAD, self._return_after(call, now))
+            return self._settle(call, Cause.OVERLOAD, now)
         attempt = self._start(call, target, call.search.kind, now, False)
         attempt.cost = seeker.cost(target, now)
         return Send(attempt)
@@ -217,11 +217,12 @@
         Early enough to make its objective if room is found then, and spread, so that
         those that were refused together do not come back together.
         """
-        spread = 0.4 + 0.6 * self._rng.random()
         if call.objective is None:
-            return self.settings.retry_after_s * spread
+            return self.settings.retry_after_s
+        earliest, latest = self.settings.return_shares
+        share = earliest + (latest - earliest) * self._rng.random()
         slack = call.objective - now - self._work.seconds(call.route)
-        return max(self.settings.min_retry_after_s, slack * spread)
+        return max(self.settings.min_retry_after_s, slack * share)
 
     def _adapt_room(self, now):
         latency = self._targets.latency.usual
@@ -239,10 +240,12 @@
                 # room. If most refuse, more attempts would only add to the load.
                 sound = self._targets.most_are_sound(now)
                 again = self._again(call, now, sound and not call.possibly_run)
-                return again or self._settle(call, _cause(result))
+                return again or self._settle(call, _cause(result), now)
             case Follow.TELL_UNKNOWN:
                 late = isinstance(result, Lost) and result.timed_out
-                return self._settle(call, Cause.DEADLINE if late else Cause.TARGET_LOST)
+                return self._settle(
+                    call, Cause.DEADLINE if late else Cause.TARGET_LOST, now
+                )
 
     def cancelled(self, attempt: Attempt, now: float) -> None:
         """Take in that an attempt was cut off, as it was no longer needed."""
@@ -348,7 +351,9 @@
         """
         displaced = self._displaced
         self._displaced = []
-        decided = [(call, self._settle(call, Cause.OVERLOAD)) for call in displaced]
+        decided = [
+            (call, self._settle(call, Cause.OVERLOAD, now)) for call in displaced
+        ]
         for priority in CLASSES:
             decided.extend(self._release_class(priority, now))
         return decided
@@ -368,9 +373,9 @@
     def _decide_waiting(self, call, now):
         """Decide about the first waiting request; None lets it wait on."""
         if now >= self._start_by(call):
-            return self._settle(call, Cause.DEADLINE)
+            return self._settle(call, Cause.DEADLINE, now)
         if self._targets.none_left_for(call, now):
-            return self._settle(call, Cause.NO_TARGET)
+            return self._settle(call, Cause.NO_TARGET, now)
         kind = AttemptKind.RETRY if call.attempts else AttemptKind.FIRST
         attempt = self._place(call, kind, now)
         return Send(attempt) if attempt else None
@@ -431,11 +436,10 @@
         attempt.target.note_ended(attempt.started)
         self._room.give_back(attempt.call.priority)
 
-    def _settle(self, call, cause, retry_after=None):
+    def _settle(self, call, cause, now):
         """Give the request up, with what the evidence of all attempts allows."""
-        if retry_after is None:
-            retry_after = self.settings.retry_after_s
         self.given_up[cause] += 1
+        retry_after = self._return_after(call, now)
         if call.possibly_run:
             return GiveUp(cause, retry_after)
         return Refuse(cause, retry_after)
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -87,6 +87,10 @@
         Time in seconds between two probes of one target, over all daemons.
     retry_after_s : float
         Retry-After in seconds where nothing better is known.
+    return_shares : tuple of float
+        Earliest and latest return of a refused request, as shares of the time that it
+        can still wait and make its objective. In the model's burst 77 % of the callers
+        are served in time with these, 73 % with 0.4 to 1 and 76 % with 0.1 to 0.3.
     budget_share : float
         Part of a budget in windows that is spent. Instances see the windows a little
         shifted, and count requests that others do not: with all of it spent, 334
@@ -129,6 +133,7 @@
     wait_share: float = 0.4
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
+    return_shares: tuple[float, float] = (0.2, 0.6)
     budget_share: float = 0.9
     min_retry_after_s: float = 0.05
     seek: SeekSettings | None = None
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/test_seeking.py
@@ -318,7 +318,21 @@
         decision, _ = settle(policy, req, now=2.0, **busy(9))
         returns.append(decision.retry_after)
     assert len(set(returns)) > 10
-    assert all(0.05 <= after <= 0.25 for after in returns)
+    assert all(0.05 <= after <= 0.15 for after in returns)
+
+
+def test_a_request_that_targets_shed_is_told_to_come_back_in_time():
+    """Symptom: targets shed half of all requests, and those that come back are late.
+
+    Cause: only what the policy itself refused was told when to come back in time.
+    """
+    policy = policy_of(*near(3))
+    learned(policy, "r", 0.1)
+    req = call(now=2.0, objective=2.3, route="r", max_attempts=1)
+    decision, _ = settle(policy, req, now=2.0)
+    refused = policy.finished(decision.attempt, TargetRefused(), 2.01)
+    assert isinstance(refused, Refuse)
+    assert refused.retry_after <= 0.15
 
 
 # -- targets that hang ----------------------------------------------------------------
