Hand what is in force to daemons that start while the store is away

They ask the seeds now, on a listener that nobody outside reaches; rules and targets are given, the shared key is not.

--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -11,6 +11,7 @@
 from cairnferry.coordination import Note
 from cairnferry.entry._core import Core
 from cairnferry.entry._following import Follower
+from cairnferry.entry._handover import Handover
 from cairnferry.entry._ports import (
     ChangeFeed,
     DecodeFault,
@@ -62,6 +63,16 @@
     _document: bytes = b""
     _targets: dict[str, Target] = attrs.field(factory=dict)
     _rows: dict[str, Item] = attrs.field(factory=dict)
+    _targets_follower: Follower = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._targets_follower = Follower(
+            "targets",
+            self.targets_feed,
+            self._take_targets,
+            self.core.rng,
+            TARGETS_COALESCE_S,
+        )
 
     @property
     def revision(self) -> int:
@@ -72,9 +83,7 @@
         """Give the functions that run as long as the daemon does."""
         rng = self.core.rng
         rules = Follower("rules", self.rules_feed, self._take_rules, rng)
-        targets = Follower(
-            "targets", self.targets_feed, self._take_targets, rng, TARGETS_COALESCE_S
-        )
+        targets = self._targets_follower
         rules.partners.append(targets)
         targets.partners.append(rules)
         return [rules.run, targets.run, lambda: self._confirm(rules)]
@@ -212,6 +221,21 @@
         """Give the rules in force, for a peer."""
         return self._document
 
+    def handover(self) -> Handover:
+        """Give what is in force, for a daemon that starts in an outage."""
+        return Handover(self._document, tuple(self._rows.values()))
+
+    def take_over(self, handover: Handover, source: str) -> bool:
+        """Put in force what another daemon gave; tell whether that was done.
+
+        What the store tells goes before it.
+        """
+        if not self.apply(handover.rules):
+            return False
+        self._targets_follower.adopt({item.key: item for item in handover.targets})
+        log.info("taken over", extra={"from": source, "revision": self.revision})
+        return True
+
     def pull_from(self, link: PeerLink, offered: int) -> None:
         """Take over a peer's rules: it reaches the store, or did so later.
 
--- a/packages/entry/src/cairnferry/entry/_following.py
+++ b/packages/entry/src/cairnferry/entry/_following.py
@@ -103,6 +103,11 @@
         if self._is_asking and self._asked_at < moment:
             self._task.kill(_Restart, block=False)
 
+    def adopt(self, items: dict[str, Item]) -> None:
+        """Start from what another daemon held; what the store says goes before it."""
+        if not self._items and self._version is None:
+            self._replace(items)
+
     def one_call(self) -> float:
         """Make one call and take in its result; give the seconds to pause."""
         asked_at = self._asked_at = time.monotonic()
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -20,6 +20,7 @@
 from cairnferry.entry._disposable import disposable_instance
 from cairnferry.entry._enrolment import Enrolment
 from cairnferry.entry._followed import FollowedRecords
+from cairnferry.entry._handover import HANDOVER_PATH, Newcomer
 from cairnferry.entry._headers import FieldNames, RequestHead, read_request_head
 from cairnferry.entry._http_server import HANDLER_KEY, Limits
 from cairnferry.entry._logs import configure as configure_logs
@@ -44,6 +45,7 @@
 
 __all__ = [
     "HANDLER_KEY",
+    "HANDOVER_PATH",
     "Batch",
     "BodyLimits",
     "CallerConvention",
@@ -63,6 +65,7 @@
     "FollowedRecords",
     "HistoryLost",
     "Item",
+    "Newcomer",
     "LeavingTimes",
     "Limits",
     "Page",
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -18,6 +18,8 @@
 listen.front={host}:{front}
 listen.ready={host}:{ready}
 listen.directory={host}:{directory}
+listen.control={host}:{control}
+seeds={seeds}
 port_range={peer},{peer}
 limits.max_fds=4100
 bounds.drain=2000ms
@@ -33,9 +35,15 @@
 """
 
 
-def settings_text(store_port, name="front-1"):
-    ports = {part: free_port() for part in ("front", "ready", "directory", "peer")}
-    return SETTINGS.format(name=name, host=HOST, store=store_port, **ports)
+PORTS = ("front", "ready", "directory", "control", "peer")
+
+
+def settings_text(store_port, name="front-1", seeds=()):
+    ports = {part: free_port() for part in PORTS}
+    listed = ",".join(str(seed) for seed in seeds)
+    return SETTINGS.format(
+        name=name, host=HOST, store=store_port, seeds=listed, **ports
+    )
 
 
 @pytest.fixture(autouse=True)
@@ -76,8 +84,8 @@
 class HostedDaemon:
     """A daemon of the adapter whose tasks run in this process."""
 
-    def __init__(self, store_port, name):
-        self.cfg = read_host_settings(settings_text(store_port, name)).ok
+    def __init__(self, store_port, name, seeds):
+        self.cfg = read_host_settings(settings_text(store_port, name, seeds)).ok
         self.built = build(self.cfg, metrics_port=free_port())
         self.core = self.built.core
         self.core.start(self.built.tasks)
@@ -103,8 +111,8 @@
 def start_daemon(store):
     daemons = []
 
-    def start(name="front-1", wait=True):
-        daemon = HostedDaemon(store.port, name)
+    def start(name="front-1", wait=True, seeds=()):
+        daemon = HostedDaemon(store.port, name, seeds)
         daemons.append(daemon)
         if wait:
             wait_for(lambda: daemon.core.services.revision > 0)
--- a/tests/adapter/test_news.py
+++ b/tests/adapter/test_news.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from cairnferry.entry import _followed
+from cairnferry.entry._handover import Handover
 from cairnferry.standins import wait_for
 
 from ._standins import manifest, rule, target_row
@@ -171,3 +172,52 @@
     in_force(daemon, 9)
     hold.set()
     assert caller.get().status == 200
+
+
+def test_a_daemon_that_starts_in_an_outage_takes_over_what_others_hold(
+    daemon, store, start_daemon, start_target, knows
+):
+    """Symptom: a daemon that was restarted refuses every request to the end of an
+    outage of the store, although the others serve.
+
+    Cause: it keeps nothing, and had nobody to ask but the store.
+    """
+    start_target()
+    knows(daemon, "i-1")
+    store.down = 503
+    seeds = [daemon.cfg.handover]
+    other = start_daemon("front-2", seeds=seeds)
+    knows(other, "i-1")
+    assert other.call().status == 200
+    store.down = None
+    store.drop("servers", "i-1")
+    knows(other)
+
+
+def test_what_is_taken_over_is_replaced_by_what_the_store_says(
+    daemon, store, start_daemon, start_target, knows
+):
+    start_target()
+    knows(daemon, "i-1")
+    store.down = 503
+    other = start_daemon("front-2", seeds=[daemon.cfg.handover])
+    knows(other, "i-1")
+    start_target("i-2")
+    store.drop("servers", "i-1")
+    store.put("op", "config", manifest(40))
+    store.down = None
+    in_force(other, 40)
+    knows(other, "i-2")
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"rules": 1, "targets": []}', b'{"rules": "!!"}']
+)
+def test_a_handover_that_cannot_be_read_changes_nothing(body):
+    assert Handover.read(body).is_error()
+
+
+def test_a_daemon_without_rules_hands_nothing_over(store, start_daemon):
+    first = start_daemon(wait=False)
+    reply = first.get(first.cfg.handover, "/handover")
+    assert reply.status == 503
