--- /dev/null
+++ b/tests/policy/_asking.py
@@ -0,0 +1,79 @@
+"""Policies that ask targets before they choose, and answers for them."""
+
+import random
+
+from cairnferry.policy import (
+    Answered,
+    Ask,
+    Call,
+    LoadReport,
+    ServicePolicy,
+    settings_for,
+)
+from cairnferry.records import Lifecycle, Service, Target
+
+SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
+
+
+def target(name, zone="near", slots=4, **more):
+    return Target(
+        name, "s", zone, "10.0.0.1", 80, slots, Lifecycle.ACTIVE, "/h", None, **more
+    )
+
+
+def policy_of(*targets, now=0.0):
+    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings_for("ask-first"))
+    policy.update(SERVICE, list(targets), now)
+    return policy
+
+
+def call(now=1.0, **more):
+    return Call(arrived=now, deadline=now + 1, idempotent=True, **more)
+
+
+IDLE = LoadReport(0)
+
+
+def answer(policy, ask, now, reports=None):
+    for record in ask.targets:
+        report = (reports or {}).get(record.name, IDLE)
+        policy.note_check(record.name, report, report is not None, now)
+
+
+def settle(policy, req, now=1.0, **reports):
+    """Answer rounds of questions until something else is decided."""
+    decision = policy.arrive(req, now)
+    rounds = []
+    while isinstance(decision, Ask):
+        rounds.append([record.name for record in decision.targets])
+        answer(policy, decision, now, reports)
+        decision = policy.asked(req, now)
+    return decision, rounds
+
+
+def near(count):
+    return [target(f"n{index}") for index in range(count)]
+
+
+def far(count):
+    return [target(f"f{index}", "far") for index in range(count)]
+
+
+def learned(policy, route, seconds, rank=1, start=0.0):
+    """Let the policy see what a route's requests take."""
+    for index in range(30):
+        now = start + index * 0.02
+        req = call(now=now, route=route, rank=rank)
+        decision, _ = settle(policy, req, now=now)
+        policy.finished(decision.attempt, Answered(), now + seconds)
+
+
+def busy(in_use, pace=1.0, count=3):
+    return {f"n{index}": LoadReport(in_use, pace) for index in range(count)}
+
+
+def in_flight(policy, now, **more):
+    """Let the policy send an idempotent request; give its attempt."""
+    req = call(now=now, route="r", **more)
+    decision, _ = settle(policy, req, now=now)
+    return decision.attempt
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/test_seeking.py
@@ -9,7 +9,6 @@
     Answered,
     Ask,
     AttemptKind,
-    Call,
     Cause,
     LoadReport,
     Refuse,
@@ -19,53 +18,17 @@
     TargetRefused,
     settings_for,
 )
-from cairnferry.records import Lifecycle, Service, Target
 
-SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
-
-
-def target(name, zone="near", slots=4, **more):
-    return Target(
-        name, "s", zone, "10.0.0.1", 80, slots, Lifecycle.ACTIVE, "/h", None, **more
-    )
-
-
-def policy_of(*targets, now=0.0):
-    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings_for("ask-first"))
-    policy.update(SERVICE, list(targets), now)
-    return policy
-
-
-def call(now=1.0, **more):
-    return Call(arrived=now, deadline=now + 1, idempotent=True, **more)
-
-
-IDLE = LoadReport(0)
-
-
-def answer(policy, ask, now, reports=None):
-    for record in ask.targets:
-        report = (reports or {}).get(record.name, IDLE)
-        policy.note_check(record.name, report, report is not None, now)
-
-
-def settle(policy, req, now=1.0, **reports):
-    """Answer rounds of questions until something else is decided."""
-    decision = policy.arrive(req, now)
-    rounds = []
-    while isinstance(decision, Ask):
-        rounds.append([record.name for record in decision.targets])
-        answer(policy, decision, now, reports)
-        decision = policy.asked(req, now)
-    return decision, rounds
-
-
-def near(count):
-    return [target(f"n{index}") for index in range(count)]
-
-
-def far(count):
-    return [target(f"f{index}", "far") for index in range(count)]
+from ._asking import (
+    SERVICE,
+    answer,
+    call,
+    far,
+    near,
+    policy_of,
+    settle,
+    target,
+)
 
 
 def test_an_idle_target_of_the_own_zone_ends_the_asking():
@@ -227,194 +190,6 @@
     assert repeats == int(0.9 * 6 / instances)
 
 
-# -- more than the targets can do ---------------------------------------------------
-
-
-def learned(policy, route, seconds, rank=1, start=0.0):
-    """Let the policy see what a route's requests take."""
-    for index in range(30):
-        now = start + index * 0.02
-        req = call(now=now, route=route, rank=rank)
-        decision, _ = settle(policy, req, now=now)
-        policy.finished(decision.attempt, Answered(), now + seconds)
-
-
-def busy(in_use, pace=1.0, count=3):
-    return {f"n{index}": LoadReport(in_use, pace) for index in range(count)}
-
-
-def test_a_request_waits_at_a_target_if_it_is_in_time_there():
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    req = call(now=2.0, objective=2.8, route="r")
-    decision, _ = settle(policy, req, now=2.0, **busy(5))
-    assert isinstance(decision, Send)
-
-
-def test_a_target_is_not_filled_beyond_the_share_at_which_it_slows_down():
-    """Symptom: in a burst fewer requests are answered than in a calm hour.
-
-    Cause: with all its slots in use a target takes 1.7 times as long for each, and
-    does less in all than with one slot left free.
-    """
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    req = call(now=2.0, objective=2.3, route="r")
-    assert isinstance(settle(policy, req, now=2.0, **busy(3))[0], Refuse)
-    req = call(now=2.0, objective=2.3, route="r")
-    assert isinstance(settle(policy, req, now=2.0, **busy(2))[0], Send)
-
-
-def test_a_request_that_would_come_late_is_refused_at_once():
-    """Symptom: in a burst nearly every answer comes late, while targets are busy.
-
-    Events: requests come at 1.6 times what the targets can do. All are let in, the
-    targets' queues fill, and what leaves them has passed its objective. Cause: each
-    request was sent although its own wait was known.
-    """
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    req = call(now=2.0, objective=2.15, route="r")
-    decision, _ = settle(policy, req, now=2.0, **busy(6))
-    assert isinstance(decision, Refuse)
-    assert decision.cause is Cause.OVERLOAD
-
-
-def test_short_work_still_finds_room_where_long_work_does_not():
-    policy = policy_of(*near(3))
-    learned(policy, "long", 0.3)
-    learned(policy, "short", 0.03, start=1.0)
-    full = busy(5)
-    long = call(now=2.0, objective=2.4, route="long")
-    short = call(now=2.0, objective=2.4, route="short")
-    assert isinstance(settle(policy, long, now=2.0, **full)[0], Refuse)
-    assert isinstance(settle(policy, short, now=2.0, **full)[0], Send)
-
-
-def test_less_urgent_requests_are_refused_first():
-    policy = policy_of(*near(3))
-    learned(policy, "urgent", 0.1, rank=1)
-    learned(policy, "other", 0.1, rank=2, start=1.0)
-    full = busy(5)
-    urgent = call(now=2.0, objective=2.7, route="urgent", rank=1)
-    other = call(now=2.0, objective=2.7, route="other", rank=2)
-    assert isinstance(settle(policy, urgent, now=2.0, **full)[0], Send)
-    assert isinstance(settle(policy, other, now=2.0, **full)[0], Refuse)
-
-
-def test_a_free_slot_is_used_even_if_the_answer_will_be_late():
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    req = call(now=2.0, objective=2.01, route="r")
-    assert isinstance(settle(policy, req, now=2.0, **busy(2, pace=4.0))[0], Send)
-
-
-def test_those_refused_together_come_back_spread_and_in_time():
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    returns = []
-    for _ in range(20):
-        req = call(now=2.0, objective=2.3, route="r")
-        decision, _ = settle(policy, req, now=2.0, **busy(9))
-        returns.append(decision.retry_after)
-    assert len(set(returns)) > 10
-    assert all(0.05 <= after <= 0.15 for after in returns)
-
-
-def test_a_request_that_targets_shed_is_told_to_come_back_in_time():
-    """Symptom: targets shed half of all requests, and those that come back are late.
-
-    Cause: only what the policy itself refused was told when to come back in time.
-    """
-    policy = policy_of(*near(3))
-    learned(policy, "r", 0.1)
-    req = call(now=2.0, objective=2.3, route="r", max_attempts=1)
-    decision, _ = settle(policy, req, now=2.0)
-    refused = policy.finished(decision.attempt, TargetRefused(), 2.01)
-    assert isinstance(refused, Refuse)
-    assert refused.retry_after <= 0.15
-
-
-# -- targets that hang ----------------------------------------------------------------
-
-
-def in_flight(policy, now, **more):
-    """Let the policy send an idempotent request; give its attempt."""
-    req = call(now=now, route="r", **more)
-    decision, _ = settle(policy, req, now=now)
-    return decision.attempt
-
-
-def test_a_target_that_gave_no_answer_is_not_asked_again_at_once():
-    """Symptom: while one target is dead all requests take 30 ms longer.
-
-    Cause: each of them asked it, and waited for its answer.
-    """
-    policy = policy_of(*near(4))
-    settle(policy, call(), n0=None)
-    decision = policy.arrive(call(now=1.1), 1.1)
-    assert "n0" not in [record.name for record in decision.targets]
-    decision = policy.arrive(call(now=1.4), 1.4)
-    assert "n0" in [record.name for record in decision.targets]
-
-
-def test_a_request_at_a_target_that_is_silent_goes_to_another_one():
-    """Symptom: lookups take their whole deadline although 19 targets are well.
-
-    Events: a target's machine goes dark while it runs the lookup. Cause: nothing
-    told that the answer would not come.
-    """
-    policy = policy_of(*near(4))
-    learned(policy, "r", 0.1)
-    attempt = in_flight(policy, 2.0)
-    assert policy.hedge(attempt.call, 2.05) is None
-    ask = policy.hedge(attempt.call, 2.2)
-    assert [record.name for record in ask.targets] == [attempt.target_name]
-    policy.note_check(attempt.target_name, None, False, 2.21)
-    second = policy.hedge(attempt.call, 2.23)
-    assert second.attempt.kind is AttemptKind.HEDGE
-    assert second.attempt.target_name != attempt.target_name
-    assert policy.hedge(attempt.call, 2.3) is None
-
-
-def test_a_request_that_is_only_slow_is_left_alone():
-    policy = policy_of(*near(4))
-    learned(policy, "r", 0.1)
-    attempt = in_flight(policy, 2.0)
-    assert isinstance(policy.hedge(attempt.call, 2.2), Ask)
-    policy.note_check(attempt.target_name, LoadReport(1), True, 2.21)
-    assert policy.hedge(attempt.call, 2.22) is None
-
-
-def test_a_request_that_takes_far_too_long_is_sent_again_all_the_same():
-    policy = policy_of(*near(4))
-    learned(policy, "r", 0.1)
-    attempt = in_flight(policy, 2.0)
-    assert isinstance(policy.hedge(attempt.call, 2.6), Send)
-
-
-def test_an_order_is_never_sent_again_because_it_is_slow():
-    policy = policy_of(*near(4))
-    learned(policy, "r", 0.1)
-    req = Call(arrived=2.0, deadline=9.0, idempotent=False, route="r")
-    settle(policy, req, now=2.0)
-    assert policy.hedge(req, 8.0) is None
-
-
-def test_hedges_keep_to_the_budget_of_retries():
-    policy = policy_of(*near(30))
-    learned(policy, "r", 0.1)
-    hedges = 0
-    for index in range(60):
-        now = 2.0 + index / 100
-        attempt = in_flight(policy, now)
-        hedges += isinstance(policy.hedge(attempt.call, now + 0.6), Send)
-    assert 0 < hedges <= 0.2 * 90 + 6
-
-
-# -- what is told of targets ---------------------------------------------------------
-
-
 def test_what_is_believed_of_a_target_is_told_once():
     policy = policy_of(*near(2))
     for now in (1.0, 2.0, 5.0):
--- a/tests/policy/test_service.py
+++ b/tests/policy/test_service.py
@@ -1,8 +1,5 @@
-"""Decisions about requests, driven with a clock of the test's own."""
+"""Evidence, budgets, limits and the queue, with a clock of the test's own."""
 
-import random
-
-import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,9 +8,7 @@
     Abandoned,
     Answered,
     AttemptKind,
-    Call,
     Cause,
-    DrainSource,
     GiveUp,
     LoadReport,
     Lost,
@@ -21,52 +16,19 @@
     Refuse,
     Relay,
     Send,
-    ServicePolicy,
     TargetRefused,
     Wait,
 )
-from cairnferry.records import Lifecycle, Priority, Service, Target
-
-SERVICE = Service("s", 1000, 0.1, True, 8)
-
-
-def make_target(index, slots=4, zone="near", lifecycle=Lifecycle.ACTIVE):
-    name = f"t{index}"
-    return Target(name, "s", zone, "10.0.0.1", 80 + index, slots, lifecycle, "/h", None)
-
-
-def make_policy(count=4, service=SERVICE, targets=None, **fields):
-    policy = ServicePolicy(service, "near", random.Random(3))
-    records = targets or [make_target(i, **fields) for i in range(count)]
-    policy.update(service, records, 0.0)
-    policy._room._window.limit = policy._room._window.maximum
-    return policy
-
-
-def state(policy, name="t0"):
-    (found,) = [target for target in policy._targets if target.name == name]
-    return found
-
-
-def make_call(now=0.0, idempotent=True, seconds=1.0, **fields):
-    return Call(now, now + seconds, idempotent, **fields)
-
-
-def send(policy, now=0.0, **fields):
-    decision = policy.arrive(make_call(now, **fields), now)
-    assert isinstance(decision, Send)
-    return decision.attempt
-
-
-def warm_up(policy, latency=0.01, count=40):
-    """Let each target answer some requests."""
-    now = 0.0
-    for _ in range(count):
-        attempt = send(policy, now)
-        now += latency
-        policy.finished(attempt, Answered(), now)
-    return now
-
+from cairnferry.records import Priority
+
+from ._helpers import (
+    SERVICE,
+    make_call,
+    make_policy,
+    send,
+    state,
+    warm_up,
+)
 
 # -- evidence ---------------------------------------------------------------------
 
@@ -341,146 +303,3 @@
             policy.finished(attempt, Answered(report=LoadReport(0)), now)
         policy.release(now)
     assert policy._room._window.limit > cut
-
-
-# -- choice -------------------------------------------------------------------------
-
-
-def spread(policy, now, count=400, latency=0.01):
-    """Count where requests go that end at once."""
-    counts = {target.name: 0 for target in policy._targets}
-    for _ in range(count):
-        now += latency
-        attempt = send(policy, now)
-        counts[attempt.target_name] += 1
-        policy.finished(attempt, Answered(), now + latency / 2)
-    return counts
-
-
-def test_the_own_zone_goes_first_until_it_runs_hot():
-    targets = [make_target(0, zone="near"), make_target(1, zone="far")]
-    policy = make_policy(targets=targets)
-    first = [send(policy).target_name for _ in range(3)]
-    assert first == ["t0", "t0", "t1"]
-
-
-def test_a_target_that_became_slow_loses_its_traffic():
-    policy = make_policy(4)
-    now = warm_up(policy, count=100)
-    slow = state(policy)
-    stuck = [send(policy, now) for _ in range(4)]
-    assert any(attempt.target is slow for attempt in stuck)
-    later = now + 0.2
-    for attempt in stuck:
-        if attempt.target is not slow:
-            policy.finished(attempt, Answered(), now + 0.01)
-    assert spread(policy, later)["t0"] == 0
-
-
-def test_fast_failures_do_not_look_like_low_load():
-    """Symptom: a broken target draws most of the traffic.
-
-    Events: a target answers each request with an error, at once. Cause: it
-    looks idle and fast.
-    """
-    policy = make_policy(4)
-    now = warm_up(policy, count=100)
-    sent = 0
-    for _ in range(1000):
-        now += 0.001
-        decision = policy.arrive(make_call(now, idempotent=False), now)
-        attempt = decision.attempt
-        failed = attempt.target_name == "t0"
-        sent += failed
-        policy.finished(attempt, Answered(failed=failed), now + 0.0005)
-    assert sent <= 10
-
-
-def test_an_ejected_target_comes_back_by_one_trial_at_a_time():
-    policy = make_policy(4)
-    now = warm_up(policy, count=100)
-    target = state(policy)
-    for _ in range(3):
-        policy._targets._ejector.note_failure(target, policy._targets, now)
-    policy._targets._usable.forget()
-    assert spread(policy, now, count=50)["t0"] == 0
-    later = target.ejected_until + 1
-    attempts = [send(policy, later) for _ in range(6)]
-    trials = [attempt for attempt in attempts if attempt.target is target]
-    assert [attempt.trial for attempt in trials] == [True]
-    policy.finished(trials[0], Answered(), later + 0.01)
-    assert not target.ejected_until
-
-
-def test_not_all_targets_are_ejected():
-    policy = make_policy(4)
-    for target in list(policy._targets) * 3:
-        policy._targets._ejector.note_failure(target, policy._targets, 1.0)
-    assert sum(bool(t.ejected_until) for t in policy._targets) == 2
-
-
-@pytest.mark.parametrize("source", DrainSource)
-def test_any_source_suffices_for_draining(source):
-    policy = make_policy(2)
-    if source is DrainSource.RECORD:
-        draining = make_target(0, lifecycle=Lifecycle.DRAINING)
-        policy.update(SERVICE, [draining, make_target(1)], 0.0)
-    elif source is DrainSource.REFUSAL:
-        attempts = [send(policy) for _ in range(2)]
-        first = attempts[0]
-        policy.finished(first, TargetRefused(draining=True), 0.0)
-        assert spread(policy, 1.0)[first.target_name] == 0
-        return
-    else:
-        policy.note_draining("t0", source, 100.0)
-    assert spread(policy, 1.0, count=40)["t0"] == 0
-
-
-def test_queued_requests_do_not_go_to_a_target_that_began_to_leave():
-    policy = make_policy(1, slots=1)
-    attempt = send(policy)
-    call = make_call()
-    policy.arrive(call, 0.0)
-    policy.note_draining("t0", DrainSource.HEALTH, 100.0)
-    policy.finished(attempt, Answered(), 0.01)
-    ((_, decision),) = policy.release(0.01)
-    assert isinstance(decision, Refuse)
-    assert decision.cause is Cause.NO_TARGET
-
-
-def test_with_no_target_left_requests_are_refused_at_once():
-    policy = make_policy(1)
-    policy.note_draining("t0", DrainSource.PLATFORM, 100.0)
-    assert policy.arrive(make_call(), 0.0).cause is Cause.NO_TARGET
-
-
-def test_a_new_target_gets_its_share_slowly():
-    policy = make_policy(3)
-    now = warm_up(policy)
-    policy.update(SERVICE, [make_target(i) for i in range(4)], now)
-    early = sum(send(policy, now).target_name == "t3" for _ in range(6))
-    assert early <= 1
-
-
-def test_a_replaced_target_does_not_lose_count_of_what_runs():
-    """Symptom: an internal error for each answer after a record was replaced.
-
-    Events: requests run at a target; its record gets another address; the
-    answers come. Cause: they were counted out of the new target.
-    """
-    policy = make_policy(1)
-    attempt = send(policy)
-    policy.update(SERVICE, [make_target(0), make_target(1)], 0.0)
-    moved = attrs.evolve(make_target(0), port=9999)
-    policy.update(SERVICE, [moved], 0.0)
-    assert policy.finished(attempt, Answered(), 0.1) == Relay()
-    assert state(policy).in_flight == 0
-
-
-def test_background_work_takes_what_interactive_work_leaves():
-    policy = make_policy(4)
-    background = 0
-    while isinstance(policy.arrive(make_call(priority=Priority.BACKGROUND), 0.0), Send):
-        background += 1
-    assert 0 < background <= policy.settings.background_share * 16
-    assert isinstance(policy.arrive(make_call(), 0.0), Wait | Send)
