--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -30,7 +30,7 @@
 bounds.retry_budget_slack=64
 bounds.retry_window=10s
 bounds.probes_per_s=60
-platform.address={host}:{store}
+platform.address={store_host}:{store}
 a.field.of.later={{"new"=1}}
 """
 
@@ -38,11 +38,16 @@
 PORTS = ("front", "ready", "directory", "control", "peer")
 
 
-def settings_text(store_port, name="front-1", seeds=()):
+def settings_text(store_port, name="front-1", seeds=(), host=HOST):
     ports = {part: free_port() for part in PORTS}
     listed = ",".join(str(seed) for seed in seeds)
     return SETTINGS.format(
-        name=name, host=HOST, store=store_port, seeds=listed, **ports
+        name=name,
+        host=host,
+        store_host=HOST,
+        store=store_port,
+        seeds=listed,
+        **ports,
     )
 
 
--- /dev/null
+++ b/tests/adapter/test_process.py
@@ -0,0 +1,133 @@
+"""The program itself, as the platform starts, signals and stops it."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from cairnferry.standins import wait_for
+from cairnferry.wire import Client, Reply
+from hosting._settings import read_host_settings
+
+from ._standins import manifest
+from .conftest import settings_text
+
+ROOT = pathlib.Path(__file__).parents[2]
+# The program serves metrics at a port of its own on the address of its instance, so
+# that each process of a test run needs an address of its own.
+PART = int(os.environ.get("CAIRNFERRY_TEST_PART", "0/1").partition("/")[0])
+INSTANCE = f"127.0.1.{PART + 1}"
+
+
+class Program:
+    """One started process and what it wrote."""
+
+    def __init__(self, folder, text):
+        self.settings = folder / "boot.conf"
+        self.settings.write_text(text)
+        self.output = (folder / "out").open("w+")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "hosting"],
+            cwd=folder,
+            stdout=self.output,
+            stderr=subprocess.STDOUT,
+            env={
+                **os.environ,
+                "PYTHONPATH": str(ROOT / "platform"),
+                "CAIRNFERRY_CONFIG": str(self.settings),
+            },
+        )
+
+    def text(self):
+        self.output.flush()
+        return (pathlib.Path(self.output.name)).read_text()
+
+    def logged(self, message):
+        lines = [line for line in self.text().splitlines() if line.startswith("{")]
+        return [doc for doc in map(json.loads, lines) if doc["message"] == message]
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.output.close()
+
+
+@pytest.fixture
+def start(tmp_path):
+    programs = []
+
+    def start(text):
+        program = Program(tmp_path, text)
+        programs.append(program)
+        return program
+
+    yield start
+    for program in programs:
+        program.end()
+
+
+@pytest.fixture
+def serving(store, start):
+    """Give a program with rules in force, and its settings."""
+    store.put("op", "config", manifest())
+    text = settings_text(store.port, host=INSTANCE)
+    program = start(text)
+    wait_for(lambda: program.logged("in force"))
+    return program, read_host_settings(text).ok
+
+
+def ask(cfg):
+    headers = [("Cairnferry-Request-Id", "r"), ("Cairnferry-Deadline-Ms", "20000")]
+    client = Client(INSTANCE, cfg.callers.port, host_name="shop.example")
+    return client.call("GET", "/a/x", timeout=30, headers=headers)
+
+
+def test_a_request_in_flight_outlives_the_request_to_stop(serving, start_target, store):
+    """Symptom: orders are cut whenever instances are restarted in turn."""
+    program, cfg = serving
+    hold = Event()
+    target = start_target(behave=lambda number: hold)
+    wait_for(lambda: program.logged("targets"))
+    caller = gevent.spawn(ask, cfg)
+    target.arrived.wait()
+    program.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: program.logged("leaving"))
+    ready = Client(INSTANCE, cfg.ready.port).call("GET", "/api/ready", timeout=10)
+    assert ready.status == 503
+    hold.set()
+    reply = caller.get()
+    assert isinstance(reply, Reply)
+    assert reply.status == 200
+    wait_for(lambda: program.process.poll() is not None)
+    assert program.process.returncode == 0
+    assert program.logged("left")[0]["every_request_answered"] is True
+
+
+def test_changed_settings_are_taken_in_and_faulty_ones_are_not(serving):
+    program, cfg = serving
+    text = program.settings.read_text()
+    changed = text.replace("probes_per_s=60", "probes_per_s=30")
+    program.settings.write_text(changed)
+    program.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: program.logged("reload"))
+    assert program.logged("reload")[0]["changed"] == ["bounds.probes_per_s=30"]
+    program.settings.write_text(changed.replace("bounds.grace=6s", "bounds.grace=x"))
+    program.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: program.logged("settings kept"))
+    assert "grace" in program.logged("settings kept")[0]["why"][0]
+    ready = Client(INSTANCE, cfg.ready.port).call("GET", "/api/ready", timeout=10)
+    assert ready.status == 200
+
+
+def test_settings_that_cannot_be_read_end_the_program_with_every_fault(start):
+    program = start(settings_text(1).replace("zone=hall", "").replace("=6s", "=six"))
+    assert program.process.wait() == 2
+    assert "zone" in program.text()
+    assert "grace" in program.text()
