--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -256,7 +256,7 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def manifest(version=3, *, rules=None, clusters=("svc",), **limits):
+def configuration(version=3, *, rules=None, clusters=("svc",), **limits):
     """Give a configuration document as the operators write it."""
     return {
         "version": f"r{version}",
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -9,7 +9,7 @@
 from hosting._store import Store
 from hosting.command import build
 
-from ._standins import HOST, HostedTarget, StoreStandin, manifest, target_row
+from ._standins import HOST, HostedTarget, StoreStandin, configuration, target_row
 
 SETTINGS = """\
 node_name={name}
@@ -131,7 +131,7 @@
 @pytest.fixture
 def daemon(store, start_daemon):
     """Give a daemon with one route to the service "svc"."""
-    store.put("op", "config", manifest())
+    store.put("op", "config", configuration())
     return start_daemon()
 
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -5,19 +5,21 @@
 import pytest
 
 from cairnferry.records import Backend, Lifecycle
+from hosting._configuration import ConfigurationDecoder
 from hosting._discovery import decode_target
-from hosting._manifest import ManifestDecoder
 from hosting._settings import read_host_settings
 from hosting._units import read_milliseconds, read_seconds, read_version, write_seconds
 
-from ._standins import manifest, rule, target_row
+from ._standins import configuration, rule, target_row
 from .conftest import settings_text
 
 
 @pytest.fixture
 def decode():
     cfg = read_host_settings(settings_text(1)).ok
-    return lambda document: ManifestDecoder(cfg).decode(json.dumps(document).encode())
+    return lambda document: ConfigurationDecoder(cfg).decode(
+        json.dumps(document).encode()
+    )
 
 
 @pytest.mark.parametrize(
@@ -76,7 +78,7 @@
         rule(kind="unsafe", attempts=3),
         rule("r-2", "/b/", backends=parts, timeout="900ms"),
     ]
-    decoded = decode(manifest(12, rules=rules, clusters=("svc", "two"))).ok
+    decoded = decode(configuration(12, rules=rules, clusters=("svc", "two"))).ok
     first, second = decoded.routes
     assert decoded.revision == 12
     assert (first.host, first.path_prefix) == ("shop.example", "/a/")
@@ -92,13 +94,13 @@
 
 
 def test_fields_that_are_not_known_are_passed_over(decode):
-    document = manifest() | {"later": {"x": 1}}
+    document = configuration() | {"later": {"x": 1}}
     document["listeners"][0]["rules"][0]["later"] = 1
     assert decode(document).is_ok()
 
 
 def _without(*path):
-    document = manifest()
+    document = configuration()
     part = document
     for name in path[:-1]:
         part = part[name]
@@ -119,7 +121,7 @@
         _without("listeners", 0, "rules", 0, "action", "timeout"),
         _without("listeners", 0, "rules", 0, "action", "service"),
         _without("clusters", 0, "name"),
-        manifest(rules=[rule(timeout="5")]),
+        configuration(rules=[rule(timeout="5")]),
     ],
 )
 def test_a_malformed_configuration_is_a_fault_that_says_where(decode, document):
@@ -129,8 +131,8 @@
 
 def test_bytes_that_are_no_document_are_a_fault():
     cfg = read_host_settings(settings_text(1)).ok
-    assert ManifestDecoder(cfg).decode(b'{"version":').is_error()
-    assert ManifestDecoder(cfg).decode(b"\xff").is_error()
+    assert ConfigurationDecoder(cfg).decode(b'{"version":').is_error()
+    assert ConfigurationDecoder(cfg).decode(b"\xff").is_error()
 
 
 # -- targets -------------------------------------------------------------------------
--- a/tests/adapter/test_news.py
+++ b/tests/adapter/test_news.py
@@ -10,7 +10,7 @@
 from cairnferry.entry._handover import Handover
 from cairnferry.standins import wait_for
 
-from ._standins import manifest, rule, target_row
+from ._standins import configuration, rule, target_row
 
 
 @pytest.fixture(autouse=True)
@@ -26,22 +26,22 @@
 def test_a_newer_configuration_is_in_force(daemon, store, start_target, knows):
     start_target("i-2", service="two")
     rules = [rule(service="two")]
-    store.put("op", "config", manifest(9, rules=rules, clusters=("two",)))
+    store.put("op", "config", configuration(9, rules=rules, clusters=("two",)))
     in_force(daemon, 9)
     knows(daemon, "i-2")
     assert daemon.call().body.startswith(b"i-2")
 
 
 def test_an_older_configuration_changes_nothing(daemon, store):
-    store.put("op", "config", manifest(2, rules=[rule(prefix="/old/")]))
+    store.put("op", "config", configuration(2, rules=[rule(prefix="/old/")]))
     store.put("op", "other", {"x": 1})
-    store.put("op", "config", manifest(4))
+    store.put("op", "config", configuration(4))
     in_force(daemon, 4)
     assert daemon.call("/old/").status == 404
 
 
 @pytest.mark.parametrize(
-    "document", [b"{", b"[]", {"version": "r9"}, manifest(9, clusters=("other",))]
+    "document", [b"{", b"[]", {"version": "r9"}, configuration(9, clusters=("other",))]
 )
 def test_a_configuration_that_cannot_be_read_leaves_what_is_in_force(
     document, daemon, store, start_target, knows, caplog
@@ -53,13 +53,13 @@
     assert daemon.core.services.revision == 3
     assert daemon.call().status == 200
     assert "rules cannot be read" in caplog.text
-    store.put("op", "config", manifest(10))
+    store.put("op", "config", configuration(10))
     in_force(daemon, 10)
     assert daemon.core.cluster.configuration.behind is None
 
 
 def test_limits_come_with_the_configuration(daemon, store):
-    store.put("op", "config", manifest(5, max_body_bytes=10, idle_timeout="7s"))
+    store.put("op", "config", configuration(5, max_body_bytes=10, idle_timeout="7s"))
     in_force(daemon, 5)
     assert daemon.call(method="POST", body=b"x" * 11).status == 413
     assert daemon.core.callers_server.limits.idle_s == 7.0
@@ -99,7 +99,7 @@
     knows(daemon, "i-1", "i-2")
     store.down = "cut"
     store.drop("servers", "i-1")
-    store.put("op", "config", manifest(20))
+    store.put("op", "config", configuration(20))
     store.forget_history()
     store.down = None
     in_force(daemon, 20)
@@ -118,12 +118,12 @@
     wait_for(lambda: store.calls.total() > before + 3)
     assert daemon.call().status == 200
     store.down = None
-    store.put("op", "config", manifest(8))
+    store.put("op", "config", configuration(8))
     in_force(daemon, 8)
 
 
 def test_a_slow_answer_comes_in_force_when_it_is_there(store, start_daemon):
-    store.put("op", "config", manifest())
+    store.put("op", "config", configuration())
     store.faults["/api/rows-get"] = ["slow"] * 3
     daemon = start_daemon(wait=False)
     wait_for(lambda: store.calls["/api/rows-get"] >= 3)
@@ -141,14 +141,14 @@
     """
     other = start_daemon("front-2")
     wait_for(lambda: len(daemon.core.cluster.membership.live()) == 2)
-    document = json.dumps(manifest(30)).encode()
+    document = json.dumps(configuration(30)).encode()
     store.down = 503
     other.core.cluster.configuration.apply(document)
     in_force(daemon, 30)
 
 
 def test_daemons_start_while_the_store_is_away(store, start_daemon):
-    store.put("op", "config", manifest())
+    store.put("op", "config", configuration())
     store.down = 503
     daemon = start_daemon(wait=False)
     wait_for(lambda: store.calls["/api/rows-tx"] >= 2)
@@ -168,7 +168,7 @@
     caller = gevent.spawn(daemon.call)
     target.arrived.wait()
     rules = [rule("r-9", "/z/", service="two")]
-    store.put("op", "config", manifest(9, rules=rules, clusters=("two",)))
+    store.put("op", "config", configuration(9, rules=rules, clusters=("two",)))
     in_force(daemon, 9)
     hold.set()
     assert caller.get().status == 200
@@ -204,7 +204,7 @@
     knows(other, "i-1")
     start_target("i-2")
     store.drop("servers", "i-1")
-    store.put("op", "config", manifest(40))
+    store.put("op", "config", configuration(40))
     store.down = None
     in_force(other, 40)
     knows(other, "i-2")
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -15,7 +15,7 @@
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
-from ._standins import manifest
+from ._standins import configuration
 from .conftest import settings_text
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -76,7 +76,7 @@
 @pytest.fixture
 def serving(store, start):
     """Give a program with rules in force, and its settings."""
-    store.put("op", "config", manifest())
+    store.put("op", "config", configuration())
     text = settings_text(store.port, host=INSTANCE)
     program = start(text)
     wait_for(lambda: program.logged("in force"))
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -9,7 +9,7 @@
 from cairnferry.standins import wait_for
 from cairnferry.wire import connect, encode_request
 
-from ._standins import manifest, rule, target_row
+from ._standins import configuration, rule, target_row
 
 POST = {"method": "POST", "body": b"order"}
 UNSAFE = [rule(kind="unsafe", attempts=3)]
@@ -17,7 +17,7 @@
 
 @pytest.fixture
 def unsafe_daemon(store, start_daemon):
-    store.put("op", "config", manifest(rules=UNSAFE))
+    store.put("op", "config", configuration(rules=UNSAFE))
     return start_daemon()
 
 
@@ -66,7 +66,7 @@
 
 def test_the_longest_prefix_decides(store, start_daemon, start_target, knows):
     rules = [rule(), rule("r-2", "/a/deep/", service="two")]
-    store.put("op", "config", manifest(rules=rules, clusters=("svc", "two")))
+    store.put("op", "config", configuration(rules=rules, clusters=("svc", "two")))
     daemon = start_daemon()
     start_target()
     start_target("i-2", service="two")
@@ -78,7 +78,7 @@
 def test_weights_are_kept(store, start_daemon, start_target, knows):
     parts = [{"service": "svc", "weight": 3}, {"service": "two", "weight": 1}]
     rules = [rule(backends=parts)]
-    store.put("op", "config", manifest(rules=rules, clusters=("svc", "two")))
+    store.put("op", "config", configuration(rules=rules, clusters=("svc", "two")))
     daemon = start_daemon()
     first, second = start_target(), start_target("i-2", service="two")
     knows(daemon, "i-1", "i-2")
@@ -285,7 +285,9 @@
 
 
 def test_the_route_bounds_the_time(store, start_daemon, start_target, knows):
-    store.put("op", "config", manifest(rules=[rule(kind="unsafe", timeout="100ms")]))
+    store.put(
+        "op", "config", configuration(rules=[rule(kind="unsafe", timeout="100ms")])
+    )
     daemon = start_daemon()
     target = start_target(behave=lambda n: Event())
     knows(daemon, "i-1")
