Relay an answer that is there if no other target has room; split the policy of a service

Cause: when a target's failed answer to a repeatable request was followed by asking others, and these were full, the answer was dropped and the caller got a 502 of the system's own. The search remembers now that an answer is there, and what the budget had spent is given back.

The search by asking, admission to the queue and the choice of the budget have modules of their own; constants of the search say where their figures come from.

--- a/packages/policy/src/cairnferry/policy/_budget.py
+++ b/packages/policy/src/cairnferry/policy/_budget.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from cairnferry.policy._settings import PolicySettings
+from cairnferry.records import Service
+
 
 @attrs.define
 class RetryBudget:
@@ -33,6 +36,10 @@
     def __attrs_post_init__(self):
         self._debt = self.tokens
 
+    def follow(self, service: Service, settings: PolicySettings, instances: int):
+        """Take in a changed record; each instance earns its own tokens."""
+        self.ratio = service.retry_ratio
+
     def earn(self, now: float = 0.0) -> None:
         """Count a first attempt."""
         if self._debt > 0:
@@ -86,6 +93,12 @@
     _firsts: deque[float] = attrs.field(factory=deque)
     _further: deque[float] = attrs.field(factory=deque)
 
+    def follow(self, service: Service, settings: PolicySettings, instances: int):
+        """Take in a changed record, or another number of instances that share it."""
+        part = settings.budget_share
+        self.ratio = part * service.retry_ratio
+        self.slack = part * service.retry_slack / instances
+
     def earn(self, now: float) -> None:
         """Count a first attempt."""
         self._firsts.append(now)
@@ -116,3 +129,15 @@
         for times in (self._firsts, self._further):
             while times and times[0] <= now - self.window:
                 times.popleft()
+
+
+def budget_of(service: Service, settings: PolicySettings) -> RetryBudget | WindowBudget:
+    """Give the sort of budget that a service's record asks for."""
+    if service.retry_window_s is None:
+        return RetryBudget(
+            service.retry_ratio, settings.retry_burst, settings.retry_start
+        )
+    part = settings.budget_share
+    return WindowBudget(
+        part * service.retry_ratio, part * service.retry_slack, service.retry_window_s
+    )
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -111,11 +111,14 @@
         Rounds of status checks made.
     asked : set of str
         Names of the targets that were asked.
+    may_relay : bool
+        Whether an answer is there already, to be relayed if no target is found.
     """
 
     kind: AttemptKind = AttemptKind.FIRST
     rounds: int = 0
     asked: set[str] = attrs.field(factory=set)
+    may_relay: bool = False
 
 
 @attrs.define(eq=False)
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -55,20 +55,24 @@
         The same part for requests that are less urgent than others of the service,
         so that these find room.
     look_s : float
-        Seconds between two looks at an attempt of an idempotent request.
+        Seconds between two looks at an attempt of an idempotent request: as long as
+        a check may take, so that one look sees what the one before has asked.
     doubt_factor : float
         Multiple of the expected time from which its target is asked whether it is
-        still there.
+        still there. Work varies by a third, so that most requests are done before.
     stuck_factor : float
         Multiple of the expected time from which the request is sent to a second
-        target although the first one still answers checks.
+        target although the first one still answers checks. Chosen, not measured:
+        beyond it the objective is lost, and the budget of repeats bounds the rest.
     far_cost : float
         Added cost of another availability zone: the longer way, and its price.
     warmup_cost : float
-        Factor for a target that has just started.
+        Factor for a target that has just started. Chosen between the 1 of a warm one
+        and the 2 of the users' sheets: it warms up while the request runs.
     unwell_cost : float
         Factor for a target whose check says that it is not well. It may be wrong, so
-        that such a target is the last choice and not none.
+        that such a target is the last choice and not none. As bad as the busiest
+        neighbours make one.
     """
 
     rounds: tuple[int, ...] = (4, 4, 6)
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -2,7 +2,8 @@
 
 import random
 
-from cairnferry.policy._budget import RetryBudget, WindowBudget
+from cairnferry.policy._admission import Admission
+from cairnferry.policy._budget import budget_of
 from cairnferry.policy._events import TargetEvent
 from cairnferry.policy._evidence import (
     Answered,
@@ -29,13 +30,14 @@
     Send,
     Wait,
 )
-from cairnferry.policy._queue import CLASSES, WaitingCalls
+from cairnferry.policy._queue import CLASSES
 from cairnferry.policy._room import Room
+from cairnferry.policy._searcher import Found, NothingFound, Searcher
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import DrainSource
 from cairnferry.policy._targetset import TargetSet
 from cairnferry.policy._work import WorkEstimates
-from cairnferry.records import Priority, Service, Target
+from cairnferry.records import Service, Target
 
 
 class ServicePolicy:
@@ -67,40 +69,25 @@
         self._rng = rng
         self._work = WorkEstimates()
         self._targets = TargetSet(zone, rng, self.settings)
+        self._searcher = Searcher(self.settings.seek, self._targets, self._work)
         self._room = Room(self.settings)
         self._instances = 1
-        self._budget = self._new_budget()
-        self._waiting = WaitingCalls()
-        self._displaced: list[Call] = []
-
-    def _new_budget(self):
-        service = self.service
-        if service.retry_window_s is None:
-            return RetryBudget(
-                service.retry_ratio,
-                self.settings.retry_burst,
-                self.settings.retry_start,
-            )
-        part = self.settings.budget_share
-        slack = part * service.retry_slack / self._instances
-        return WindowBudget(part * service.retry_ratio, slack, service.retry_window_s)
+        self._budget = budget_of(service, self.settings)
+        self._admission = Admission(self.settings, self._targets, self._room)
+        self._waiting = self._admission.waiting
 
     # -- what is known of the service and its targets --------------------------
 
     def share_with(self, instances: int) -> None:
         """Take in how many instances share the service's retry budget."""
         self._instances = max(1, instances)
-        if isinstance(self._budget, WindowBudget):
-            part = self.settings.budget_share
-            self._budget.slack = part * self.service.retry_slack / self._instances
+        self._budget.follow(self.service, self.settings, self._instances)
 
     def update(self, service: Service, targets: list[Target], now: float) -> None:
         """Take in the records in force; what was learnt of targets is kept."""
         is_new = not self._targets
         self.service = service
-        self._budget.ratio = service.retry_ratio
-        if isinstance(self._budget, WindowBudget):
-            self._budget.ratio *= self.settings.budget_share
+        self._budget.follow(service, self.settings, self._instances)
         self._targets.update(targets, now)
         self._room.set_slots(sum(target.slots for target in targets), is_new)
 
@@ -157,7 +144,7 @@
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank)
         if self.settings.seek is not None:
-            return self._seek(call, AttemptKind.FIRST, now)
+            return self._search(call, AttemptKind.FIRST, now)
         if not self._waiting.ahead_of(call.priority):
             attempt = self._place(call, AttemptKind.FIRST, now)
             if attempt is not None:
@@ -183,33 +170,26 @@
         """Decide about a request once the targets to ask have been asked."""
         if now >= call.deadline:
             return self._settle(call, Cause.DEADLINE, now)
-        return self._search_on(call, now)
-
-    def _seek(self, call, kind, now):
-        call.search = Search(kind)
-        trial = self._targets.choose_for_trial(call, now)
-        if trial is not None:
-            return Send(self._start(call, trial, kind, now, True))
-        return self._search_on(call, now)
-
-    def _search_on(self, call, now):
-        match self._targets.seek(call, now):
-            case Ask() as ask:
-                return ask
-            case None:
-                return self._settle(call, Cause.NO_TARGET, now)
-            case target:
-                return self._send_or_refuse(call, target, now)
-
-    def _send_or_refuse(self, call, target, now):
-        seeker = self._targets.seeker
-        work = self._work.seconds(call.route)
-        urgent = self._work.is_urgent(call.rank)
-        if not seeker.is_worth_sending(call, target, work, urgent, now):
-            return self._settle(call, Cause.OVERLOAD, now)
-        attempt = self._start(call, target, call.search.kind, now, False)
-        attempt.cost = seeker.cost(target, now)
-        return Send(attempt)
+        found = self._searcher.go_on(call, now)
+        if isinstance(found, NothingFound) and call.search.kind is AttemptKind.RETRY:
+            self._budget.give_back()
+            if call.search.may_relay:
+                return Relay()
+        return self._act_on(call, found, now)
+
+    def _search(self, call, kind, now):
+        return self._act_on(call, self._searcher.begin(call, kind, now), now)
+
+    def _act_on(self, call, found, now):
+        match found:
+            case Found(target, cost, trial):
+                attempt = self._start(call, target, call.search.kind, now, trial)
+                attempt.cost = cost
+                return Send(attempt)
+            case NothingFound(cause):
+                return self._settle(call, cause, now)
+            case Ask():
+                return found
 
     def _return_after(self, call, now):
         """Give the seconds after which a request that found no room may come back.
@@ -233,7 +213,7 @@
             case Follow.RELAY:
                 return Relay()
             case Follow.AGAIN_OR_RELAY:
-                return self._again(call, now, on_credit=False) or Relay()
+                return self._again(call, now, False, may_relay=True) or Relay()
             case Follow.AGAIN:
                 # One target that refuses all it is offered would use up the
                 # budget, and requests would be lost although the others have
@@ -291,68 +271,28 @@
     def _hedge_if_stuck(self, call, now):
         if not self._may_add(call):
             return None
-        attempt = next(each for each in call.attempts if not each.ended)
-        target = attempt.target
-        cfg = self.settings.seek
-        elapsed = now - attempt.started
-        expected = self._work.seconds(call.route) * attempt.cost
-        if not expected or elapsed < cfg.doubt_factor * expected:
-            return None
-        is_silent = target.unheard and target.checked_at > attempt.started
-        if not is_silent and elapsed < cfg.stuck_factor * expected:
-            wants_check = now - target.checked_at > cfg.look_s
-            return Ask((target.record,)) if wants_check else None
-        other = self._targets.best_known(call, now)
-        if other is None or not self._budget.spend(now):
-            return None
-        cost = self._targets.seeker.cost(other, now)
-        second = self._start(call, other, AttemptKind.HEDGE, now, False)
-        second.cost = cost
-        return Send(second)
+        found = self._searcher.second_target(call, now)
+        if isinstance(found, Found) and self._budget.spend(now):
+            call.search = Search(AttemptKind.HEDGE)
+            return self._act_on(call, found, now)
+        return found if isinstance(found, Ask) else None
 
     # -- waiting ---------------------------------------------------------------
 
     def _enqueue(self, call, now):
-        if self._targets.none_left_for(call, now):
-            return self._refuse(Cause.NO_TARGET)
-        start_by = self._start_by(call)
-        if self._expected_wait(call) > self.settings.wait_share * (start_by - now):
-            return self._refuse(Cause.DEADLINE)
-        if len(self._waiting) >= self.service.queue_limit:
-            if not self._make_room(call):
-                return self._refuse(Cause.OVERLOAD)
-        self._waiting.push(call)
-        return Wait(start_by)
-
-    def _expected_wait(self, call):
-        ahead = self._waiting.ahead_of(call.priority)
-        return ahead * self._targets.latency.usual / max(1.0, self._room.limit)
-
-    def _start_by(self, call):
-        """Give the time by which a request has to be sent to make its deadline."""
-        latency = self._targets.latency
-        return call.deadline - max(latency.usual, latency.high)
-
-    def _make_room(self, call):
-        """Refuse a waiting background request in favour of an interactive one."""
-        if call.priority is Priority.BACKGROUND:
-            return False
-        victim = self._waiting.last_background()
-        if victim is None:
-            return False
-        self._waiting.remove(victim)
-        self._displaced.append(victim)
-        return True
+        cause = self._admission.admit(call, self.service.queue_limit, now)
+        if cause is not None:
+            return self._refuse(cause)
+        return Wait(self._admission.start_by(call))
 
     def release(self, now: float) -> list[tuple[Call, Decision]]:
         """Decide about waiting requests for which it is time.
 
         To be called after an attempt ended and when a `Wait` has run out.
         """
-        displaced = self._displaced
-        self._displaced = []
         decided = [
-            (call, self._settle(call, Cause.OVERLOAD, now)) for call in displaced
+            (call, self._settle(call, Cause.OVERLOAD, now))
+            for call in self._admission.take_displaced()
         ]
         for priority in CLASSES:
             decided.extend(self._release_class(priority, now))
@@ -372,7 +312,7 @@
 
     def _decide_waiting(self, call, now):
         """Decide about the first waiting request; None lets it wait on."""
-        if now >= self._start_by(call):
+        if now >= self._admission.start_by(call):
             return self._settle(call, Cause.DEADLINE, now)
         if self._targets.none_left_for(call, now):
             return self._settle(call, Cause.NO_TARGET, now)
@@ -386,14 +326,14 @@
         limit = call.max_attempts or self.settings.max_attempts
         return call.may_retry and len(call.attempts) < limit
 
-    def _again(self, call, now, on_credit):
+    def _again(self, call, now, on_credit, may_relay=False):
         """Give a decision that goes on with the request, or None."""
         if not self._may_add(call) or now >= call.deadline:
             return None
         if not self._budget.spend(now, on_credit):
             return None
         if self.settings.seek is not None:
-            return self._seek_again(call, now)
+            return self._search_again(call, now, may_relay)
         attempt = self._place(call, AttemptKind.RETRY, now)
         if attempt is not None:
             return Send(attempt)
@@ -402,14 +342,15 @@
         if full or self._targets.none_left_for(call, now):
             return None
         self._waiting.push(call)
-        return Wait(self._start_by(call))
-
-    def _seek_again(self, call, now):
-        decision = self._seek(call, AttemptKind.RETRY, now)
-        if isinstance(decision, Send | Ask):
-            return decision
-        self._budget.give_back()
-        return None
+        return Wait(self._admission.start_by(call))
+
+    def _search_again(self, call, now, may_relay):
+        found = self._searcher.begin(call, AttemptKind.RETRY, now)
+        call.search.may_relay = may_relay
+        if isinstance(found, NothingFound):
+            self._budget.give_back()
+            return None
+        return self._act_on(call, found, now)
 
     def _place(self, call, kind, now):
         """Choose a target and count the attempt; None if there is no room."""
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/test_seeking.py
@@ -167,6 +167,23 @@
     assert policy.snapshot(1.1)["retry_tokens"] == tokens
 
 
+def test_a_failed_answer_is_relayed_if_no_other_target_has_room():
+    """Symptom: a caller gets a 502 of the system's own, although a target answered.
+
+    Events: the target's answer is a failure, the request may be repeated, and all
+    others say that they are full when they are asked. Cause: the answer was dropped as
+    soon as others were asked.
+    """
+    policy = policy_of(*near(3))
+    decision, _ = settle(policy, call(), n1=LoadReport(9), n2=LoadReport(9))
+    tokens = policy.snapshot(1.0)["retry_tokens"]
+    again = policy.finished(decision.attempt, Answered(failed=True), 1.1)
+    assert isinstance(again, Ask)
+    answer(policy, again, 1.1, {"n1": LoadReport(9), "n2": LoadReport(9)})
+    assert policy.asked(decision.attempt.call, 1.1) == Relay()
+    assert policy.snapshot(1.1)["retry_tokens"] == tokens
+
+
 def test_a_deadline_that_passes_while_targets_are_asked_ends_the_request():
     policy = policy_of(*near(2))
     req = call()
