Agree on the daemons' key in the product, and split what had grown

Cause: the adapter decided how the daemons come to one key (make one, write it if there is none, else learn it). That is the product's: the registry port has single calls now (write, write_first, read), and Enrolment agrees.

The header look-up stands once.

Comments that told figures without a run behind them say what was measured or that it is a choice.

--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -1,38 +1,30 @@
 """What every daemon consists of, whatever platform it runs on: its parts and life."""
 
-import json
 import logging
 import random
 import signal
 import time
 from collections.abc import Callable
 
-import attrs
 import gevent
 from gevent.event import Event
 
 from cairnferry.coordination import NoteBoard
-from cairnferry.entry import _exposition
 from cairnferry.entry._asking import StatusChecks
-from cairnferry.entry._callers import BodyLimits, CallersApp
+from cairnferry.entry._callers import CallersApp
 from cairnferry.entry._cluster import Cluster, new_membership
-from cairnferry.entry._conventions import (
-    CallerConvention,
-    OwnCallers,
-    OwnTargets,
-    TargetConvention,
-)
+from cairnferry.entry._core_settings import Conventions, CoreSettings
 from cairnferry.entry._forward import Forwarder
 from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._http_server import HttpServer, Limits
 from cairnferry.entry._metrics import Metrics
 from cairnferry.entry._ports import CallerLimits, Records
 from cairnferry.entry._services import Services
-from cairnferry.entry._small_apps import TEXT, Page
+from cairnferry.entry._state_view import StateView
 from cairnferry.entry._steering import Steering
 from cairnferry.entry._upstreams import Upstreams
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
-from cairnferry.policy import DrainSource, PolicySettings
+from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
 
 # Seconds between two looks at how many instances there are: the shares are wrong for
@@ -44,108 +36,6 @@
 log = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class LeavingTimes:
-    """How long a daemon that leaves goes on.
-
-    Attributes
-    ----------
-    serve_s : float
-        Seconds for which it takes new requests: callers still hold old answers.
-    limit_s : float
-        Further seconds for requests in progress to end.
-    """
-
-    serve_s: float
-    limit_s: float
-
-
-@attrs.frozen
-class PeerSettings:
-    """How a daemon speaks to others.
-
-    Attributes
-    ----------
-    listen : Address
-        Where it listens.
-    advertise : str
-        "IP:port" at which others reach it.
-    interval_s : float
-        Seconds between two rounds of heartbeats.
-    fanout : int
-        Peers called in a round.
-    seeds : tuple of str
-        Addresses to try at the start.
-    """
-
-    listen: Address
-    advertise: str
-    interval_s: float
-    fanout: int
-    seeds: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class CoreSettings:
-    """Checked settings that do not depend on the platform.
-
-    Attributes
-    ----------
-    name, zone : str
-        Name and availability zone of this instance.
-    callers : Address
-        Where callers connect.
-    caller_limits : Limits
-        Limits of their connections.
-    page_limits : Limits
-        Limits of connections to the pages for the platform and operators.
-    bodies : BodyLimits
-        Limits of their requests' bodies.
-    answer_ttl_s : float
-        Seconds for which callers keep a steering answer.
-    shard : int
-        Entry instances for one service; 0 for all.
-    peers : PeerSettings
-        How to speak to other daemons.
-    connect_s : float
-        Seconds to open a connection to a target.
-    max_answer_bytes : int
-        Longest body of a target's answer.
-    policy : PolicySettings
-        Constants of the decisions.
-    checks_per_s : float
-        Status checks a second and target, over all instances; 0 for no limit.
-    leaving : LeavingTimes
-        How long a daemon that leaves goes on.
-    seed : int or None
-        Seed of the random choices.
-    """
-
-    name: str
-    zone: str
-    callers: Address
-    caller_limits: Limits
-    page_limits: Limits
-    bodies: BodyLimits
-    answer_ttl_s: float
-    shard: int
-    peers: PeerSettings
-    connect_s: float
-    max_answer_bytes: int
-    policy: PolicySettings
-    checks_per_s: float
-    leaving: LeavingTimes
-    seed: int | None = None
-
-
-@attrs.frozen
-class Conventions:
-    """How callers and targets are spoken to."""
-
-    callers: CallerConvention = attrs.field(factory=OwnCallers)
-    targets: TargetConvention = attrs.field(factory=OwnTargets)
-
-
 class Core:
     """The parts of a daemon that are the same on every platform.
 
@@ -179,6 +69,7 @@
         self._listeners = []
         self._tasks = []
         self._leaving = Event()
+        self.shown = StateView(self)
         self.reload = Event()
 
     # -- parts ------------------------------------------------------------------
@@ -251,7 +142,7 @@
         gevent.signal_handler(signal.SIGTERM, self.leave)
         gevent.signal_handler(signal.SIGINT, self.leave)
         gevent.signal_handler(signal.SIGHUP, self.reload.set)
-        gevent.signal_handler(signal.SIGUSR1, self._print_dump)
+        gevent.signal_handler(signal.SIGUSR1, self.shown.log_dump)
         self.start(tasks)
         return self.run_to_end()
 
@@ -360,53 +251,3 @@
     def _spare(self):
         runtimes = self.services.active().values()
         return min((runtime.policy.spare for runtime in runtimes), default=1.0)
-
-    # -- what is shown ----------------------------------------------------------
-
-    def status(self) -> dict:
-        """Give this daemon's view of all daemons, as plain values."""
-        me = self.cluster.membership.me
-        configuration = self.cluster.configuration
-        return {
-            "instance": me.name,
-            "zone": me.zone,
-            "state": me.state.name.lower(),
-            "revision": configuration.revision,
-            "behind": str(getattr(configuration.behind, "fault", configuration.behind))
-            if configuration.behind
-            else None,
-            **self.cluster.snapshot(),
-        }
-
-    def dump(self) -> dict:
-        """Give this daemon's state, as plain values without secrets."""
-        now = time.monotonic()
-        meter = self.peer_meter
-        return {
-            **self.status(),
-            "connections": {
-                "callers": self.callers_server.connections,
-                "callers_busy": self.callers_server.busy,
-                "callers_refused": self.callers_server.refused_connections,
-                "targets": self.upstreams.counts(),
-            },
-            "peers": {
-                "sent_bytes": meter.sent,
-                "received_bytes": meter.received,
-                "messages": meter.messages,
-                "rounds": self.gossip.rounds,
-            },
-            "services": {
-                name: runtime.policy.snapshot(now)
-                for name, runtime in self.services.active().items()
-            },
-            "metrics": self.metrics.snapshot(),
-        }
-
-    def metrics_page(self, url: str) -> Page:
-        """Give the metrics as text."""
-        text = _exposition.render(self.dump())
-        return Page("200 OK", text.encode(), TEXT)
-
-    def _print_dump(self):
-        log.info("dump", extra={"dump": json.loads(json.dumps(self.dump()))})
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -19,8 +19,10 @@
 from cairnferry.entry._callers import BodyLimits
 from cairnferry.entry._configuration import Configuration
 from cairnferry.entry._core import (
-    Conventions,
     Core,
+)
+from cairnferry.entry._core_settings import (
+    Conventions,
     CoreSettings,
     LeavingTimes,
     PeerSettings,
@@ -114,7 +116,7 @@
             self.configuration,
             self.submissions,
             TokenFile(cfg.get("operators", "token_file")),
-            self.core.status,
+            self.core.shown.status,
             self.dump,
             lambda: _exposition.render(self.dump()),
             self.core.leave,
@@ -190,7 +192,7 @@
 
     def dump(self) -> dict:
         """Give this daemon's state, as plain values without secrets."""
-        document = self.core.dump()
+        document = self.core.shown.dump()
         document["connections"]["operators"] = self.operators_server.connections
         return document | {
             "records": len(self.configuration.records.entries),
--- a/packages/entry/src/cairnferry/entry/_disposable.py
+++ b/packages/entry/src/cairnferry/entry/_disposable.py
@@ -1,7 +1,11 @@
 """Settings of a daemon on an instance that keeps nothing and may vanish at any time."""
 
 from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._core import CoreSettings, LeavingTimes, PeerSettings
+from cairnferry.entry._core_settings import (
+    CoreSettings,
+    LeavingTimes,
+    PeerSettings,
+)
 from cairnferry.entry._http_server import Limits
 from cairnferry.policy import settings_for
 from cairnferry.settings import Address
@@ -25,8 +29,8 @@
 MIN_CALLERS = 64
 # Connections to the pages for the platform, and to the directory.
 PAGE_CONNECTIONS = 1000
-# Seconds between two rounds of heartbeats, and peers called in each: in a trial with
-# 18 daemons one that died was missed within a second by those that called it.
+# Seconds between two rounds of heartbeats, and peers called in each: with 2, each
+# is called by two others in a round, on the mean, however many there are.
 HEARTBEAT_S = 0.5
 FANOUT = 2
 # Seconds to open a connection to a target, and the longest body of its answers.
--- a/packages/entry/src/cairnferry/entry/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/_enrolment.py
@@ -1,6 +1,7 @@
 """Finding the other daemons by a registry that all of them write to once."""
 
 import logging
+import os
 import random
 
 import attrs
@@ -8,7 +9,7 @@
 
 from cairnferry.entry._cluster import Cluster, Listed
 from cairnferry.entry._gossip import Gossip
-from cairnferry.entry._ports import EntryRow, Registry
+from cairnferry.entry._ports import EntryRow, KeyExists, Registry
 from cairnferry.peers import SharedKey
 
 # Pause in seconds after a failed call, doubled up to the longest, with jitter: all
@@ -16,6 +17,9 @@
 RETRY_S = 0.2
 MAX_RETRY_S = 2.0
 
+# Length of the shared key in bytes; twice the least that peers accept.
+KEY_BYTES = 32
+
 log = logging.getLogger(__name__)
 
 
@@ -56,8 +60,20 @@
             gevent.sleep(pause * (0.5 + self.rng.random()))
             pause = min(MAX_RETRY_S, 2 * pause)
 
+    def _write(self):
+        """Write the own row, and a key if nobody has written one.
+
+        All daemons start at the same moment, and each would make a key of its own:
+        they would refuse each other. The registry takes the first one, and later ones
+        learn it by reading.
+        """
+        written = self.registry.write_first(self.me, os.urandom(KEY_BYTES))
+        if written.is_error() and isinstance(written.error, KeyExists):
+            return self.registry.write(self.me)
+        return written
+
     def _enrol(self):
-        enrolled = self.registry.enrol(self.me)
+        enrolled = self._write().bind(lambda _: self.registry.read())
         if enrolled.is_error():
             log.warning("not enrolled", extra={"why": str(enrolled.error)})
             return False
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -215,8 +215,21 @@
     entries: tuple[EntryRow, ...]
 
 
+@attrs.frozen
+class KeyExists:
+    """The registry holds a key already, so that nothing was written."""
+
+
 class Registry(typing.Protocol):
     """Where entry instances find each other."""
 
-    def enrol(self, me: EntryRow) -> Result[Enrolled, FeedFault]:
-        """Write this instance's row, and give what is there."""
+    def write(self, me: EntryRow) -> Result[None, FeedFault]:
+        """Write this instance's row."""
+
+    def write_first(
+        self, me: EntryRow, key: bytes
+    ) -> Result[None, FeedFault | KeyExists]:
+        """Write this instance's row and the daemons' key, if there is no key yet."""
+
+    def read(self) -> Result[Enrolled, FeedFault]:
+        """Give what is there."""
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -10,9 +10,9 @@
     CheckResult,
     TargetConvention,
 )
-from cairnferry.entry._core import (
+from cairnferry.entry._core import Core
+from cairnferry.entry._core_settings import (
     Conventions,
-    Core,
     CoreSettings,
     LeavingTimes,
     PeerSettings,
@@ -35,6 +35,7 @@
     FeedUnavailable,
     HistoryLost,
     Item,
+    KeyExists,
     RecordDecoders,
     Registry,
     Rules,
@@ -65,6 +66,7 @@
     "FollowedRecords",
     "HistoryLost",
     "Item",
+    "KeyExists",
     "Newcomer",
     "LeavingTimes",
     "Limits",
--- a/packages/standins/src/cairnferry/standins/_steps_callers.py
+++ b/packages/standins/src/cairnferry/standins/_steps_callers.py
@@ -6,7 +6,7 @@
 import gevent
 
 from cairnferry.standins._load import LoadPlan, LoadReport, parse_operations, run_load
-from cairnferry.standins._processes import wait_for
+from cairnferry.standins._waiting import wait_for
 
 DEFAULT_RATE = 60.0
 FOREVER_S = 3600.0
--- a/packages/standins/src/cairnferry/standins/_steps_processes.py
+++ b/packages/standins/src/cairnferry/standins/_steps_processes.py
@@ -3,8 +3,8 @@
 import secrets
 import signal
 
-from cairnferry.standins._processes import wait_for
 from cairnferry.standins._scenario_fault import ScenarioFault
+from cairnferry.standins._waiting import wait_for
 
 KEY_BYTES = 32
 
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -15,6 +15,7 @@
     Reply,
     describe,
     exchange,
+    find_header,
 )
 from cairnferry.wire._pool import ConnectionPool
 from cairnferry.wire._request import HeaderInvalid, encode_request
@@ -38,6 +39,7 @@
     "describe",
     "encode_request",
     "exchange",
+    "find_header",
     "is_quiet",
     "set_no_delay",
 ]
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -26,6 +26,14 @@
     CONNECT = "connect"
 
 
+def find_header(headers: list[tuple[str, str]], name: str) -> str | None:
+    """Give the first value of a header; `name` in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
 @attrs.frozen
 class Reply:
     """A whole answer: the request ran, or the target says otherwise in it.
@@ -46,10 +54,7 @@
 
     def header(self, name: str) -> str | None:
         """Give the first value of a header; `name` in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 @attrs.frozen
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,5 +1,7 @@
 """The adapter with stand-ins of its platform, in this process."""
 
+import json
+
 import pytest
 
 from cairnferry.entry import _asking
@@ -9,7 +11,7 @@
 from hosting._store import Store
 from hosting.command import build
 
-from ._standins import HOST, HostedTarget, StoreStandin, configuration, target_row
+from ._standins import HOST, HostedTarget, StoreStandin, configuration, rule, target_row
 
 SETTINGS = """\
 node_name={name}
@@ -35,6 +37,8 @@
 """
 
 
+POST = {"method": "POST", "body": b"order"}
+UNSAFE = [rule(kind="unsafe", attempts=3)]
 PORTS = ("front", "ready", "directory", "control", "peer")
 
 
@@ -143,3 +147,13 @@
         wait_for(lambda: {t.name for t in daemon.core.services.targets()} == set(names))
 
     return wait
+
+
+@pytest.fixture
+def unsafe_daemon(store, start_daemon):
+    store.put("op", "config", configuration(rules=UNSAFE))
+    return start_daemon()
+
+
+def outcome(reply):
+    return json.loads(reply.body)["outcome"]
