--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -30,7 +30,10 @@
 # Seconds between two looks at how many instances there are: the shares are wrong for
 # that long after some were lost or came, in sum by the part of those.
 SHARE_OUT_S = 1.0
+# Seconds for a call to a peer; zones are some milliseconds apart, a busy one is late.
 PEER_TIMEOUT_S = 0.8
+# Seconds after which a task that failed unforeseen begins again: one that fails at once
+# each time fills neither the processor nor the log.
 TASK_RETRY_S = 1.0
 
 log = logging.getLogger(__name__)
--- a/packages/entry/src/cairnferry/entry/_disposable.py
+++ b/packages/entry/src/cairnferry/entry/_disposable.py
@@ -22,7 +22,7 @@
 HEAD_S = 3.0
 IDLE_S = 15.0
 BODY_BYTES = 1 << 20
-# Seconds for a request's body to arrive.
+# Seconds for a request's body to arrive; longer than any caller waits for its answer.
 BODY_S = 10.0
 # Descriptors that are left for targets, peers and the platform, and least for callers.
 OTHER_FILES = 1200
@@ -33,7 +33,8 @@
 # is called by two others in a round, on the mean, however many there are.
 HEARTBEAT_S = 0.5
 FANOUT = 2
-# Seconds to open a connection to a target, and the longest body of its answers.
+# Seconds to open a connection to a target, which takes some milliseconds unless it is
+# gone, and the longest body of its answers, which is held whole.
 CONNECT_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -28,9 +28,11 @@
 # for two seconds more.
 TARGETS_COALESCE_S = 0.6
 
-# Seconds between two looks at how old the knowledge of the rules is.
+# Seconds between two looks at how old the knowledge of the rules is: a small part of
+# the 10 s from which a daemon calls itself stale.
 CONFIRM_S = 0.5
-# Seconds for which other daemons keep in mind that a target leaves.
+# Seconds for which other daemons keep in mind that a target leaves: it serves on for
+# some seconds after it said so. A name does not come again, so that more does no harm.
 LEAVING_NOTE_S = 15.0
 
 log = logging.getLogger(__name__)
--- a/packages/entry/src/cairnferry/entry/_handover.py
+++ b/packages/entry/src/cairnferry/entry/_handover.py
@@ -20,7 +20,9 @@
 from cairnferry.wire import Client, Reply, describe
 
 HANDOVER_PATH = "/handover"
-# Seconds that the store is given first, and between two rounds of asking others.
+# Seconds that the store is given first, many times what it needs when it is well, and
+# between two rounds of asking others; seconds for one answer of another daemon, which
+# has nothing to wait for. Chosen so that a round of three dead seeds ends within 2 s.
 PATIENCE_S = 0.4
 ROUND_S = 0.5
 TIMEOUT_S = 0.5
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -238,19 +238,7 @@
     def note_check(
         self, name: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
-        """Take in what a target said when it was asked.
-
-        Parameters
-        ----------
-        name : str
-            Name of the target.
-        report : LoadReport or None
-            Its load; None if it gave no answer.
-        well : bool
-            Whether it calls itself well.
-        now : float
-            Time in seconds.
-        """
+        """Take in what a target said when it was asked; no report is no answer."""
         target = self._states.get(name)
         if target is None:
             return
--- a/packages/policy/src/cairnferry/policy/_work.py
+++ b/packages/policy/src/cairnferry/policy/_work.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+# Weight of a new sample: some ten answers, a second of one route, make the estimate.
 GAIN = 0.1
 # A request that took this many times as long as usual counts as that: one that hung
 # says nothing of the work.
--- /dev/null
+++ b/tests/bench/test_days.py
@@ -0,0 +1,39 @@
+"""What the runner of own days takes for a day that went wrong."""
+
+import pytest
+
+from bench.days.__main__ import find_faults
+
+GOOD = """\
+day                  own/srv  score  worth served refused failed  weakest part
+store-silent           18/36   0.88  0.881  0.996   0.000  0.001  worst windows 0.99
+  -0.0000  0.0 worth broken off early
+  -0.0000  0.0 worth broken off midway
+  -0.0000  0.0 exits of its own
+"""
+
+
+def test_a_good_day_has_no_fault():
+    assert find_faults("store-silent", GOOD) == []
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "rules broken: CONFIG 291, DENIED 36",
+        "store-silent  18/36  0.00  0.890  worst windows 0.99  BROKEN: CONFIG 291",
+        "fault: no request is served",
+        "  -0.0100  2.0 exits of its own",
+    ],
+)
+def test_what_went_wrong_is_found(line):
+    """Symptom: a day with a broken rule is printed like a good one.
+
+    Cause: the pattern that was looked for stood in no report.
+    """
+    assert find_faults("store-silent", GOOD + line) == [line.strip()]
+
+
+def test_a_day_without_a_row_is_a_fault():
+    assert find_faults("kills", GOOD) == ["no result"]
+    assert find_faults("kills", "") == ["no result"]
