--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
 .PHONY: demo test lint format generate golden install
-.PHONY: bench capacity propagation overhead shards
+.PHONY: bench capacity propagation overhead shards days
 
 install: $(VENV)/installed
 
@@ -57,3 +57,7 @@
 
 shards: install
 	$(BIN)/python -m bench.shards
+
+# Days of our own on the users' bench: make days FLEETBENCH=program SITE=file
+days: install
+	FLEETBENCH=$(FLEETBENCH) $(BIN)/python -m bench.days $(SITE)
