Make the instance list a registry, and keep its rows up to date

Cause: the own interface's list of instances went past the Registry port, so that the port had one implementation; and rows of instances that were gone stayed in the platform's table, where each made the others' part of the common budgets smaller and cost calls that fail.

--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -72,6 +72,7 @@
         self._listeners = []
         self._tasks = []
         self._leaving = Event()
+        self.farewells: list[Callable[[], None]] = []
         self.shown = StateView(self)
         self.reload = Event()
 
@@ -221,6 +222,9 @@
         log.info("leaving")
         self.cluster.membership.leave()
         self.gossip.hurry()
+        for farewell in self.farewells:
+            # None of them may hold up the end; it comes whether they are done or not.
+            self.spawn(farewell)
         gevent.sleep(self.cfg.leaving.serve_s)
         whole = self.callers_server.finish(self.cfg.leaving.limit_s)
         for server in self._listeners:
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -28,9 +28,11 @@
     PeerSettings,
 )
 from cairnferry.entry._distribution import Distribution
+from cairnferry.entry._enrolment import Enrolment
 from cairnferry.entry._http_server import Limits
-from cairnferry.entry._listing import Listing
+from cairnferry.entry._listing import LeavingTargets, ListedRegistry
 from cairnferry.entry._operators import OperatorsApp, TokenFile
+from cairnferry.entry._ports import EntryRow
 from cairnferry.entry._probing import Probing
 from cairnferry.entry._submissions import Submissions
 from cairnferry.peers import KeyRing
@@ -73,7 +75,20 @@
         )
         core.join(self.distribution, self.configuration)
         self.distribution.cluster = core.cluster
-        self.listing = Listing(self.instances, core.cluster, core.gossip, core.services)
+        leaving = LeavingTargets(core.cluster, core.gossip, core.services)
+        self.enrolment = Enrolment(
+            ListedRegistry(self.instances, leaving.note),
+            EntryRow(
+                core.cfg.name,
+                core.cfg.zone,
+                core.cfg.peers.advertise,
+                str(core.cfg.callers),
+            ),
+            keys,
+            core.cluster,
+            core.gossip,
+            core.rng,
+        )
         self.probing = Probing(
             core.cluster, core.services, core.metrics, core.gossip.hurry
         )
@@ -161,11 +176,11 @@
 
     def _poll_list(self):
         interval = self._cfg.get("platform", "poll_s") * LIST_POLL_FACTOR
-        self.listing.refresh()
+        self.enrolment.refresh()
         while True:
             gevent.sleep(interval * (0.9 + 0.2 * self.core.rng.random()))
             if self.distribution.is_poller():
-                self.listing.refresh()
+                self.enrolment.refresh()
 
     def _probe(self):
         rounds = 0
--- a/packages/entry/src/cairnferry/entry/_listing.py
+++ b/packages/entry/src/cairnferry/entry/_listing.py
@@ -1,13 +1,21 @@
-"""What the platform's list of instances says, as far as it can be trusted."""
+"""The platform's list of instances as a registry, and its word on targets."""
 
-import logging
+from collections.abc import Callable, Collection
 
 import attrs
+from expression import Error, Ok, Result
 
 from cairnferry.cloudapi import InstanceList
 from cairnferry.coordination import Note
-from cairnferry.entry._cluster import Cluster, Listed
+from cairnferry.entry._cluster import Cluster
 from cairnferry.entry._gossip import Gossip
+from cairnferry.entry._ports import (
+    Enrolled,
+    EntryRow,
+    FeedFault,
+    FeedUnavailable,
+    KeyExists,
+)
 from cairnferry.entry._services import Services
 from cairnferry.policy import DrainSource
 
@@ -15,43 +23,76 @@
 TARGET_ROLE = "target"
 PLATFORM_NOTE_S = 15.0
 
-log = logging.getLogger(__name__)
-
 
 @attrs.define
-class Listing:
-    """Takes the platform's list as a seed of membership and a word on targets.
+class ListedRegistry:
+    """Registry that the platform itself keeps: its list of instances, which lags.
+
+    The platform enters each instance that it starts and drops those it took away, so
+    that writing and removing do nothing. The daemons' key is in a file.
 
     Parameters
     ----------
     instances : InstanceList
-        The list, which lags.
+        The list.
+    note_targets : callable
+        Called with the addresses of the targets that are leaving, at each reading.
+    """
+
+    instances: InstanceList
+    note_targets: Callable[[set[str]], None]
+
+    def write(self, me: EntryRow) -> Result[None, FeedFault]:
+        """Do nothing: the platform lists this instance."""
+        return Ok(None)
+
+    def write_first(
+        self, me: EntryRow, key: bytes
+    ) -> Result[None, FeedFault | KeyExists]:
+        """Refuse the key: there is one in a file."""
+        return Error(KeyExists())
+
+    def read(self) -> Result[Enrolled, FeedFault]:
+        """Give the entry instances of the list."""
+        fetched = self.instances.fetch()
+        if fetched.is_error():
+            return Error(FeedUnavailable(fetched.error.reason))
+        listed = fetched.ok
+        self.note_targets(
+            {i.address for i in listed if i.role == TARGET_ROLE and i.leaving}
+        )
+        entries = (
+            EntryRow(i.name, i.zone, i.address, leaving=i.leaving)
+            for i in listed
+            if i.role == ENTRY_ROLE
+        )
+        return Ok(Enrolled(None, tuple(entries)))
+
+    def remove(self, names: Collection[str]) -> Result[None, FeedFault]:
+        """Do nothing: the platform drops what it took away."""
+        return Ok(None)
+
+
+@attrs.define
+class LeavingTargets:
+    """Tells all daemons of targets that the platform calls leaving.
+
+    Parameters
+    ----------
     cluster : Cluster
         This daemon's view.
     gossip : Gossip
-        Gets addresses to try.
+        Spreads the news.
     services : Services
         The targets in force.
     """
 
-    instances: InstanceList
     cluster: Cluster
     gossip: Gossip
     services: Services
 
-    def refresh(self) -> None:
-        """Read the list once."""
-        fetched = self.instances.fetch()
-        if fetched.is_error():
-            log.debug("instance list", extra={"why": fetched.error.reason})
-            return
-        entries = [i for i in fetched.ok if i.role == ENTRY_ROLE]
-        self.cluster.listed = {i.name: Listed(i.zone, i.leaving) for i in entries}
-        self.gossip.strangers = {i.address for i in entries if not i.leaving}
-        leaving = {i.address for i in fetched.ok if i.role == TARGET_ROLE and i.leaving}
-        self._note_leaving(leaving)
-
-    def _note_leaving(self, addresses):
+    def note(self, addresses: set[str]) -> None:
+        """Take in the addresses of targets that are leaving."""
         for target in self.services.targets():
             if f"{target.host}:{target.port}" in addresses:
                 source = str(DrainSource.PLATFORM)
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -5,7 +5,7 @@
 """
 
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 from expression import Error, Ok, Result
@@ -190,13 +190,17 @@
     name, zone : str
         Name and availability zone.
     peer_address, caller_address : str
-        "IP:port" for other daemons and for callers.
+        "IP:port" for other daemons and for callers; a registry that the platform
+        keeps may not know the second.
+    leaving : bool
+        Whether the platform is about to take the instance away.
     """
 
     name: str
     zone: str
     peer_address: str
-    caller_address: str
+    caller_address: str = ""
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -205,13 +209,14 @@
 
     Attributes
     ----------
-    key : bytes
-        Shared key of the daemons.
+    key : bytes or None
+        Shared key of the daemons; None if the registry holds none, and they have it
+        from elsewhere.
     entries : tuple of EntryRow
         All instances that are enrolled, also those that are gone by now.
     """
 
-    key: bytes
+    key: bytes | None
     entries: tuple[EntryRow, ...]
 
 
@@ -233,3 +238,10 @@
 
     def read(self) -> Result[Enrolled, FeedFault]:
         """Give what is there."""
+
+    def remove(self, names: Collection[str]) -> Result[None, FeedFault]:
+        """Remove the rows of instances that are gone.
+
+        A row that is written anew meanwhile stays: the call may be done seconds
+        after it was made, when the instance is back.
+        """
--- a/tests/adapter/test_directory.py
+++ b/tests/adapter/test_directory.py
@@ -5,6 +5,7 @@
 import gevent
 
 from cairnferry.standins import wait_for
+from hosting._registry import TABLE
 
 
 def test_callers_are_told_where_to_connect(daemon, start_daemon):
@@ -39,5 +40,15 @@
     assert other.call().status == 200
 
 
+def test_a_daemon_that_leaves_takes_its_row_away(daemon, start_daemon, store):
+    other = start_daemon("front-2")
+    rows = store.rows[TABLE]
+    wait_for(lambda: "front-2" in rows and rows["front-2"].value is not None)
+    gevent.spawn(other.core.run_to_end)
+    other.core.leave()
+    wait_for(lambda: rows["front-2"].value is None)
+    assert rows["front-1"].value is not None
+
+
 def _addresses(daemon, path):
     return json.loads(daemon.get(daemon.cfg.directory, path).body)["addresses"]
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,5 +1,6 @@
 """Calls to the store, and the registry in it."""
 
+import attrs
 import gevent
 import pytest
 
@@ -9,8 +10,8 @@
     HistoryLost,
     KeyExists,
 )
-from hosting._registry import TABLE, StoreRegistry
-from hosting._store import Conflict, RowRef, TableFeed
+from hosting._registry import ROW_CHANGED, TABLE, StoreRegistry
+from hosting._store import Conflict, RowRef, Store, TableFeed
 
 ROW = RowRef("t", "k")
 
@@ -66,14 +67,14 @@
 def test_a_write_happens_once_even_if_its_answer_is_lost(store, client):
     """Symptom: a row is written twice. Cause: a library sends the call again."""
     store.faults["/api/rows-tx"] = ["lost"]
-    assert client.write({ROW: b"1"}).is_error()
+    assert client.write({ROW: b"1"}, {}).is_error()
     assert store.calls["/api/rows-tx"] == 1
     assert store.rows["t"]["k"].value == b"1"
 
 
 def test_a_condition_that_does_not_hold_gives_the_rows_as_they_are(store, client):
-    assert client.write({ROW: b"1"}, absent=(ROW,)).is_ok()
-    conflict = client.write({ROW: b"2"}, absent=(ROW,)).error
+    assert client.write({ROW: b"1"}, {ROW: 0}).is_ok()
+    conflict = client.write({ROW: b"2"}, {ROW: 0}).error
     assert isinstance(conflict, Conflict)
     assert conflict.items[0].value == b"1"
 
@@ -118,3 +119,35 @@
     registry = StoreRegistry(client)
     registry.write_first(entry("a"), b"key")
     assert registry.read().ok.entries == (entry("a"),)
+
+
+def test_rows_of_instances_that_are_gone_are_removed_and_the_key_stays(store, client):
+    registry = StoreRegistry(client)
+    registry.write_first(entry("a"), b"key")
+    registry.write(entry("bb"))
+    assert registry.remove({"bb", "never-there"}).is_ok()
+    enrolled = registry.read().ok
+    assert (enrolled.key, enrolled.entries) == (b"key", (entry("a"),))
+    calls = store.calls["/api/rows-tx"]
+    assert registry.remove({"bb"}).is_ok()
+    assert store.calls["/api/rows-tx"] == calls
+
+
+def test_a_row_that_is_written_anew_is_not_removed(store, client, monkeypatch):
+    """Symptom: an instance that came back is missing in the registry.
+
+    Events: it leaves; the removal of its row is done seconds later, after it has
+    started again and written its row. Cause: a removal without condition.
+    """
+    registry = StoreRegistry(client)
+    registry.write(entry("a"))
+    rows = client.rows
+
+    def read_then_write(table):
+        batch = rows(table)
+        store.put(table, "a", attrs.asdict(entry("a")))
+        return batch
+
+    monkeypatch.setattr(Store, "rows", lambda self, table: read_then_write(table))
+    assert registry.remove({"a"}).error == ROW_CHANGED
+    assert store.rows[TABLE]["a"].value is not None
