Write log lines without waiting for their reader

Cause: lines were written to standard output by a call that waits for room in the pipe. A collector that stops reading stops the whole process, and every request with it. test_a_reader_of_the_log_that_stops_reading_holds_up_no_request was seen failing (no answer within its 30 s) with the handler before.

Ruled out: a thread (it would share the processor's turns on the small instances).

--- a/packages/entry/src/cairnferry/entry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/_exposition.py
@@ -29,6 +29,8 @@
         lines.append(f"cairnferry_peer_{name}_total {count}")
     lines.append(f"cairnferry_cpu_seconds_total {metrics['cpu_s']}")
     lines.append(f"cairnferry_revision {document['revision']}")
+    dropped = document["log_lines_dropped"]
+    lines.append(f"cairnferry_log_lines_dropped_total {dropped}")
     return "\n".join(lines) + "\n"
 
 
--- a/packages/entry/src/cairnferry/entry/_logs.py
+++ b/packages/entry/src/cairnferry/entry/_logs.py
@@ -1,11 +1,14 @@
-"""JSON logs on standard error."""
+"""JSON logs on standard output or standard error."""
 
 import logging
+import sys
 import time
 
 import attrs
 from pythonjsonlogger.json import JsonFormatter
 
+from cairnferry.entry._log_lines import LineHandler
+
 RATE = 5.0
 BURST = 20.0
 
@@ -27,13 +30,19 @@
         rename_fields={"asctime": "time", "levelname": "level", "name": "part"},
         static_fields={"instance": instance},
     )
-    handler = logging.StreamHandler(stream)
+    handler = LineHandler((stream or sys.stderr).fileno())
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(logging.DEBUG if debug else logging.INFO)
 
 
+def dropped_lines() -> int:
+    """Give the number of lines that found no room since the start."""
+    handlers = logging.getLogger().handlers
+    return sum(each.dropped for each in handlers if isinstance(each, LineHandler))
+
+
 @attrs.define
 class RateLimit:
     """Limit of log lines of one sort.
--- a/packages/entry/src/cairnferry/entry/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/_state_view.py
@@ -8,6 +8,7 @@
 import attrs
 
 from cairnferry.entry import _exposition
+from cairnferry.entry._logs import dropped_lines
 from cairnferry.entry._small_apps import TEXT, Page
 
 if typing.TYPE_CHECKING:
@@ -59,6 +60,7 @@
                 name: runtime.policy.snapshot(now)
                 for name, runtime in core.services.active().items()
             },
+            "log_lines_dropped": dropped_lines(),
             "metrics": core.metrics.snapshot(),
         }
 
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -1,5 +1,6 @@
 """The program itself, as the platform starts, signals and stops it."""
 
+import fcntl
 import json
 import os
 import pathlib
@@ -8,6 +9,7 @@
 import sys
 
 import gevent
+import gevent.select
 import pytest
 from gevent.event import Event
 
@@ -24,14 +26,19 @@
 PART = int(os.environ.get("CAIRNFERRY_TEST_PART", "0/1").partition("/")[0])
 INSTANCE = f"127.0.1.{PART + 1}"
 
+# Bytes of the smallest pipe that the kernel makes.
+SMALLEST_PIPE = 4096
+DUMPS = 12
+DUMPS_TOLD = b'"dump"'
+
 
 class Program:
     """One started process and what it wrote."""
 
-    def __init__(self, folder, text):
+    def __init__(self, folder, text, output=None):
         self.settings = folder / "boot.conf"
         self.settings.write_text(text)
-        self.output = (folder / "out").open("w+")
+        self.output = open(output or folder / "out", "wb" if output else "w+")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "hosting"],
             cwd=folder,
@@ -110,6 +117,43 @@
     assert program.logged("left")[0]["every_request_answered"] is True
 
 
+def test_a_reader_of_the_log_that_stops_reading_holds_up_no_request(
+    store, tmp_path, start_target
+):
+    """Symptom: all instances stop answering when the collector of logs hangs.
+
+    Events: nobody reads standard output, and its pipe fills up. Cause: a line was
+    written by a call that waits for room in the pipe.
+    """
+    store.put("op", "config", configuration())
+    start_target()
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE)
+    text = settings_text(store.port, host=INSTANCE)
+    cfg = read_host_settings(text).ok
+    program = Program(tmp_path, text, writing)
+    try:
+        wait_for(lambda: answers(cfg))
+        # Each dump of the state is a line longer than what is left in the pipe.
+        for _ in range(DUMPS):
+            program.process.send_signal(signal.SIGUSR1)
+            assert ask(cfg).status == 200
+        os.set_blocking(reading, False)
+        written = b""
+        while DUMPS_TOLD not in written:
+            gevent.select.select([reading], [], [], 10)
+            written += os.read(reading, 65536)
+    finally:
+        program.end()
+        os.close(reading)
+
+
+def answers(cfg):
+    """Tell whether the program answers a request."""
+    reply = ask(cfg)
+    return isinstance(reply, Reply) and reply.status == 200
+
+
 def test_changed_settings_are_taken_in_and_faulty_ones_are_not(serving):
     program, cfg = serving
     text = program.settings.read_text()
