Tell more of requests, members and store calls, in lines and metrics

Cause: a request that was answered at its first target, rejected before a service was chosen, or left by its caller had no line, and neither had members that came and went. Metrics had no calls to the store, waits, lost connections or members, and quantiles that cannot be added up over instances; the count of opened connections fell when a target was gone.

Change: one place counts requests as they end and writes their lines, each sort with a limit of its own that says what was left out; members are told of; latencies and waits are histograms with buckets.

Tests read the metrics with a library's parser.

--- a/packages/coordination/src/cairnferry/coordination/_membership.py
+++ b/packages/coordination/src/cairnferry/coordination/_membership.py
@@ -8,6 +8,7 @@
 import enum
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -85,11 +86,14 @@
         For the order of calls.
     times : MembershipTimes
         Delays.
+    on_change : callable, optional
+        Called with what was known of a member, or None, and what is known now.
     """
 
     me: Member
     rng: random.Random
     times: MembershipTimes = MembershipTimes()
+    on_change: Callable[[Member | None, Member], None] | None = None
     _members: dict[str, Member] = attrs.field(factory=dict)
     _changed_at: dict[str, float] = attrs.field(factory=dict)
     _news: dict[str, int] = attrs.field(factory=dict)
@@ -129,9 +133,12 @@
         return True
 
     def _store(self, member, now):
+        before = self._members.get(member.name)
         self._members[member.name] = member
         self._changed_at[member.name] = now
         self._spread(member.name)
+        if self.on_change is not None:
+            self.on_change(before, member)
 
     def _spread(self, name):
         self._news[name] = NEWS_FACTOR * math.ceil(math.log2(len(self._members) + 2))
--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -1,7 +1,6 @@
 """WSGI application for callers: steering answers and forwarded requests."""
 
 import json
-import logging
 import time
 import urllib.parse
 
@@ -13,12 +12,12 @@
 from cairnferry.entry._forward import Forwarder
 from cairnferry.entry._headers import BadDeadline, RequestHead
 from cairnferry.entry._http_server import HANDLER_KEY, BadRequest, Handler
-from cairnferry.entry._logs import RateLimit
 from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._request_log import RequestLog
 from cairnferry.entry._services import Services
 from cairnferry.entry._steering import Steering
 from cairnferry.entry._upstreams import OutboundRequest
-from cairnferry.policy import Call, GiveUp, Relay
+from cairnferry.policy import Call, Relay
 from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
 
@@ -26,8 +25,6 @@
 MS_PER_S = 1000
 GONE = "499 Caller Gone"
 
-log = logging.getLogger(__name__)
-
 
 @attrs.define
 class BodyLimits:
@@ -71,7 +68,10 @@
     metrics: Metrics
     limits: BodyLimits
     convention: CallerConvention = attrs.field(factory=OwnCallers)
-    _log_limit: RateLimit = attrs.field(factory=RateLimit)
+    _request_log: RequestLog = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._request_log = RequestLog(self.metrics, self.services)
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -79,9 +79,8 @@
         try:
             answer = self._answer(handler)
         except BadRequest as exc:
-            answer = self._problem(exc.problem)
+            answer = self._problem(exc.problem, handler)
         except CallerGone:
-            self.metrics.note_cause("caller-gone")
             handler.close_connection = True
             start_response(GONE, [])
             return []
@@ -126,51 +125,15 @@
                 forwarded = self.forwarder.forward(req, call, runtime)
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
-        service = runtime.policy.service.name
-        self._note(service, call, forwarded, head.request_id)
+        except CallerGone:
+            self._request_log.note_gone(runtime.policy, call, head.request_id)
+            raise
+        self._request_log.note_end(runtime.policy, call, forwarded, head.request_id)
         if isinstance(forwarded.decision, Relay):
             return forwarded.answer
         own = self.convention.own_headers(head)
         return attrs.evolve(forwarded.answer, headers=[*forwarded.answer.headers, *own])
 
-    def _note(self, service, call, forwarded, request_id):
-        elapsed = time.monotonic() - call.arrived
-        decision = forwarded.decision
-        if isinstance(decision, Relay):
-            self.metrics.note_answer(service, "relayed", elapsed)
-            if len(call.attempts) > 1 and self._log_limit.allows():
-                log.info(
-                    "request sent more than once",
-                    extra=self._facts(service, call, request_id, elapsed),
-                )
-            return
-        outcome = "unknown" if isinstance(decision, GiveUp) else "not-run"
-        self.metrics.note_answer(service, outcome, elapsed)
-        self.metrics.note_cause(str(decision.cause))
-        if self._log_limit.allows():
-            log.warning(
-                "request given up",
-                extra={
-                    **self._facts(service, call, request_id, elapsed),
-                    "outcome": outcome,
-                    "cause": str(decision.cause),
-                    "retry_after_s": round(decision.retry_after, 3),
-                },
-            )
-
-    def _facts(self, service, call, request_id, elapsed):
-        """Give what a log line on a request says of it."""
-        return {
-            "request_id": request_id,
-            "service": service,
-            "revision": self.services.revision,
-            "attempts": [f"{a.kind} {a.target_name}" for a in call.attempts],
-            "asked": sorted(call.search.asked),
-            "after_ms": round(elapsed * MS_PER_S, 1),
-            "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
-            "left_out": self._log_limit.take_left_out(),
-        }
-
     def steering_answer(self, path: str) -> Answer:
         """Say which entry instances to use for a service."""
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(path).query)
@@ -183,10 +146,16 @@
         ]
         return Answer("200 OK", headers, json.dumps(document).encode())
 
-    def _problem(self, problem):
-        answer = problem_answer(problem)
-        self.metrics.note_cause(problem.value[2])
-        return answer
+    def _problem(self, problem, handler):
+        self._request_log.note_rejected(problem.value[2], self._request_id(handler))
+        return problem_answer(problem)
+
+    def _request_id(self, handler):
+        try:
+            return self.convention.read_head(handler.header_pairs()).request_id
+        except BadDeadline:
+            # The header that was refused hides the ID, which is read with it.
+            return None
 
 
 def _call(method, route, head: RequestHead, service, arrived):
--- a/packages/entry/src/cairnferry/entry/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/_cluster.py
@@ -1,5 +1,6 @@
 """View of all daemons that one of them has: membership, and how each fares."""
 
+import logging
 import random
 import time
 
@@ -14,6 +15,7 @@
     NoteBoard,
 )
 from cairnferry.entry._configuration import Configuration
+from cairnferry.entry._logs import RateLimit
 from cairnferry.entry._ports import Records
 from cairnferry.peers import Heartbeat
 
@@ -23,6 +25,8 @@
 FULL_SPARE = 1000
 STEER_AWAY = -1
 
+log = logging.getLogger(__name__)
+
 
 @attrs.define
 class PeerHealth:
@@ -215,4 +219,28 @@
         incarnation=time.time_ns() // 1_000_000,
         state=MemberState.ALIVE,
     )
-    return Membership(me, random.Random())
+    return Membership(me, random.Random(), on_change=_MemberLog().note)
+
+
+@attrs.define
+class _MemberLog:
+    """Writes a line for each member that is seen in another state."""
+
+    _limit: RateLimit = attrs.field(factory=RateLimit)
+
+    def note(self, before: Member | None, member: Member) -> None:
+        """Write a line, up to a rate."""
+        if before is not None and before.state is member.state:
+            return
+        if not self._limit.allows():
+            return
+        log.info(
+            "member",
+            extra={
+                "member": member.name,
+                "state": member.state.name.lower(),
+                "before": before.state.name.lower() if before else None,
+                "incarnation": member.incarnation,
+                "left_out": self._limit.take_left_out(),
+            },
+        )
--- a/packages/entry/src/cairnferry/entry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/_exposition.py
@@ -1,4 +1,27 @@
-"""Metrics in the text format that monitoring systems commonly read."""
+"""Metrics in the text format of Prometheus, made from a state dump."""
+
+from collections.abc import Iterator
+
+import attrs
+
+
+@attrs.frozen
+class Sample:
+    """One value of a family.
+
+    Attributes
+    ----------
+    value : float
+        The value.
+    labels : dict of str to str
+        Labels.
+    suffix : str
+        Appended to the family's name, as histograms need.
+    """
+
+    value: float
+    labels: dict[str, str] = attrs.field(factory=dict)
+    suffix: str = ""
 
 
 def render(document: dict) -> str:
@@ -7,40 +30,97 @@
     Parameters
     ----------
     document : dict
-        What `Daemon.dump` gives.
+        What `StateView.dump` gives.
     """
-    metrics = document["metrics"]
     lines = []
-    for key, count in metrics["outcomes"].items():
-        service, outcome = key.split(" ")
-        labels = f'service="{service}",outcome="{outcome}"'
-        lines.append(f"cairnferry_answers_total{{{labels}}} {count}")
-    for cause, count in metrics["causes"].items():
-        lines.append(f'cairnferry_given_up_total{{cause="{cause}"}} {count}')
-    for result, count in metrics["probes"].items():
-        lines.append(f'cairnferry_probes_total{{result="{result}"}} {count}')
-    for service, quantiles in metrics["latency_us"].items():
-        lines += _latency_lines(service, quantiles)
-    for service, state in document["services"].items():
-        for kind, count in state["attempts"].items():
-            labels = f'service="{service}",kind="{kind}"'
-            lines.append(f"cairnferry_attempts_total{{{labels}}} {count}")
+    for name, sort, samples in _families(document):
+        rows = [_line(name, sample) for sample in samples]
+        if rows:
+            lines += [f"# TYPE cairnferry_{name} {sort}", *rows]
+    return "\n".join(lines) + "\n"
+
+
+def _line(name, sample):
+    labels = ",".join(f'{key}="{_escape(v)}"' for key, v in sample.labels.items())
+    braces = f"{{{labels}}}" if labels else ""
+    return f"cairnferry_{name}{sample.suffix}{braces} {sample.value!r}"
+
+
+def _escape(value):
+    return str(value).replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+def _families(document):
+    """Give name, sort and samples of each family."""
+    metrics = document["metrics"]
+    targets = document["connections"]["targets"]
+    yield (
+        "requests_total",
+        "counter",
+        _counted(metrics["requests"], "service", "repeats", "outcome", "cause"),
+    )
+    yield (
+        "answers_total",
+        "counter",
+        _counted(metrics["outcomes"], "service", "outcome"),
+    )
+    yield "given_up_total", "counter", _counted(metrics["causes"], "cause")
+    yield "probes_total", "counter", _counted(metrics["probes"], "result")
+    yield (
+        "store_calls_total",
+        "counter",
+        _counted(metrics["store_calls"], "kind", "result"),
+    )
+    yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
+    yield "wait_seconds", "histogram", _histograms(metrics["wait_s"])
+    yield "attempts_total", "counter", _attempts(document["services"])
+    services = document["services"]
+    yield "repeats_denied_total", "counter", _by_service(services, "repeats_denied")
+    yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
+    yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
+    yield "target_connections_lost_total", "counter", [Sample(targets["lost"])]
+    yield "target_connections_idle", "gauge", [Sample(targets["idle"])]
+    callers = document["connections"]["callers"]
+    yield "caller_connections", "gauge", [Sample(callers)]
+    yield "members", "gauge", _counted(_by_state(document["members"]), "state")
     for name, count in document["peers"].items():
-        lines.append(f"cairnferry_peer_{name}_total {count}")
-    lines.append(f"cairnferry_cpu_seconds_total {metrics['cpu_s']}")
-    lines.append(f"cairnferry_revision {document['revision']}")
+        yield f"peer_{name}_total", "counter", [Sample(count)]
+    age = document["confirmed_head_age_s"]
+    yield "rules_age_seconds", "gauge", [] if age is None else [Sample(age)]
+    yield "cpu_seconds_total", "counter", [Sample(metrics["cpu_s"])]
+    yield "memory_peak_bytes", "gauge", [Sample(metrics["max_rss_kb"] * 1024)]
     dropped = document["log_lines_dropped"]
-    lines.append(f"cairnferry_log_lines_dropped_total {dropped}")
-    return "\n".join(lines) + "\n"
+    yield "log_lines_dropped_total", "counter", [Sample(dropped)]
+    yield "revision", "gauge", [Sample(document["revision"])]
 
 
-def _latency_lines(service, quantiles):
-    lines = []
-    for name, value in quantiles.items():
-        if name == "count":
-            lines.append(f'cairnferry_latency_us_count{{service="{service}"}} {value}')
-            continue
-        quantile = float(name[1:]) / 100
-        labels = f'service="{service}",quantile="{quantile:g}"'
-        lines.append(f"cairnferry_latency_us{{{labels}}} {value}")
-    return lines
+def _counted(counts, *names) -> Iterator[Sample]:
+    """Give a sample for each key, whose parts are separated by blanks."""
+    for key, count in counts.items():
+        yield Sample(count, dict(zip(names, key.split(" "), strict=True)))
+
+
+def _attempts(services):
+    for service, state in services.items():
+        for kind, count in state["attempts"].items():
+            yield Sample(count, {"service": service, "kind": kind})
+
+
+def _by_service(services, field):
+    for service, state in services.items():
+        yield Sample(state[field], {"service": service})
+
+
+def _histograms(by_service):
+    for service, histogram in by_service.items():
+        for bound, count in histogram["buckets"].items():
+            yield Sample(count, {"service": service, "le": bound}, "_bucket")
+        yield Sample(histogram["sum"], {"service": service}, "_sum")
+        yield Sample(histogram["count"], {"service": service}, "_count")
+
+
+def _by_state(members):
+    counts = {}
+    for member in members:
+        counts[member["state"]] = counts.get(member["state"], 0) + 1
+    return counts
--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -74,6 +74,7 @@
             self._take_targets,
             self.core.rng,
             TARGETS_COALESCE_S,
+            self.core.metrics.note_store_call,
         )
 
     @property
@@ -84,7 +85,13 @@
     def tasks(self) -> list[Callable[[], None]]:
         """Give the functions that run as long as the daemon does."""
         rng = self.core.rng
-        rules = Follower("rules", self.rules_feed, self._take_rules, rng)
+        rules = Follower(
+            "rules",
+            self.rules_feed,
+            self._take_rules,
+            rng,
+            note_call=self.core.metrics.note_store_call,
+        )
         targets = self._targets_follower
         rules.partners.append(targets)
         targets.partners.append(rules)
--- a/packages/entry/src/cairnferry/entry/_following.py
+++ b/packages/entry/src/cairnferry/entry/_following.py
@@ -34,6 +34,10 @@
 log = logging.getLogger(__name__)
 
 
+def _note_nothing(kind, result):
+    """Count no calls."""
+
+
 class _Restart(BaseException):
     """Ends a call that may wait for an answer which was lost."""
 
@@ -52,6 +56,8 @@
         Called with all rows by key, whenever they differ.
     rng : random.Random
         For jitter.
+    note_call : callable
+        Called with what a call was for and how it ended, to count it.
     coalesce_s : float
         Pause in seconds between two calls: changes come in groups, and each call has
         its price. To be far below the time within which a change has to be in force.
@@ -67,6 +73,7 @@
     on_change: Callable[[dict[str, Item]], None]
     rng: random.Random
     coalesce_s: float = 0.25
+    note_call: Callable[[str, str], None] = _note_nothing
     confirmed_at: float | None = None
     partners: list["Follower"] = attrs.field(factory=list)
     _task: gevent.Greenlet | None = None
@@ -118,6 +125,7 @@
         else:
             result = self.feed.since(self._version, self._wait())
         self._is_asking = False
+        self.note_call(f"{self.name}-{'list' if listing else 'feed'}", _ending(result))
         if result.is_error():
             return self._failed(result.error)
         self._in_doubt = False
@@ -201,3 +209,10 @@
         if items != self._items:
             self._items = items
             self.on_change(items)
+
+
+def _ending(result):
+    """Say in a word how a call ended."""
+    if result.is_ok():
+        return "rows" if result.ok.items else "nothing"
+    return "history-lost" if isinstance(result.error, HistoryLost) else "failed"
--- a/packages/entry/src/cairnferry/entry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/_metrics.py
@@ -12,10 +12,44 @@
 SIGNIFICANT_DIGITS = 2
 US_PER_S = 1_000_000
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
+# Upper bounds in seconds under which requests are counted together when they are shown:
+# from an answer without any work to the longest time that the users' callers give.
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 6.0, 12.0)
 
 
-def _histogram():
-    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+@attrs.define
+class Durations:
+    """How long something took, in a histogram of fixed size."""
+
+    total_s: float = 0.0
+    histogram: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    )
+
+    def note(self, seconds: float) -> None:
+        """Take in one duration."""
+        self.total_s += seconds
+        value = min(HIGHEST_US, max(LOWEST_US, int(seconds * US_PER_S)))
+        self.histogram.record_value(value)
+
+    def quantiles(self) -> dict:
+        """Give the count and the usual quantiles in microseconds."""
+        values = {
+            f"p{quantile:g}": self.histogram.get_value_at_percentile(quantile)
+            for quantile in QUANTILES
+        }
+        return {"count": self.histogram.get_total_count(), **values}
+
+    def buckets(self) -> dict:
+        """Give the count up to each bound, the count of all, and the sum in seconds."""
+        counts = dict.fromkeys((f"{bound:g}" for bound in BOUNDS_S), 0)
+        for item in self.histogram.get_recorded_iterator():
+            for bound in BOUNDS_S:
+                if item.value_iterated_to <= bound * US_PER_S:
+                    counts[f"{bound:g}"] += item.count_at_value_iterated_to
+        total = self.histogram.get_total_count()
+        counts["+Inf"] = total
+        return {"buckets": counts, "count": total, "sum": round(self.total_s, 6)}
 
 
 @attrs.define
@@ -24,34 +58,56 @@
 
     Attributes
     ----------
+    requests : Counter
+        Requests by service, whether they may be repeated, outcome, and cause where
+        the answer is one of the system's own.
     outcomes : Counter
         Answers to callers by service and outcome.
     causes : Counter
         Answers that the system made itself, by cause.
     probes : Counter
         Probes by result.
-    latency : dict of str to HdrHistogram
-        Microseconds from a request's arrival to its answer, by service.
+    store_calls : Counter
+        Calls to the platform's store by kind and result.
+    latency : dict of str to Durations
+        From a request's arrival to its answer, by service.
+    waits : dict of str to Durations
+        From a request's arrival to its first sending, by service.
     """
 
+    requests: collections.Counter = attrs.field(factory=collections.Counter)
     outcomes: collections.Counter = attrs.field(factory=collections.Counter)
     causes: collections.Counter = attrs.field(factory=collections.Counter)
     probes: collections.Counter = attrs.field(factory=collections.Counter)
-    latency: dict[str, HdrHistogram] = attrs.field(factory=dict)
+    store_calls: collections.Counter = attrs.field(factory=collections.Counter)
+    latency: dict[str, Durations] = attrs.field(factory=dict)
+    waits: dict[str, Durations] = attrs.field(factory=dict)
     started: float = attrs.field(factory=time.monotonic)
 
     def note_answer(self, service: str, outcome: str, seconds: float) -> None:
         """Count an answer to a caller."""
         self.outcomes[service, outcome] += 1
-        histogram = self.latency.get(service)
-        if histogram is None:
-            histogram = self.latency[service] = _histogram()
-        histogram.record_value(max(LOWEST_US, int(seconds * US_PER_S)))
+        self.latency.setdefault(service, Durations()).note(seconds)
+
+    def note_request(
+        self, service: str, idempotent: bool, outcome: str, cause: str
+    ) -> None:
+        """Count a request that ended; the cause is "-" for an answer of a target."""
+        repeats = "allowed" if idempotent else "never"
+        self.requests[service, repeats, outcome, cause] += 1
+
+    def note_wait(self, service: str, seconds: float) -> None:
+        """Take in how long a request had to wait for its first sending."""
+        self.waits.setdefault(service, Durations()).note(seconds)
 
     def note_cause(self, cause: str) -> None:
         """Count an answer that the system made itself."""
         self.causes[cause] += 1
 
+    def note_store_call(self, kind: str, result: str) -> None:
+        """Count a call to the platform's store."""
+        self.store_calls[kind, result] += 1
+
     def snapshot(self) -> dict:
         """Give the state for a dump, as plain values."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -59,22 +115,23 @@
             "uptime_s": round(time.monotonic() - self.started, 1),
             "cpu_s": round(usage.ru_utime + usage.ru_stime, 3),
             "max_rss_kb": usage.ru_maxrss,
-            "outcomes": {
-                f"{service} {outcome}": count
-                for (service, outcome), count in sorted(self.outcomes.items())
-            },
+            "requests": _named(self.requests),
+            "outcomes": _named(self.outcomes),
             "causes": dict(sorted(self.causes.items())),
             "probes": dict(sorted(self.probes.items())),
+            "store_calls": _named(self.store_calls),
             "latency_us": {
-                service: _quantiles(histogram)
-                for service, histogram in self.latency.items()
+                service: durations.quantiles()
+                for service, durations in self.latency.items()
             },
+            "latency_s": _buckets(self.latency),
+            "wait_s": _buckets(self.waits),
         }
 
 
-def _quantiles(histogram):
-    values = {
-        f"p{quantile:g}": histogram.get_value_at_percentile(quantile)
-        for quantile in QUANTILES
-    }
-    return {"count": histogram.get_total_count(), **values}
+def _named(counter):
+    return {" ".join(key): count for key, count in sorted(counter.items())}
+
+
+def _buckets(by_service):
+    return {service: each.buckets() for service, each in by_service.items()}
--- a/packages/entry/src/cairnferry/entry/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/_upstreams.py
@@ -66,6 +66,8 @@
     max_answer: int
     convention: TargetConvention = attrs.field(factory=OwnTargets)
     _pools: dict[tuple[str, int], ConnectionPool] = attrs.field(factory=dict)
+    _opened_before: int = 0
+    _lost_before: int = 0
 
     def send(self, req: OutboundRequest, attempt: Attempt) -> Outcome:
         """Make one attempt: one exchange, never repeated here."""
@@ -134,13 +136,18 @@
         """Close the connections to addresses that are no longer in use."""
         for address in list(self._pools):
             if address not in addresses:
-                self._pools.pop(address).close()
+                pool = self._pools.pop(address)
+                self._opened_before += pool.opened
+                self._lost_before += pool.lost
+                pool.close()
 
     def counts(self) -> dict[str, int]:
-        """Count idle and opened connections, for a dump."""
+        """Count idle, opened and lost connections, those of targets gone by too."""
+        pools = self._pools.values()
         return {
-            "idle": sum(pool.idle for pool in self._pools.values()),
-            "opened": sum(pool.opened for pool in self._pools.values()),
+            "idle": sum(pool.idle for pool in pools),
+            "opened": self._opened_before + sum(pool.opened for pool in pools),
+            "lost": self._lost_before + sum(pool.lost for pool in pools),
         }
 
     def close(self) -> None:
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -66,6 +66,7 @@
         self.service = service
         self.given_up = dict.fromkeys(Cause, 0)
         self.attempts = dict.fromkeys(AttemptKind, 0)
+        self.repeats_denied = 0
         self._rng = rng
         self._work = WorkEstimates()
         self._targets = TargetSet(zone, rng, self.settings)
@@ -263,7 +264,7 @@
             return self._hedge_if_stuck(call, now)
         if not self._may_add(call) or not self._room.has(call.priority):
             return None
-        if not self._budget.spend(now):
+        if not self._spend(now):
             return None
         attempt = self._place(call, AttemptKind.HEDGE, now)
         return Send(attempt) if attempt else None
@@ -272,10 +273,18 @@
         if not self._may_add(call):
             return None
         found = self._searcher.second_target(call, now)
-        if isinstance(found, Found) and self._budget.spend(now):
+        if isinstance(found, Found):
+            if not self._spend(now):
+                return None
             call.search = Search(AttemptKind.HEDGE)
             return self._act_on(call, found, now)
-        return found if isinstance(found, Ask) else None
+        return found
+
+    def _spend(self, now, on_credit=False):
+        """Take a further attempt from the budget, if it has one; count if not."""
+        allowed = self._budget.spend(now, on_credit)
+        self.repeats_denied += not allowed
+        return allowed
 
     # -- waiting ---------------------------------------------------------------
 
@@ -330,7 +339,7 @@
         """Give a decision that goes on with the request, or None."""
         if not self._may_add(call) or now >= call.deadline:
             return None
-        if not self._budget.spend(now, on_credit):
+        if not self._spend(now, on_credit):
             return None
         if self.settings.seek is not None:
             return self._search_again(call, now, may_relay)
@@ -404,6 +413,7 @@
             "window": round(self._room.limit, 2),
             "reported_load": round(self._targets.reported_load, 3),
             "retry_tokens": round(self._budget.tokens, 2),
+            "repeats_denied": self.repeats_denied,
             "usual_latency_ms": round(latency.usual * 1000, 3),
             "high_latency_ms": round(latency.high * 1000, 3),
             "attempts": {str(kind): n for kind, n in self.attempts.items()},
@@ -411,6 +421,11 @@
             "targets": self._targets.snapshot(now),
         }
 
+    @property
+    def repeats_left(self) -> float:
+        """Further attempts that the budget has at this moment."""
+        return self._budget.tokens
+
     @property
     def spare(self) -> float:
         """Share of the window that is free, 0 to 1."""
--- a/packages/wire/src/cairnferry/wire/_pool.py
+++ b/packages/wire/src/cairnferry/wire/_pool.py
@@ -26,6 +26,12 @@
         Age in seconds from which an idle connection is not used again.
     trusted_idle_s : float
         Age in seconds up to which a non-idempotent request may use one.
+
+    Attributes
+    ----------
+    opened, lost : int
+        Connections opened, and idle ones that were too old or no longer alive when
+        they were wanted.
     """
 
     address: tuple[str, int]
@@ -33,6 +39,7 @@
     max_idle_s: float = 30.0
     trusted_idle_s: float = 1.0
     opened: int = 0
+    lost: int = 0
     _idle: deque = attrs.field(factory=deque, init=False)
     _closed: bool = attrs.field(default=False, init=False)
 
@@ -52,6 +59,7 @@
             limit = min(self.max_idle_s, conn.idle_limit - CLOSE_MARGIN_S)
             if age > limit or not conn.is_quiet():
                 conn.close()
+                self.lost += 1
                 continue
             if idempotent or age <= self.trusted_idle_s:
                 return conn
--- /dev/null
+++ b/tests/entry/test_exposition.py
@@ -0,0 +1,110 @@
+"""Metrics as monitoring systems read them."""
+
+import random
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from cairnferry.entry import _exposition
+from cairnferry.entry._metrics import BOUNDS_S, Durations, Metrics
+
+
+def service(**attempts):
+    return {"attempts": attempts, "repeats_denied": 2, "retry_tokens": 1.5}
+
+
+@pytest.fixture
+def document():
+    """Give a state dump with something in each part."""
+    metrics = Metrics()
+    for number in range(1000):
+        metrics.note_answer("svc", "relayed", 0.001 * number)
+    metrics.note_request("svc", True, "relayed", "-")
+    metrics.note_request("svc", False, "not-run", "overload")
+    metrics.note_wait("svc", 0.002)
+    metrics.note_cause("overload")
+    metrics.note_store_call("rules-feed", "nothing")
+    metrics.probes["healthy"] = 12_345_678
+    return {
+        "metrics": metrics.snapshot(),
+        "connections": {
+            "callers": 7,
+            "targets": {"idle": 1, "opened": 2, "lost": 3},
+        },
+        "members": [{"state": "alive"}, {"state": "alive"}, {"state": "gone"}],
+        "peers": {"sent_bytes": 10},
+        "services": {"svc": service(first=4, hedge=1)},
+        "confirmed_head_age_s": 0.5,
+        "log_lines_dropped": 0,
+        "revision": 9,
+    }
+
+
+def read(document):
+    families = text_string_to_metric_families(_exposition.render(document))
+    return {
+        (sample.name, *sorted(sample.labels.values())): sample.value
+        for family in families
+        for sample in family.samples
+    }
+
+
+def test_every_number_is_read_as_it_was_counted(document):
+    values = read(document)
+    expected = {
+        ("requests_total", "-", "allowed", "relayed", "svc"): 1,
+        ("requests_total", "never", "not-run", "overload", "svc"): 1,
+        ("given_up_total", "overload"): 1,
+        ("probes_total", "healthy"): 12_345_678,
+        ("store_calls_total", "nothing", "rules-feed"): 1,
+        ("attempts_total", "hedge", "svc"): 1,
+        ("repeats_denied_total", "svc"): 2,
+        ("repeats_left", "svc"): 1.5,
+        ("target_connections_opened_total",): 2,
+        ("target_connections_lost_total",): 3,
+        ("caller_connections",): 7,
+        ("members", "alive"): 2,
+        ("members", "gone"): 1,
+        ("peer_sent_bytes_total",): 10,
+        ("rules_age_seconds",): 0.5,
+        ("revision",): 9,
+        ("wait_seconds_count", "svc"): 1,
+    }
+    for (name, *labels), value in expected.items():
+        assert values[f"cairnferry_{name}", *labels] == value
+
+
+def test_a_daemon_without_rules_has_no_age(document):
+    document["confirmed_head_age_s"] = None
+    assert ("cairnferry_rules_age_seconds",) not in read(document)
+
+
+def test_labels_from_outside_cannot_break_a_line(document):
+    name = 'odd"name\\with\nall'
+    document["services"] = {name: service(first=4)}
+    assert ("cairnferry_attempts_total", "first", name) in read(document)
+
+
+def test_buckets_count_what_is_not_above_their_bound():
+    """The histogram keeps two digits, so that a bound is off by a hundredth at most."""
+    durations = Durations()
+    rng = random.Random(1)
+    samples = [rng.expovariate(3.0) for _ in range(2000)]
+    for sample in samples:
+        durations.note(sample)
+    shown = durations.buckets()
+    for bound in BOUNDS_S:
+        below = sum(sample <= bound * 0.99 for sample in samples)
+        above = sum(sample <= bound * 1.01 for sample in samples)
+        assert below <= shown["buckets"][f"{bound:g}"] <= above
+    assert shown["buckets"]["+Inf"] == shown["count"] == len(samples)
+    assert shown["sum"] == pytest.approx(sum(samples), abs=1e-5)
+
+
+def test_a_duration_beyond_the_histogram_counts_as_its_longest():
+    durations = Durations()
+    durations.note(3600.0)
+    assert durations.buckets()["buckets"] == {
+        **{f"{bound:g}": 0 for bound in BOUNDS_S},
+        "+Inf": 1,
+    }
