Tell a request's life from log lines (cairnferry explain)

Cause: to find why a request failed, its line had to be searched in the logs of all instances, and what its instance believed of the targets at that time put together by hand.

Eight tests, written with the command.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 
+from cairnferry.ctl import _explain
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
@@ -201,3 +202,31 @@
     else:
         revision = result.ok["revision"]
         print(f"accepted at revision {revision} (change {change_id})")
+
+
+def explain(request_id: str, paths: list[str], before_s: float) -> None:
+    """Print a request's life, from log files or standard input."""
+    log = _explain.read_log(_lines_of(paths))
+    if log.unreadable:
+        print(f"cairnferry: {log.unreadable} lines passed over", file=sys.stderr)
+    lines = _explain.explain(log, request_id, before_s)
+    if not lines:
+        print(
+            f"cairnferry: no line on {request_id}: requests that went well have a line "
+            "only now and then; look at left_out of the lines around its time",
+            file=sys.stderr,
+        )
+        sys.exit(ExitCode.REFUSED)
+    print("\n".join(_explain.told(lines)))
+
+
+def _lines_of(paths):
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as exc:
+            print(f"cairnferry: {path}: {exc.strerror}", file=sys.stderr)
+            sys.exit(ExitCode.USAGE)
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -15,6 +15,8 @@
 SERVER_VARIABLE = "CAIRNFERRY_SERVER"
 TOKEN_VARIABLE = "CAIRNFERRY_TOKEN_FILE"
 DEFAULT_TIMEOUT_S = 30.0
+# Longer than the 1.2 s for which a silent target is spared at most.
+DEFAULT_BEFORE_S = 2.0
 
 _Json = typing.Annotated[bool, cappa.Arg(long="--json", help="print JSON")]
 _ChangeId = typing.Annotated[
@@ -142,6 +144,21 @@
     json: _Json = False
 
 
+@cappa.command(name="explain", help="Tell a request's life from log lines.")
+@attrs.define
+class Explain:
+    """Arguments of `explain`."""
+
+    request_id: typing.Annotated[str, cappa.Arg(help="ID of the request")]
+    files: typing.Annotated[
+        list[str], cappa.Arg(help="log files of all instances; else standard input")
+    ] = attrs.field(factory=list)
+    before: typing.Annotated[
+        float,
+        cappa.Arg(long="--before", help="seconds of changes to tell before it"),
+    ] = DEFAULT_BEFORE_S
+
+
 _Subcommand = (
     Submit
     | Replace
@@ -154,6 +171,7 @@
     | Status
     | Dump
     | Drain
+    | Explain
 )
 
 
@@ -188,6 +206,8 @@
         case Check(paths):
             records = _commands.load_files(paths)
             print(f"{len(records)} records are good")
+        case Explain(request_id, files, before):
+            _commands.explain(request_id, files, before)
         case command:
             _run(command, _api(args))
 
--- /dev/null
+++ b/tests/ctl/test_explain.py
@@ -0,0 +1,110 @@
+"""Telling a request's life from log lines."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from cairnferry.ctl._explain import explain, read_log, told
+
+ID = "9c41d07b"
+
+
+def line(second, message, instance="front-1", **facts):
+    whole, milliseconds = divmod(round(second * 1000), 1000)
+    return json.dumps(
+        {
+            "time": f"2026-05-04 10:00:{whole:02d},{milliseconds:03d}",
+            "level": "INFO",
+            "part": "cairnferry.entry",
+            "message": message,
+            "instance": instance,
+            **facts,
+        }
+    )
+
+
+GIVEN_UP = {
+    "request_id": ID,
+    "service": "svc",
+    "attempts": ["first t1 at 1.0 ms"],
+    "asked": ["t1", "t2"],
+    "after_ms": 500.0,
+    "cause": "target-lost",
+}
+TEXTS = [
+    line(9.5, "request given up", **GIVEN_UP),
+    line(8.0, "target silent", service="svc", target="t1"),
+    line(8.1, "target silent", service="svc", target="t9"),
+    line(8.2, "feed lost", feed="rules", why="status 503"),
+    line(8.3, "feed lost", instance="front-2", feed="rules", why="status 503"),
+    line(3.0, "target silent", service="svc", target="t2"),
+    line(9.4, "request answered", request_id="another", attempts=[], asked=[]),
+    line(9.9, "target heard again", service="svc", target="t1"),
+]
+
+
+def test_a_request_is_told_with_what_its_instance_believed():
+    lines = explain(read_log(TEXTS), ID, before_s=2.0)
+    assert [(each.message, each.instance) for each in lines] == [
+        ("target silent", "front-1"),
+        ("feed lost", "front-1"),
+        ("request given up", "front-1"),
+    ]
+    assert lines[0].facts["target"] == "t1"
+
+
+def test_a_longer_time_before_it_tells_more():
+    lines = explain(read_log(TEXTS), ID, before_s=60.0)
+    assert [each.facts.get("target") for each in lines][:2] == ["t2", "t1"]
+
+
+def test_a_request_that_no_line_is_about_has_no_life():
+    assert explain(read_log(TEXTS), "unheard-of", before_s=2.0) == []
+
+
+def test_what_stands_before_the_object_and_other_lines_are_passed_over():
+    texts = ["  11.44 front-1 " + TEXTS[0], "words", "{", '{"time": "never"}', "", "[]"]
+    log = read_log(texts)
+    assert len(log.lines) == 1
+    assert log.unreadable == 4
+
+
+def test_lines_of_the_request_are_marked():
+    texts = list(told(explain(read_log(TEXTS), ID, before_s=2.0)))
+    assert [text[0] for text in texts] == [" ", " ", "*"]
+    assert "10:00:09.500  front-1  request given up" in texts[-1]
+    assert "attempts=first t1 at 1.0 ms" in texts[-1]
+    assert "asked=t1, t2" in texts[-1]
+
+
+@pytest.mark.parametrize("through", ["files", "stdin"])
+def test_the_command_reads_files_and_standard_input(through, tmp_path):
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("\n".join(TEXTS[:4]))
+    second.write_text("\n".join(TEXTS[4:]))
+    files = [str(first), str(second)] if through == "files" else []
+    text = None if through == "files" else "\n".join(TEXTS)
+    done = run("explain", ID, *files, text=text)
+    assert done.returncode == 0
+    assert done.stdout.count("\n") == 3
+
+
+def test_an_unknown_request_and_a_missing_file_are_told_apart(tmp_path):
+    unknown = run("explain", "unheard-of", text="\n".join(TEXTS))
+    assert (unknown.returncode, unknown.stdout) == (3, "")
+    assert "no line on unheard-of" in unknown.stderr
+    missing = run("explain", ID, str(tmp_path / "none.log"))
+    assert missing.returncode == 2
+    assert "No such file" in missing.stderr
+
+
+def run(*args, text=None):
+    return subprocess.run(
+        [sys.executable, "-m", "cairnferry.ctl.command", *args],
+        input=text,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
