Serve the last connection of a daemon that stops, and announce its end

Cause: test_callers_that_keep_an_old_answer_are_served_while_their_instance_leaves got 500 Internal Server Error in 3 of 8 runs. A listener that closes waits until no connection has a handler; one that was taken in the turn of the close has a task without handler, so that the wait ended, the task then began its request and was killed in it. In the same test no answer announced the end: kept connections were closed all at once after 3 s of serving on.

Change: tasks are counted, not handlers; from the moment at which a daemon is told to stop each answer ends its connection.

Ruled out: the forwarder and the target (the 500 came from the server's own handling of a killed task, and the daemon said that every request was answered).

--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -222,6 +222,7 @@
         log.info("leaving")
         self.cluster.membership.leave()
         self.gossip.hurry()
+        self.callers_server.announce_end()
         for farewell in self.farewells:
             # None of them may hold up the end; it comes whether they are done or not.
             self.spawn(farewell)
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -251,6 +251,14 @@
         """Connections with a request in progress."""
         return sum(handler.busy for handler in self._handlers)
 
+    def announce_end(self) -> None:
+        """Serve on, and end each connection with its next answer.
+
+        Left open, connections would be closed all at once at the end, when some of
+        them carry a request that has not been read yet and has to be sent anew.
+        """
+        self.closing = True
+
     def finish(self, seconds: float) -> bool:
         """Take no new connections, end idle ones and wait for the others.
 
@@ -264,7 +272,7 @@
         bool
             Whether every request in progress was answered.
         """
-        self.closing = True
+        self.announce_end()
         # Connections that the kernel has taken are served. One that it took
         # later would wait for an answer that nobody gives, so that the listener
         # is closed, not just left alone: callers are refused and go elsewhere.
@@ -278,7 +286,11 @@
         return unanswered == 0
 
     def _close_idle(self):
-        """Close idle connections; give back how many are left."""
+        """Close idle connections; give back how many are left.
+
+        Tasks are counted and not handlers: one that has just been started for a
+        connection has no handler yet, and would be killed as soon as it has.
+        """
         for handler in list(self._handlers):
             sock = handler.socket
             # A request that is just arriving is answered, not cut.
@@ -287,4 +299,4 @@
                 # and the daemon would wait for it to the limit.
                 with contextlib.suppress(OSError):
                     sock.shutdown(SHUT_RDWR)
-        return len(self._handlers)
+        return len(self.pool)
