Draw a page of charts from log lines (cairnferry report)

Change: a command that sums the lines up by steps of time and draws requests by how they ended (lines that were left out are counted), times, serving instances and the revisions in force. It reads logs alone; metrics are not drawn.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -5,7 +5,7 @@
 import time
 import uuid
 
-from cairnferry.ctl import _explain
+from cairnferry.ctl import _explain, _report
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
@@ -206,9 +206,7 @@
 
 def explain(request_id: str, paths: list[str], before_s: float) -> None:
     """Print a request's life, from log files or standard input."""
-    log = _explain.read_log(_lines_of(paths))
-    if log.unreadable:
-        print(f"cairnferry: {log.unreadable} lines passed over", file=sys.stderr)
+    log = _read_log(paths)
     lines = _explain.explain(log, request_id, before_s)
     if not lines:
         print(
@@ -220,6 +218,27 @@
     print("\n".join(_explain.told(lines)))
 
 
+def report(output: str, paths: list[str]) -> None:
+    """Write a page of charts, from log files or standard input."""
+    shown = _report.timeline(_read_log(paths))
+    if shown is None:
+        print("cairnferry: there are no log lines of an instance", file=sys.stderr)
+        sys.exit(ExitCode.REFUSED)
+    try:
+        with open(output, "w", encoding="utf-8") as file:
+            file.write(_report.draw(shown))
+    except OSError as exc:
+        print(f"cairnferry: {output}: {exc.strerror}", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+
+
+def _read_log(paths):
+    log = _explain.read_log(_lines_of(paths))
+    if log.unreadable:
+        print(f"cairnferry: {log.unreadable} lines passed over", file=sys.stderr)
+    return log
+
+
 def _lines_of(paths):
     if not paths:
         yield from sys.stdin
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -159,6 +159,17 @@
     ] = DEFAULT_BEFORE_S
 
 
+@cappa.command(name="report", help="Draw what happened from log lines, as SVG.")
+@attrs.define
+class Report:
+    """Arguments of `report`."""
+
+    output: typing.Annotated[str, cappa.Arg(help="file to write")]
+    files: typing.Annotated[
+        list[str], cappa.Arg(help="log files of all instances; else standard input")
+    ] = attrs.field(factory=list)
+
+
 _Subcommand = (
     Submit
     | Replace
@@ -172,6 +183,7 @@
     | Dump
     | Drain
     | Explain
+    | Report
 )
 
 
@@ -208,6 +220,8 @@
             print(f"{len(records)} records are good")
         case Explain(request_id, files, before):
             _commands.explain(request_id, files, before)
+        case Report(output, files):
+            _commands.report(output, files)
         case command:
             _run(command, _api(args))
 
