--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -5,7 +5,7 @@
 import time
 import uuid
 
-from cairnferry.ctl import _explain, _report
+from cairnferry.ctl import _charts, _explain, _report
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
@@ -226,7 +226,7 @@
         sys.exit(ExitCode.REFUSED)
     try:
         with open(output, "w", encoding="utf-8") as file:
-            file.write(_report.draw(shown))
+            file.write(_charts.draw(shown))
     except OSError as exc:
         print(f"cairnferry: {output}: {exc.strerror}", file=sys.stderr)
         sys.exit(ExitCode.USAGE)
