--- a/packages/ctl/src/cairnferry/ctl/_charts.py
+++ b/packages/ctl/src/cairnferry/ctl/_charts.py
@@ -47,6 +47,8 @@
         show_minor_x_labels=False,
         x_labels_major_every=max(1, len(shown.steps) // 10),
         include_x_axis=True,
+        truncate_label=-1,
+        truncate_legend=-1,
         disable_xml_declaration=True,
         js=(),
     )
@@ -65,9 +67,7 @@
 
 def _times(shown):
     return {
-        f"{part * 100:g} in 100 within": [
-            _quantile(step.times_ms, part) for step in shown.steps
-        ]
+        f"p{part * 100:g}": [_quantile(step.times_ms, part) for step in shown.steps]
         for part in QUANTILES
     }
 
