Let an instance that leaves keep its row removed, and forget removed names

Cause, found by reading: an instance removes its row when it begins to leave; the others may call it gone before it has ended, it refutes that by a higher incarnation, and the look five seconds later wrote its row again. The names of removed rows were kept for ever.

Two tests, both seen failing. Ruled out: that others remove the row at once (they do so after 60 s; until then the row is called in vain).

--- a/packages/entry/src/cairnferry/entry/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/_enrolment.py
@@ -63,6 +63,7 @@
     gossip: Gossip
     rng: random.Random
     _incarnation: int = 0
+    _is_leaving: bool = False
     _missing_since: dict[str, float] = attrs.field(factory=dict)
     _removed: set[str] = attrs.field(factory=set)
 
@@ -148,6 +149,7 @@
 
     def leave(self) -> None:
         """Remove the own row; a row that stays is removed by others later."""
+        self._is_leaving = True
         self._remove({self.me.name})
 
     def _remove(self, names):
@@ -165,7 +167,7 @@
         daemons that start later would not find it.
         """
         incarnation = self.cluster.membership.me.incarnation
-        if incarnation == self._incarnation:
+        if incarnation == self._incarnation or self._is_leaving:
             return
         if self.registry.write(self.me).is_ok():
             self._incarnation = incarnation
@@ -175,7 +177,7 @@
         present = {m.name for m in members if m.state is not MemberState.GONE}
         present.add(self.me.name)
         names = {*self.cluster.listed, *(m.name for m in members)} - present
-        self._removed -= present
+        self._removed &= names
         self._missing_since = {
             name: self._missing_since.get(name, now) for name in names
         }
--- a/tests/entry/test_enrolment.py
+++ b/tests/entry/test_enrolment.py
@@ -239,3 +239,30 @@
     assert "ccc" in registry.rows
     enrolled.keep(2 * _enrolment.GONE_S + 2)
     assert "ccc" not in registry.rows
+
+
+def test_a_daemon_that_leaves_does_not_write_its_row_again():
+    """Symptom: the row of an instance that is gone is there.
+
+    Events: it leaves and removes its row; the others call it gone before it has ended,
+    and it refutes that. Cause: the refutation made it write its row once more.
+    """
+    registry = MemoryRegistry()
+    enrolled, peers = group(registry, "a", "bb")[0]
+    enrolled.leave()
+    peers.hear("a", state=MemberState.GONE)
+    enrolled.keep(0.0)
+    assert set(registry.rows) == {"bb"}
+
+
+def test_what_was_removed_is_forgotten_with_the_members():
+    """Symptom: a daemon grows with each instance that was ever replaced."""
+    registry = MemoryRegistry()
+    enrolled, peers = group(registry, "a", "bb", "ccc")[0]
+    peers.hear("ccc", state=MemberState.GONE)
+    enrolled.keep(0.0)
+    enrolled.keep(_enrolment.GONE_S)
+    assert enrolled._removed == {"ccc"}
+    peers.membership.pass_time(10 * peers.membership.times.memory)
+    enrolled.keep(10 * peers.membership.times.memory)
+    assert enrolled._removed == set()
