Run requests that callers send ahead of answers side by side

Idempotent ones run in tasks of their own; another waits for those before it and holds those behind it; each writes its answer in its turn. Nothing is started behind an answer that closes. The reader also sees the caller leave, so that the watch of the socket is gone. The idle time counts from the last answer.

Ruled out: a writer task for each connection; each request waits for its turn instead.

--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/_callers.py
@@ -1,18 +1,18 @@
 """WSGI application for callers: steering answers and forwarded requests."""
 
 import json
-import time
 import urllib.parse
 
 import attrs
 
 from cairnferry.entry._answers import Answer, Problem, problem_answer
-from cairnferry.entry._caller_watch import CallerGone, CallerWatch
 from cairnferry.entry._conventions import CallerConvention, OwnCallers
 from cairnferry.entry._forward import Forwarder
 from cairnferry.entry._headers import BadDeadline, RequestHead
-from cairnferry.entry._http_server import HANDLER_KEY, BadRequest, Handler
+from cairnferry.entry._http_server import HANDLER_KEY, BadRequest
 from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._pipeline import CallerGone
+from cairnferry.entry._pipelined_server import PipelinedHandler
 from cairnferry.entry._request_log import RequestLog
 from cairnferry.entry._services import Services
 from cairnferry.entry._steering import Steering
@@ -86,6 +86,13 @@
             return []
         return self._write(handler, answer, start_response)
 
+    def may_run_beside(self, handler: PipelinedHandler) -> bool:
+        """Tell whether a request may run while others of its connection do."""
+        if handler.problem is not None or not self.services.revision:
+            return True
+        route = self.services.route(handler.path, handler.headers.get("host"))
+        return route is None or route.allows_repeats(handler.command)
+
     def _write(self, handler, answer, start_response):
         headers = list(answer.headers)
         if answer.retry_after is not None:
@@ -97,7 +104,8 @@
         return [answer.body] if handler.command != "HEAD" and answer.body else []
 
     def _answer(self, handler):
-        arrived = time.monotonic()
+        if handler.problem is not None:
+            raise BadRequest(handler.problem)
         path = handler.path
         if self.steering is not None and path.startswith(STEERING_PATH):
             return self.steering_answer(path)
@@ -109,19 +117,20 @@
         runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
-        return self._forward(handler, route, runtime, arrived)
+        return self._forward(handler, route, runtime)
 
-    def _forward(self, handler: Handler, route: Route, runtime, arrived):
+    def _forward(self, handler: PipelinedHandler, route: Route, runtime):
         try:
             head = self.convention.read_head(handler.header_pairs())
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        body = handler.read_body(self.limits.size, self.limits.seconds)
         headers = [*head.forwarded, ("Via", head.via)]
-        req = OutboundRequest(handler.command, handler.path, headers, body, head)
-        call = _call(handler.command, route, head, runtime.policy.service, arrived)
+        req = OutboundRequest(
+            handler.command, handler.path, headers, handler.body, head
+        )
+        call = _call(handler, route, head, runtime.policy.service)
         try:
-            with CallerWatch(handler.socket):
+            with handler.cancellable():
                 forwarded = self.forwarder.forward(req, call, runtime)
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
@@ -158,7 +167,8 @@
             return None
 
 
-def _call(method, route, head: RequestHead, service, arrived):
+def _call(handler, route, head: RequestHead, service):
+    arrived = handler.arrived
     timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
     if route.limit_ms is not None:
         timeout_ms = min(timeout_ms, route.limit_ms)
@@ -169,7 +179,7 @@
     return Call(
         arrived=arrived,
         deadline=arrived + timeout_ms / MS_PER_S,
-        idempotent=route.allows_repeats(method),
+        idempotent=route.allows_repeats(handler.command),
         priority=priority,
         may_retry=not head.is_repeated,
         max_attempts=route.max_attempts,
--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -18,6 +18,7 @@
 from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._http_server import HttpServer, Limits
 from cairnferry.entry._metrics import Metrics
+from cairnferry.entry._pipelined_server import PipelinedServer
 from cairnferry.entry._ports import CallerLimits, Records
 from cairnferry.entry._services import Services
 from cairnferry.entry._state_view import StateView
@@ -124,7 +125,9 @@
             self.conventions.callers,
         )
         self.callers_app = app
-        self.callers_server = self.listen(cfg.callers, app, cfg.caller_limits)
+        address = cfg.callers.as_tuple()
+        self.callers_server = PipelinedServer(address, app, cfg.caller_limits)
+        self._listeners.append(self.callers_server)
         return self.callers_server
 
     def listen(self, address: Address, app, limits: Limits) -> HttpServer:
--- a/packages/entry/src/cairnferry/entry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/_exposition.py
@@ -82,6 +82,8 @@
     yield "target_connections_idle", "gauge", [Sample(targets["idle"])]
     callers = document["connections"]["callers"]
     yield "caller_connections", "gauge", [Sample(callers)]
+    ahead = document["connections"]["requests_ahead"]
+    yield "requests_ahead_total", "counter", [Sample(ahead)]
     yield "members", "gauge", _counted(_by_state(document["members"]), "state")
     for name, count in document["peers"].items():
         yield f"peer_{name}_total", "counter", [Sample(count)]
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/_http_server.py
@@ -114,12 +114,15 @@
             good = super().read_request(raw_requestline)
         if self.request_version not in ("HTTP/1.1", "HTTP/1.0"):
             raise BadRequest(Problem.AMBIGUOUS_FRAMING)
-        if self.server.closing:
-            self.close_connection = True
         return good
 
     def get_environ(self):
         """Give the handler itself; the applications here read it alone."""
+        self.open_body()
+        return {HANDLER_KEY: self}
+
+    def open_body(self):
+        """Make the input from which the request's body is read."""
         expects = self.headers.get("expect", "").lower() == "100-continue"
         self.wsgi_input = Input(
             self.rfile,
@@ -127,7 +130,6 @@
             socket=self.socket if expects else None,
             chunked_input=self.headers.get("transfer-encoding") is not None,
         )
-        return {HANDLER_KEY: self}
 
     def header_pairs(self):
         """Give the request's headers as received, in order."""
@@ -165,9 +167,13 @@
         self.close_connection = True
         self.wsgi_input = Input(self.rfile, 0)
 
+    def is_last(self) -> bool:
+        """Tell whether the connection is to end with this answer."""
+        return self.server.closing
+
     def finalize_headers(self):
         """Tell the caller when the connection ends with this answer."""
-        if self.server.closing:
+        if self.is_last():
             self.close_connection = True
         if self.command == "HEAD" and self.provided_content_length is None:
             # The length of a body that is not sent is not known; without this
@@ -209,7 +215,6 @@
             spawn=Pool(),
             log=None,
             error_log=log,
-            handler_class=Handler,
             environ={"SERVER_NAME": address[0]},
         )
         self.limits = limits
--- a/packages/entry/src/cairnferry/entry/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/_state_view.py
@@ -48,6 +48,7 @@
                 "callers": core.callers_server.connections,
                 "callers_busy": core.callers_server.busy,
                 "callers_refused": core.callers_server.refused_connections,
+                "requests_ahead": core.callers_server.lookahead.total,
                 "targets": core.upstreams.counts(),
             },
             "peers": {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,8 +14,9 @@
 
 from cairnferry.entry._callers import BodyLimits, CallersApp  # noqa: E402
 from cairnferry.entry._forward import Forwarder  # noqa: E402
-from cairnferry.entry._http_server import HttpServer, Limits  # noqa: E402
+from cairnferry.entry._http_server import Limits  # noqa: E402
 from cairnferry.entry._metrics import Metrics  # noqa: E402
+from cairnferry.entry._pipelined_server import PipelinedServer  # noqa: E402
 from cairnferry.entry._services import Services  # noqa: E402
 from cairnferry.entry._upstreams import Upstreams  # noqa: E402
 from cairnferry.records import Change, Put, RecordSet  # noqa: E402
@@ -166,7 +167,7 @@
             BodyLimits(max_body, body_s),
         )
         limits = Limits(max_connections, idle_s=30.0, head_s=body_s)
-        self.server = HttpServer((HOST, 0), app, limits)
+        self.server = PipelinedServer((HOST, 0), app, limits)
         self.server.start()
 
     @property
--- a/tests/entry/test_exposition.py
+++ b/tests/entry/test_exposition.py
@@ -30,6 +30,7 @@
         "connections": {
             "callers": 7,
             "targets": {"idle": 1, "opened": 2, "lost": 3},
+            "requests_ahead": 5,
         },
         "members": [{"state": "alive"}, {"state": "alive"}, {"state": "gone"}],
         "peers": {"sent_bytes": 10},
@@ -64,6 +65,8 @@
         ("target_connections_lost_total",): 3,
         ("caller_connections",): 7,
         ("members", "alive"): 2,
+        ("requests_ahead_total",): 5,
+        ("faulty_rows_total", "targets"): 6,
         ("members", "gone"): 1,
         ("peer_sent_bytes_total",): 10,
         ("rules_age_seconds",): 0.5,
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from cairnferry.entry._caller_watch import CallerGone
+from cairnferry.entry._pipeline import CallerGone
 from cairnferry.entry._runtime import ServiceRuntime
 from cairnferry.policy import Answered, Call, Send, ServicePolicy, Wait
 from cairnferry.records import Lifecycle, Service, Target
