Keep beliefs by target and start, and let a row that cannot be read name nothing

Cause: targets may start again under their name; pace, failures, ejection, drain notes, checks and kept connections were kept by the name, and a write of the earlier start that is done late has the higher version. Rows of other writers with fields of another type ended the task that reads the table (unhashable service, deep nesting, bad base64).

Target.identity joins name and start; the policy, checks, notes to peers and pools of connections go by it, and a row of an earlier start than the one known changes nothing. Decoders check the type of each field; a bad row is counted (faulty_rows_total) and told up to a rate. Property tests feed arbitrary bytes and spoilt documents to each decoder.

--- a/packages/entry/src/cairnferry/entry/_asking.py
+++ b/packages/entry/src/cairnferry/entry/_asking.py
@@ -92,16 +92,17 @@
         for check in checks:
             if not check.done.is_set():
                 # The next request need not wait for it as well.
-                runtime.policy.note_unheard(check.target.name, time.monotonic())
+                runtime.policy.note_unheard(check.target.identity, time.monotonic())
 
     def _check(self, target, runtime):
-        running = self._running.get(target.name)
+        running = self._running.get(target.identity)
         if running is not None:
             return running
         if self.rate and not self._bucket.take(time.monotonic()):
             self.metrics.probes["over-budget"] += 1
             return None
-        check = self._running[target.name] = _Check(target, time.monotonic())
+        check = _Check(target, time.monotonic())
+        self._running[target.identity] = check
         gevent.spawn(self._run, check, runtime)
         return check
 
@@ -111,13 +112,13 @@
             result = self.upstreams.check(target, CHECK_TIMEOUT_S)
             self._tell(target, result, runtime)
         finally:
-            self._running.pop(target.name, None)
+            self._running.pop(target.identity, None)
             check.done.set()
 
     def _tell(self, target, result: CheckResult, runtime):
         now = time.monotonic()
         self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
-        runtime.policy.note_check(target.name, result.report, result.well, now)
+        runtime.policy.note_check(target.identity, result.report, result.well, now)
         if result.misplaced:
             until = now + MISPLACED_S
-            runtime.policy.note_draining(target.name, DrainSource.REFUSAL, until)
+            runtime.policy.note_draining(target.identity, DrainSource.REFUSAL, until)
--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/_core.py
@@ -14,6 +14,7 @@
 from cairnferry.entry._callers import CallersApp
 from cairnferry.entry._cluster import Cluster, new_membership
 from cairnferry.entry._core_settings import Conventions, CoreSettings
+from cairnferry.entry._faulty_rows import FaultyRows
 from cairnferry.entry._forward import Forwarder
 from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._http_server import HttpServer, Limits
@@ -59,6 +60,7 @@
         self.cfg = cfg
         self.rng = random.Random(cfg.seed or time.time_ns())
         self.metrics = Metrics()
+        self.faulty_rows = FaultyRows(self.metrics)
         self.services = Services(cfg.zone, self.rng, self._tell_known, cfg.policy)
         self.upstreams = Upstreams(
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
@@ -248,9 +250,9 @@
 
     # -- what happens -----------------------------------------------------------
 
-    def _note_draining(self, target_name, source, until):
+    def _note_draining(self, identity, source, until):
         for runtime in self.services.active().values():
-            runtime.policy.note_draining(target_name, DrainSource(source), until)
+            runtime.policy.note_draining(identity, DrainSource(source), until)
 
     def _tell_known(self, policy):
         now = time.monotonic()
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/_daemon.py
@@ -196,8 +196,7 @@
     def _install(self, records):
         services = self.core.services
         services.install(records)
-        addresses = {target.address for target in services.targets()}
-        self.core.upstreams.keep_only(addresses)
+        self.core.upstreams.keep_only(services.targets())
 
     def _pause(self, attempt):
         gevent.sleep(WRITE_PAUSE_S * attempt * (0.5 + self.core.rng.random()))
--- a/packages/entry/src/cairnferry/entry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/_exposition.py
@@ -71,6 +71,8 @@
         "counter",
         _counted(metrics["store_calls"], "kind", "result"),
     )
+    faulty = _counted(metrics["faulty_rows"], "table")
+    yield "faulty_rows_total", "counter", faulty
     yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
     yield "wait_seconds", "histogram", _histograms(metrics["wait_s"])
     yield "attempts_total", "counter", _attempts(document["services"])
--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -34,6 +34,9 @@
 # Seconds for which other daemons keep in mind that a target leaves: it serves on for
 # some seconds after it said so. A name does not come again, so that more does no harm.
 LEAVING_NOTE_S = 15.0
+# Names of targets of which the latest start is kept in mind, also after their rows were
+# removed: several times the targets of the largest installation.
+MAX_STARTS = 20_000
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +68,7 @@
     _document: bytes = b""
     _targets: dict[str, Target] = attrs.field(factory=dict)
     _rows: dict[str, Item] = attrs.field(factory=dict)
+    _starts: dict[str, int] = attrs.field(factory=dict)
     _targets_follower: Follower = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -119,6 +123,7 @@
         decoded = self.decoders.rules(document).bind(Rules.check_references)
         if decoded.is_error():
             self.behind = decoded.error
+            self.core.metrics.faulty_rows["rules"] += 1
             log.error(
                 "rules cannot be read",
                 extra={"why": str(decoded.error), "in_force": self.revision},
@@ -163,30 +168,45 @@
     def _take_targets(self, rows):
         targets = {}
         for key, row in rows.items():
-            if self._rows.get(key) is row and key in self._targets:
-                targets[key] = self._targets[key]
-                continue
-            decoded = self.decoders.target(key, row.value)
-            if decoded.is_error():
-                log.warning(
-                    "target cannot be read",
-                    extra={"target": key, "why": str(decoded.error)},
-                )
-                continue
-            targets[key] = decoded.ok
+            if self._rows.get(key) is row:
+                target = self._targets.get(key)
+            else:
+                target = self._read_target(key, row.value)
+            if target is not None:
+                targets[key] = target
         self._log_changes(targets)
         self._tell_leaving(targets)
         self._targets = targets
         self._rows = rows
         self._install_targets()
 
+    def _read_target(self, key, value):
+        """Read a row; None if it cannot be read, and names no target to use."""
+        decoded = self.decoders.target(key, value)
+        if decoded.is_error():
+            self.core.faulty_rows.note("targets", key, str(decoded.error))
+            return None
+        target = decoded.ok
+        known = self._starts.get(key, 0)
+        if target.started_ms < known:
+            # A write of the earlier start that was under way when it ended. Taken, it
+            # would send requests to an address where that start no longer is.
+            log.info("row of an earlier start", extra={"target": key, "known": known})
+            return self._targets.get(key)
+        self._starts[key] = target.started_ms
+        if len(self._starts) > MAX_STARTS:
+            del self._starts[next(iter(self._starts))]
+        return target
+
     def _log_changes(self, targets):
-        came = sorted(targets.keys() - self._targets.keys())
-        went = sorted(self._targets.keys() - targets.keys())
+        before = {target.identity: target for target in self._targets.values()}
+        after = {target.identity: target for target in targets.values()}
+        came = sorted(after.keys() - before.keys())
+        went = sorted(before.keys() - after.keys())
         changed = sorted(
-            name
-            for name, target in targets.items()
-            if self._targets.get(name, target).lifecycle is not target.lifecycle
+            identity
+            for identity, target in after.items()
+            if before.get(identity, target).lifecycle is not target.lifecycle
         )
         if came or went or changed:
             log.info(
@@ -195,14 +215,16 @@
 
     def _tell_leaving(self, targets):
         """Tell other daemons of targets that leave: they may be cut from the store."""
-        leaving = self._targets.keys() - targets.keys()
-        for name, target in targets.items():
-            if target.lifecycle is Lifecycle.DRAINING:
-                leaving.add(name)
+        staying = {
+            target.identity
+            for target in targets.values()
+            if target.lifecycle is not Lifecycle.DRAINING
+        }
+        known = {t.identity for t in (*self._targets.values(), *targets.values())}
         source = str(DrainSource.PLATFORM)
         posted = [
-            self.core.cluster.post(Note(name, source, LEAVING_NOTE_S))
-            for name in leaving
+            self.core.cluster.post(Note(identity, source, LEAVING_NOTE_S))
+            for identity in known - staying
         ]
         if any(posted):
             self.core.gossip.hurry()
@@ -217,7 +239,7 @@
             if paths.get(target.service)
         ]
         self.core.services.install_targets(targets)
-        self.core.upstreams.keep_only({target.address for target in targets})
+        self.core.upstreams.keep_only(targets)
         self.core.share_out()
 
     # -- peers ------------------------------------------------------------------
--- a/packages/entry/src/cairnferry/entry/_handover.py
+++ b/packages/entry/src/cairnferry/entry/_handover.py
@@ -64,7 +64,7 @@
                 Item(str(key), base64.b64decode(value), int(version))
                 for key, value, version in document["targets"]
             )
-        except (ValueError, TypeError, KeyError) as exc:
+        except (ValueError, TypeError, LookupError, RecursionError) as exc:
             return Error(DecodeFault("handover", f"{type(exc).__name__}: {exc}"))
         return Ok(cls(rules, targets))
 
--- a/packages/entry/src/cairnferry/entry/_listing.py
+++ b/packages/entry/src/cairnferry/entry/_listing.py
@@ -96,6 +96,6 @@
         for target in self.services.targets():
             if f"{target.host}:{target.port}" in addresses:
                 source = str(DrainSource.PLATFORM)
-                note = Note(target.name, source, PLATFORM_NOTE_S)
+                note = Note(target.identity, source, PLATFORM_NOTE_S)
                 if self.cluster.post(note):
                     self.gossip.hurry()
--- a/packages/entry/src/cairnferry/entry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/_metrics.py
@@ -69,6 +69,8 @@
         Probes by result.
     store_calls : Counter
         Calls to the platform's store by kind and result.
+    faulty_rows : Counter
+        Rows of the platform's store that could not be read, by table.
     latency : dict of str to Durations
         From a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -80,6 +82,7 @@
     causes: collections.Counter = attrs.field(factory=collections.Counter)
     probes: collections.Counter = attrs.field(factory=collections.Counter)
     store_calls: collections.Counter = attrs.field(factory=collections.Counter)
+    faulty_rows: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=dict)
     waits: dict[str, Durations] = attrs.field(factory=dict)
     started: float = attrs.field(factory=time.monotonic)
@@ -120,6 +123,7 @@
             "causes": dict(sorted(self.causes.items())),
             "probes": dict(sorted(self.probes.items())),
             "store_calls": _named(self.store_calls),
+            "faulty_rows": dict(sorted(self.faulty_rows.items())),
             "latency_us": {
                 service: durations.quantiles()
                 for service, durations in self.latency.items()
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 
 import attrs
+from attrs.validators import instance_of
 from expression import Error, Ok, Result
 
 from cairnferry.peers import PeerLink
@@ -196,11 +197,11 @@
         Whether the platform is about to take the instance away.
     """
 
-    name: str
-    zone: str
-    peer_address: str
-    caller_address: str = ""
-    leaving: bool = False
+    name: str = attrs.field(validator=instance_of(str))
+    zone: str = attrs.field(validator=instance_of(str))
+    peer_address: str = attrs.field(validator=instance_of(str))
+    caller_address: str = attrs.field(default="", validator=instance_of(str))
+    leaving: bool = attrs.field(default=False, validator=instance_of(bool))
 
 
 @attrs.frozen
--- a/packages/entry/src/cairnferry/entry/_probing.py
+++ b/packages/entry/src/cairnferry/entry/_probing.py
@@ -95,12 +95,12 @@
         healthy = isinstance(outcome, Reply) and outcome.status == HTTP_OK
         self.metrics.probes["healthy" if healthy else "unhealthy"] += 1
         if draining:
-            note = Note(target.name, str(DrainSource.HEALTH), HEALTH_NOTE_S)
+            note = Note(target.identity, str(DrainSource.HEALTH), HEALTH_NOTE_S)
             if self.cluster.post(note):
                 self.hurry()
         runtime = self.services.active().get(target.service)
         if runtime is not None:
-            runtime.policy.note_probe(target.name, healthy, time.monotonic())
+            runtime.policy.note_probe(target.identity, healthy, time.monotonic())
 
 
 def _says_draining(reply):
--- a/packages/entry/src/cairnferry/entry/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/_upstreams.py
@@ -2,6 +2,7 @@
 
 import re
 import time
+from collections.abc import Iterable
 
 import attrs
 
@@ -50,7 +51,7 @@
 
 @attrs.define
 class Upstreams:
-    """Pools of connections by address.
+    """Pools of connections, one for each start of a target.
 
     Parameters
     ----------
@@ -65,14 +66,14 @@
     connect_timeout: float
     max_answer: int
     convention: TargetConvention = attrs.field(factory=OwnTargets)
-    _pools: dict[tuple[str, int], ConnectionPool] = attrs.field(factory=dict)
+    _pools: dict[tuple, ConnectionPool] = attrs.field(factory=dict)
     _opened_before: int = 0
     _lost_before: int = 0
 
     def send(self, req: OutboundRequest, attempt: Attempt) -> Outcome:
         """Make one attempt: one exchange, never repeated here."""
         call = attempt.call
-        pool = self._pool(attempt.address)
+        pool = self._pool(attempt.target.record)
         timeout = min(self.connect_timeout, call.deadline - time.monotonic())
         conn = pool.take(call.idempotent, timeout)
         if isinstance(conn, ConnectFailed):
@@ -101,7 +102,7 @@
             Seconds for the whole check.
         """
         deadline = time.monotonic() + timeout
-        pool = self._pool(target.address)
+        pool = self._pool(target)
         conn = pool.take(True, timeout)
         if isinstance(conn, ConnectFailed):
             return self.convention.read_check(NotSent(Failure.CONNECT), target)
@@ -111,10 +112,11 @@
         self._give_back(pool, conn, outcome)
         return self.convention.read_check(outcome, target)
 
-    def _pool(self, address):
-        pool = self._pools.get(address)
+    def _pool(self, target):
+        key = _pool_key(target)
+        pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(address)
+            pool = self._pools[key] = ConnectionPool(target.address)
         return pool
 
     def _give_back(self, pool, conn, outcome):
@@ -132,11 +134,16 @@
         host = self.convention.host(req.head, target)
         return encode_request(req.method, req.path, host, headers, req.body)
 
-    def keep_only(self, addresses: set[tuple[str, int]]) -> None:
-        """Close the connections to addresses that are no longer in use."""
-        for address in list(self._pools):
-            if address not in addresses:
-                pool = self._pools.pop(address)
+    def keep_only(self, targets: Iterable[Target]) -> None:
+        """Close the connections to all other targets, and to earlier starts of these.
+
+        Those to an earlier start end with it, but a silent end shows only when a
+        request is lost on one.
+        """
+        kept = {_pool_key(target) for target in targets}
+        for key in list(self._pools):
+            if key not in kept:
+                pool = self._pools.pop(key)
                 self._opened_before += pool.opened
                 self._lost_before += pool.lost
                 pool.close()
@@ -152,4 +159,8 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        self.keep_only(set())
+        self.keep_only(())
+
+
+def _pool_key(target):
+    return (target.identity, target.address)
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -89,9 +89,9 @@
     route: str = ""
     search: "Search" = attrs.field(factory=lambda: Search())
 
-    def tried(self, target_name: str) -> bool:
-        """Tell whether an attempt went to this target."""
-        return any(attempt.target_name == target_name for attempt in self.attempts)
+    def tried(self, target: "TargetState") -> bool:
+        """Tell whether an attempt went to this start of a target."""
+        return any(each.target.identity == target.identity for each in self.attempts)
 
     @property
     def open_attempts(self) -> int:
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -158,11 +158,11 @@
         chosen += self._draw(far, count - len(chosen), search.asked)
         if not chosen:
             return None
-        search.asked.update(target.name for target in chosen)
+        search.asked.update(target.identity for target in chosen)
         return Ask(tuple(target.record for target in chosen))
 
     def _draw(self, targets, count, asked):
-        left = [target for target in targets if target.name not in asked]
+        left = [target for target in targets if target.identity not in asked]
         if len(left) <= count:
             return left
         return self.rng.sample(left, count)
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -92,39 +92,37 @@
         self._targets.update(targets, now)
         self._room.set_slots(sum(target.slots for target in targets), is_new)
 
-    def note_draining(
-        self, target_name: str, source: DrainSource, until: float
-    ) -> None:
+    def note_draining(self, identity: str, source: DrainSource, until: float) -> None:
         """Take in that a source calls a target leaving.
 
         Parameters
         ----------
-        target_name : str
-            Name of the target.
+        identity : str
+            Name of the target's start.
         source : DrainSource
             Who says so.
         until : float
             Time in seconds to which it holds; 0 takes it back.
         """
-        self._targets.note_draining(target_name, source, until)
+        self._targets.note_draining(identity, source, until)
 
-    def note_probe(self, target_name: str, healthy: bool, now: float) -> None:
+    def note_probe(self, identity: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe."""
-        self._targets.note_probe(target_name, healthy, now)
+        self._targets.note_probe(identity, healthy, now)
 
-    def note_unheard(self, target_name: str, now: float) -> None:
+    def note_unheard(self, identity: str, now: float) -> None:
         """Take in that a target has not answered a check in time."""
-        self._targets.note_unheard(target_name, now)
+        self._targets.note_unheard(identity, now)
 
     def note_check(
-        self, target_name: str, report: LoadReport | None, well: bool, now: float
+        self, identity: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
         """Take in what a target said when it was asked for its load.
 
         Parameters
         ----------
-        target_name : str
-            Name of the target.
+        identity : str
+            Name of the target's start.
         report : LoadReport or None
             Its load; None if it gave no answer.
         well : bool
@@ -132,7 +130,7 @@
         now : float
             Time in seconds.
         """
-        self._targets.note_check(target_name, report, well, now)
+        self._targets.note_check(identity, report, well, now)
 
     # -- requests --------------------------------------------------------------
 
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/_target.py
@@ -52,6 +52,8 @@
     ----------
     record : Target
         Its record.
+    identity : str
+        Name of this start of it.
     in_flight : int
         Own requests without result.
     starts : deque of float
@@ -79,6 +81,7 @@
     """
 
     record: Target
+    identity: str
     ready_since: float
     in_flight: int = 0
     starts: deque = attrs.field(factory=deque)
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -92,13 +92,13 @@
         start = now if known else -math.inf
         self._states = {}
         for target in targets:
-            state = known.get(target.name)
+            state = known.get(target.identity)
             if state is None or state.record.address != target.address:
-                state = TargetState(target, ready_since=start)
+                state = TargetState(target, target.identity, ready_since=start)
                 if target.warmup_s:
                     state.warm_at = now + target.warmup_s
             state.record = target
-            self._states[target.name] = state
+            self._states[target.identity] = state
         self._usable.forget()
 
     # -- choosing ----------------------------------------------------------------
@@ -107,8 +107,8 @@
         """Choose a target; None if each that may be used is full."""
         near, far = self._usable.lists(self._states, now)
         if call.attempts:
-            near = [target for target in near if not call.tried(target.name)]
-            far = [target for target in far if not call.tried(target.name)]
+            near = [target for target in near if not call.tried(target)]
+            far = [target for target in far if not call.tried(target)]
         max_load = self.settings.full_load
         if call.priority is Priority.BACKGROUND:
             max_load = self.settings.background_load
@@ -128,8 +128,8 @@
         """List the targets that may be used, those not heard of only if need be."""
         near, far = self._usable.lists(self._states, now)
         if call.attempts:
-            near = [target for target in near if not call.tried(target.name)]
-            far = [target for target in far if not call.tried(target.name)]
+            near = [target for target in near if not call.tried(target)]
+            far = [target for target in far if not call.tried(target)]
         heard_near = [target for target in near if target.mute_until <= now]
         heard_far = [target for target in far if target.mute_until <= now]
         if heard_near or heard_far:
@@ -148,9 +148,7 @@
 
     def none_left_for(self, call: Call, now: float) -> bool:
         """Tell whether no target is left that could still take a request."""
-        return all(
-            target.is_draining(now) or call.tried(target.name) for target in self
-        )
+        return all(target.is_draining(now) or call.tried(target) for target in self)
 
     def most_are_sound(self, now: float) -> bool:
         """Tell whether more than half of the targets did well last time."""
@@ -228,18 +226,18 @@
             self._learn_report(target, report, now)
         self._usable.forget()
 
-    def note_draining(self, name: str, source: DrainSource, until: float) -> None:
+    def note_draining(self, identity: str, source: DrainSource, until: float) -> None:
         """Take in that a source calls a target leaving, up to a time."""
-        target = self._states.get(name)
+        target = self._states.get(identity)
         if target is not None and target.draining_until.get(source, 0) != until:
             target.draining_until[source] = until
             self._usable.forget()
 
     def note_check(
-        self, name: str, report: LoadReport | None, well: bool, now: float
+        self, identity: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
         """Take in what a target said when it was asked; no report is no answer."""
-        target = self._states.get(name)
+        target = self._states.get(identity)
         if target is None:
             return
         target.checked_at = now
@@ -253,9 +251,9 @@
         if not well:
             target.unwell_until = now + UNWELL_S
 
-    def note_unheard(self, name: str, now: float) -> None:
+    def note_unheard(self, identity: str, now: float) -> None:
         """Take in that a target has not answered a check in time."""
-        target = self._states.get(name)
+        target = self._states.get(identity)
         if target is not None:
             self._note_silence(target, now)
 
@@ -266,13 +264,13 @@
                 target.name, Belief.SILENT, in_flight=target.in_flight, checks=1
             )
 
-    def note_probe(self, name: str, healthy: bool, now: float) -> None:
+    def note_probe(self, identity: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe.
 
         A target that is out of use comes back by a trial request. Where none of
         the requests may be sent twice, no trial is made, and a probe has to do.
         """
-        target = self._states.get(name)
+        target = self._states.get(identity)
         if target is None or not target.ejected_until or not healthy:
             return
         if now >= target.ejected_until + PROBE_RETURN_S:
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -122,6 +122,9 @@
     warmup_s : float
         Seconds for which the target is still slow after its start, from the time
         at which the record was made.
+    started_ms : int
+        Time of the target's start in milliseconds since 1970; 0 if its platform does
+        not tell it, as each start has a name of its own there.
     """
 
     name: str
@@ -134,12 +137,23 @@
     health_path: str
     refusal: RefusalContract | None
     warmup_s: float = 0.0
+    started_ms: int = 0
 
     @property
     def key(self):
         """Key of the record."""
         return RecordKey(Kind.TARGET, self.name)
 
+    @property
+    def identity(self) -> str:
+        """Name of this start of the target.
+
+        A target that starts again under its name knows nothing of before. What is
+        believed of it is kept by this name, so that what comes late from the earlier
+        start, such as the word that it is leaving, does not hit the later one.
+        """
+        return f"{self.name}@{self.started_ms}" if self.started_ms else self.name
+
     @property
     def address(self):
         """Address as (host, port)."""
--- /dev/null
+++ b/tests/adapter/test_foreign_rows.py
@@ -0,0 +1,205 @@
+"""Rows that another writer made: each names nothing to use, and the others hold."""
+
+import json
+
+import gevent
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cairnferry.entry import _followed
+from cairnferry.entry._handover import Handover
+from cairnferry.entry.adapter import DecodeFault, EntryRow, Item, Rules
+from cairnferry.records import Target
+from cairnferry.standins import wait_for
+from hosting import _registry
+from hosting._configuration import ConfigurationDecoder
+from hosting._discovery import decode_target
+from hosting._settings import read_host_settings
+from hosting._store import _items
+
+from ._standins import configuration, target_row
+from .conftest import settings_text
+
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+DEEP = b"[" * 100_000
+
+
+def spoilt(document):
+    """Give documents like this one, of which a part is missing or of another type."""
+    paths = list(_paths(document))
+    return st.builds(
+        lambda path, value, drop: _changed(document, path, value, drop),
+        st.sampled_from(paths),
+        VALUES,
+        st.booleans(),
+    ).map(lambda changed: json.dumps(changed).encode())
+
+
+def _paths(part, path=()):
+    if path:
+        yield path
+    entries = part.items() if isinstance(part, dict) else enumerate(part)
+    for key, value in entries:
+        if isinstance(value, dict | list):
+            yield from _paths(value, (*path, key))
+        else:
+            yield (*path, key)
+
+
+def _changed(document, path, value, drop):
+    changed = json.loads(json.dumps(document))
+    part = changed
+    for key in path[:-1]:
+        part = part[key]
+    if drop:
+        del part[path[-1]]
+    else:
+        part[path[-1]] = value
+    return changed
+
+
+def anything(document):
+    return st.binary() | VALUES.map(lambda v: json.dumps(v).encode()) | spoilt(document)
+
+
+def decode_rules(data):
+    cfg = read_host_settings(settings_text(1)).ok
+    return ConfigurationDecoder(cfg).decode(data)
+
+
+@settings(deadline=None, max_examples=300)
+@given(anything(target_row(8080, born=1_764_000_000_000)))
+def test_a_targets_row_is_a_target_or_a_fault(data):
+    decoded = decode_target("i-1", data)
+    found = decoded.ok if decoded.is_ok() else decoded.error
+    assert isinstance(found, Target | DecodeFault)
+    if isinstance(found, Target):
+        # These are looked up in tables and joined with texts.
+        assert {type(found.service), type(found.zone), type(found.host)} == {str}
+        assert {type(found.slots), type(found.started_ms)} == {int}
+
+
+@settings(deadline=None, max_examples=300)
+@given(anything(configuration()))
+def test_a_configuration_is_rules_or_a_fault(data):
+    decoded = decode_rules(data)
+    found = decoded.ok if decoded.is_ok() else decoded.error
+    assert isinstance(found, Rules | DecodeFault)
+    if isinstance(found, Rules):
+        for route in found.routes:
+            assert {type(route.host), type(route.path_prefix)} == {str}
+            assert all(isinstance(name, str) for name in route.service_names())
+
+
+ENTRY = {
+    "name": "front-2",
+    "zone": "hall",
+    "peer_address": "10.0.0.1:7000",
+    "caller_address": "10.0.0.1:8000",
+    "leaving": False,
+}
+
+
+@settings(deadline=None, max_examples=300)
+@given(anything(ENTRY))
+def test_an_instances_row_is_an_instance_or_left_out(data):
+    rows = (Item("a", data, 1), Item(_registry.KEY_ROW.key, b"k" * 32, 2))
+    enrolled = _registry._read(type("Batch", (), {"items": rows})).ok
+    assert enrolled.key == b"k" * 32
+    for entry in enrolled.entries:
+        assert isinstance(entry, EntryRow)
+        assert {type(entry.name), type(entry.zone), type(entry.peer_address)} == {str}
+
+
+@settings(deadline=None, max_examples=200)
+@given(anything({"rules": "e30=", "targets": [["i-1", "e30=", 3]]}))
+def test_a_handover_is_read_or_a_fault(data):
+    read = Handover.read(data)
+    assert isinstance(read.ok if read.is_ok() else read.error, Handover | DecodeFault)
+
+
+@pytest.mark.parametrize("decode", [decode_rules, lambda d: decode_target("i", d)])
+def test_a_document_that_is_nested_very_deeply_is_a_fault(decode):
+    assert decode(DEEP).is_error()
+
+
+@pytest.mark.parametrize("value", ["?", "é", 5, []])
+def test_content_that_is_no_base64_spoils_its_own_row_alone(value):
+    rows = [
+        {"key": "a", "value": value, "ver": 1},
+        {"key": "b", "value": "eA==", "ver": 2},
+    ]
+    bad, good = _items({"rows": rows})
+    assert decode_target("a", bad.value).is_error()
+    assert good.value == b"x"
+
+
+@pytest.mark.parametrize("born", [1.5, "1764000000000", None, True])
+def test_a_start_that_is_no_whole_number_is_a_fault(born):
+    data = json.dumps(target_row(8080, born=born)).encode()
+    assert "born" in str(decode_target("i-1", data).error)
+
+
+@pytest.fixture
+def prompt_news(monkeypatch):
+    monkeypatch.setattr(_followed, "TARGETS_COALESCE_S", 0.001)
+
+
+FOREIGN = [
+    b"\xff\xfe",
+    b"[]",
+    {"service": ["svc"]},
+    target_row(1, state="sleeping"),
+    target_row(1, service=["svc"]),
+    target_row("x"),
+    {k: v for k, v in target_row(1).items() if k != "zone"},
+]
+
+
+def test_the_other_rows_hold(daemon, store, start_target, knows, prompt_news, caplog):
+    """Symptom: a daemon hears of no further target. Events: another writer makes rows
+    that cannot be read. Cause: the first of them ended the task that reads them."""
+    for number, row in enumerate(FOREIGN):
+        store.put("servers", f"x-{number}", row)
+    store.put("servers", "x-unknown", target_row(1, service="nobody"))
+    start_target()
+    knows(daemon, "i-1")
+    assert daemon.call().status == 200
+    assert daemon.core.metrics.faulty_rows["targets"] == len(FOREIGN)
+    lines = [r for r in caplog.records if r.message == "row cannot be read"]
+    assert 0 < len(lines) <= len(FOREIGN)
+
+
+def test_a_target_that_starts_again_is_used_at_its_new_address(
+    daemon, store, start_target, knows, prompt_news
+):
+    """Symptom: requests go where a target was before it started again.
+
+    Events: it starts again under its name; a write that it made before its end is done
+    only then. Cause: the row with the higher version was taken for the later one.
+    """
+    first = start_target()
+    second = start_target()
+    old = target_row(first.port, born=1000)
+    store.put("servers", "i-1", target_row(second.port, born=2000))
+
+    def used():
+        return {t.started_ms for t in daemon.core.services.targets()}
+
+    wait_for(lambda: used() == {2000})
+    store.put("servers", "i-1", old)
+    store.put("servers", "i-2", target_row(1, state="draining"))
+    wait_for(lambda: "i-2" in {t.name for t in daemon.core.services.targets()})
+    assert used() == {2000, 0}
+    gevent.sleep(0)
+    assert daemon.call().status == 200
+    assert (len(first.seen), len(second.seen)) == (0, 1)
--- a/tests/entry/test_exposition.py
+++ b/tests/entry/test_exposition.py
@@ -25,12 +25,13 @@
     metrics.note_cause("overload")
     metrics.note_store_call("rules-feed", "nothing")
     metrics.probes["healthy"] = 12_345_678
+    metrics.faulty_rows["targets"] = 6
     return {
         "metrics": metrics.snapshot(),
         "connections": {
             "callers": 7,
-            "targets": {"idle": 1, "opened": 2, "lost": 3},
             "requests_ahead": 5,
+            "targets": {"idle": 1, "opened": 2, "lost": 3},
         },
         "members": [{"state": "alive"}, {"state": "alive"}, {"state": "gone"}],
         "peers": {"sent_bytes": 10},
@@ -64,9 +65,9 @@
         ("target_connections_opened_total",): 2,
         ("target_connections_lost_total",): 3,
         ("caller_connections",): 7,
-        ("members", "alive"): 2,
         ("requests_ahead_total",): 5,
         ("faulty_rows_total", "targets"): 6,
+        ("members", "alive"): 2,
         ("members", "gone"): 1,
         ("peer_sent_bytes_total",): 10,
         ("rules_age_seconds",): 0.5,
