Believe a row of an earlier start if it stays

Cause: a target whose clock was ahead at its first start would, after a second one, have an earlier start for good, and never be used. A living target writes its row again within seconds, so that a late write of an earlier start does not stand for long; one that still stands after 5 s is believed. Ruled out: forgetting the start when a row is removed, as the late write may come after the removal. Test: test_a_target_whose_clock_was_set_back_is_used_in_the_end.

--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/_followed.py
@@ -6,6 +6,7 @@
 
 import attrs
 import gevent
+from expression import Ok
 from gevent.event import Event
 
 from cairnferry.coordination import Note
@@ -34,6 +35,9 @@
 # Seconds for which other daemons keep in mind that a target leaves: it serves on for
 # some seconds after it said so. A name does not come again, so that more does no harm.
 LEAVING_NOTE_S = 15.0
+# Seconds after which a row of an earlier start is believed: several times the interval
+# at which a living target writes its row.
+DOUBT_S = 5.0
 # Names of targets of which the latest start is kept in mind, also after their rows were
 # removed: several times the targets of the largest installation.
 MAX_STARTS = 20_000
@@ -192,12 +196,27 @@
             # A write of the earlier start that was under way when it ended. Taken, it
             # would send requests to an address where that start no longer is.
             log.info("row of an earlier start", extra={"target": key, "known": known})
+            gevent.spawn_later(DOUBT_S, self._trust, key, target)
             return self._targets.get(key)
         self._starts[key] = target.started_ms
         if len(self._starts) > MAX_STARTS:
             del self._starts[next(iter(self._starts))]
         return target
 
+    def _trust(self, key, target):
+        """Take a row of an earlier start after all, if it still stands.
+
+        A living target would have written over it by now. One whose clock was set
+        back before it started again would else never be used.
+        """
+        row = self._rows.get(key)
+        if row is None or self.decoders.target(key, row.value) != Ok(target):
+            return
+        self._starts[key] = 0
+        rows = dict(self._rows)
+        del self._rows[key]
+        self._take_targets(rows)
+
     def _log_changes(self, targets):
         before = {target.identity: target for target in self._targets.values()}
         after = {target.identity: target for target in targets.values()}
--- a/tests/adapter/test_foreign_rows.py
+++ b/tests/adapter/test_foreign_rows.py
@@ -203,3 +203,17 @@
     gevent.sleep(0)
     assert daemon.call().status == 200
     assert (len(first.seen), len(second.seen)) == (0, 1)
+
+
+def test_a_target_whose_clock_was_set_back_is_used_in_the_end(
+    daemon, store, start_target, knows, prompt_news, monkeypatch
+):
+    """Symptom: a target that started again is never used. Events: its clock was ahead
+    at its first start. Cause: the later start was taken for an earlier one."""
+    monkeypatch.setattr(_followed, "DOUBT_S", 0.05)
+    target = start_target()
+    store.put("servers", "i-1", target_row(1, born=9000))
+    wait_for(lambda: {t.started_ms for t in daemon.core.services.targets()} == {9000})
+    store.put("servers", "i-1", target_row(target.port, born=5000))
+    wait_for(lambda: {t.started_ms for t in daemon.core.services.targets()} == {5000})
+    assert daemon.call().status == 200
