--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from bench.model._loads import LOADS, SITES, Load, Site
-from bench.model._world import Outcome, Result, World, play
+from bench.model._result import Outcome, Result
+from bench.model._world import World, play
 
 __all__ = ["LOADS", "SITES", "Load", "Outcome", "Result", "Site", "World", "play"]
--- /dev/null
+++ b/bench/model/_result.py
@@ -0,0 +1,74 @@
+"""What came of a load under a policy, and what that is worth."""
+
+import enum
+
+import attrs
+
+# Price of a caller that is answered late or not at all is 0.9 or 1; these are for a
+# check, and for a message to another zone and back: a check has some 300 bytes, a
+# request and its answer 2 KB.
+CHECK_PRICE = 0.0032
+FAR_CHECK_PRICE = 0.012
+FAR_REQUEST_PRICE = 0.08
+LATE_WORTH = 0.1
+
+
+class Outcome(enum.Enum):
+    """How a caller fared."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@attrs.define
+class Result:
+    """What came of a load under a policy.
+
+    Attributes
+    ----------
+    outcomes : dict of Outcome to int
+        Callers.
+    times : list of float
+        Seconds to the answers.
+    checks, attempts, repeats : int
+        Sent to targets.
+    far_checks, far_attempts : int
+        Those of them that went to another zone.
+    """
+
+    outcomes: dict[Outcome, int] = attrs.field(
+        factory=lambda: dict.fromkeys(Outcome, 0)
+    )
+    times: list[float] = attrs.field(factory=list)
+    checks: int = 0
+    attempts: int = 0
+    repeats: int = 0
+    far_checks: int = 0
+    far_attempts: int = 0
+
+    @property
+    def worth(self) -> float:
+        """What the answers are worth to a caller, less what they cost."""
+        late = LATE_WORTH * self.share(Outcome.LATE)
+        price = (
+            CHECK_PRICE * self.checks
+            + FAR_CHECK_PRICE * self.far_checks
+            + FAR_REQUEST_PRICE * self.far_attempts
+        )
+        return self.share(Outcome.IN_TIME) + late - price / max(1, self.callers)
+
+    @property
+    def callers(self) -> int:
+        """Callers in all."""
+        return sum(self.outcomes.values())
+
+    def share(self, outcome: Outcome) -> float:
+        """Give the part of the callers that fared so."""
+        return self.outcomes[outcome] / max(1, self.callers)
+
+    def quantile(self, part: float) -> float:
+        """Give the seconds within which a part of the answers came."""
+        ordered = sorted(self.times)
+        return ordered[int(part * (len(ordered) - 1))] if ordered else 0.0
--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -1,6 +1,5 @@
 """Instances, targets and callers of one service in simulated time."""
 
-import enum
 import heapq
 import itertools
 import random
@@ -9,6 +8,7 @@
 import attrs
 
 from bench.model._loads import SIX_SLOTS, Load, Site
+from bench.model._result import Outcome, Result
 from bench.model._target import Job, ModelTarget
 from cairnferry.policy import (
     Abandoned,
@@ -32,13 +32,6 @@
 # Seconds between two looks at waiting requests.
 LOOK_S = 0.004
 SPREAD = 0.3
-# Price of a caller that is answered late or not at all is 0.9 or 1; these are for a
-# check, and for a message to another zone and back: a check has some 300 bytes, a
-# request and its answer 2 KB.
-CHECK_PRICE = 0.0032
-FAR_CHECK_PRICE = 0.012
-FAR_REQUEST_PRICE = 0.08
-LATE_WORTH = 0.1
 RETRY_WINDOW_S = 10.0
 
 
@@ -61,67 +54,6 @@
             event()
 
 
-class Outcome(enum.Enum):
-    """How a caller fared."""
-
-    IN_TIME = "in time"
-    LATE = "late"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
-@attrs.define
-class Result:
-    """What came of a load under a policy.
-
-    Attributes
-    ----------
-    outcomes : dict of Outcome to int
-        Callers.
-    times : list of float
-        Seconds to the answers.
-    checks, attempts, repeats : int
-        Sent to targets.
-    far_checks, far_attempts : int
-        Those of them that went to another zone.
-    """
-
-    outcomes: dict[Outcome, int] = attrs.field(
-        factory=lambda: dict.fromkeys(Outcome, 0)
-    )
-    times: list[float] = attrs.field(factory=list)
-    checks: int = 0
-    attempts: int = 0
-    repeats: int = 0
-    far_checks: int = 0
-    far_attempts: int = 0
-
-    @property
-    def worth(self) -> float:
-        """What the answers are worth to a caller, less what they cost."""
-        late = LATE_WORTH * self.share(Outcome.LATE)
-        price = (
-            CHECK_PRICE * self.checks
-            + FAR_CHECK_PRICE * self.far_checks
-            + FAR_REQUEST_PRICE * self.far_attempts
-        )
-        return self.share(Outcome.IN_TIME) + late - price / max(1, self.callers)
-
-    @property
-    def callers(self) -> int:
-        """Callers in all."""
-        return sum(self.outcomes.values())
-
-    def share(self, outcome: Outcome) -> float:
-        """Give the part of the callers that fared so."""
-        return self.outcomes[outcome] / max(1, self.callers)
-
-    def quantile(self, part: float) -> float:
-        """Give the seconds within which a part of the answers came."""
-        ordered = sorted(self.times)
-        return ordered[int(part * (len(ordered) - 1))] if ordered else 0.0
-
-
 @attrs.define(eq=False)
 class _Caller:
     """One caller with its request."""
--- a/tests/adapter/test_pipelining.py
+++ b/tests/adapter/test_pipelining.py
@@ -27,16 +27,9 @@
     return connect((daemon.cfg.callers.host, daemon.cfg.callers.port), 10).sock
 
 
-def read_until(sock, text):
-    received = b""
-    while text not in received:
-        part = sock.recv(65536)
-        assert part, received
-        received += part
-    return received
-
-
-def test_reads_run_side_by_side_and_are_answered_in_order(daemon, start_target, knows):
+def test_reads_run_side_by_side_and_are_answered_in_order(
+    daemon, start_target, knows, read_until
+):
     gates = {}
     target = start_target(behave=lambda n: gates.setdefault(n, Event()), load="0,0,9")
     knows(daemon, "i-1")
@@ -53,7 +46,9 @@
         assert received.lower().count(own.lower()) == 1
 
 
-def test_an_order_waits_for_reads_and_runs_once(daemon, start_target, knows):
+def test_an_order_waits_for_reads_and_runs_once(
+    daemon, start_target, knows, read_until
+):
     gate = Event()
     target = start_target(behave=lambda n: gate if n == 1 else None)
     knows(daemon, "i-1")
@@ -97,7 +92,7 @@
     wait_for(lambda: not daemon.core.callers_server.connections)
 
 
-def test_a_reload_cuts_nothing(daemon, store, start_target, knows):
+def test_a_reload_cuts_nothing(daemon, store, start_target, knows, read_until):
     gate = Event()
     target = start_target(behave=lambda n: gate, load="0,0,9")
     knows(daemon, "i-1")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -84,6 +84,22 @@
     return receive_all
 
 
+def receive_until(sock, text):
+    """Give what comes until a text has come."""
+    received = b""
+    while text not in received:
+        part = sock.recv(65536)
+        assert part, received
+        received += part
+    return received
+
+
+@pytest.fixture
+def read_until():
+    """Give the function that reads a connection up to a text."""
+    return receive_until
+
+
 @pytest.fixture
 def serve_bytes():
     """Start a server that answers each connection's first request with bytes."""
--- a/tests/entry/test_pipelining.py
+++ b/tests/entry/test_pipelining.py
@@ -102,22 +102,14 @@
     return "\r\n".join(lines).encode()
 
 
-def read_until(sock, text):
-    """Read until a text has come; give all that came."""
-    received = b""
-    while text not in received:
-        part = sock.recv(65536)
-        assert part, received
-        received += part
-    return received
-
-
 def bodies(received):
     """Give the paths that the answers name, in their order."""
     return [part.split(b">")[0].decode() for part in received.split(b"<")[1:]]
 
 
-def test_idempotent_requests_run_side_by_side_and_are_answered_in_order(caller, target):
+def test_idempotent_requests_run_side_by_side_and_are_answered_in_order(
+    caller, target, read_until
+):
     """Symptom: a caller's further requests wait for the answer to the one before.
 
     Events: three requests come in one packet, and the later ones are done first.
@@ -131,7 +123,9 @@
     assert bodies(read_until(caller, b"</s/2>")) == paths
 
 
-def test_one_that_is_not_idempotent_waits_and_holds_those_behind_it(caller, target):
+def test_one_that_is_not_idempotent_waits_and_holds_those_behind_it(
+    caller, target, read_until
+):
     """Symptom: a purchase runs before the look-up that the caller sent before it.
 
     Cause: the order of requests that change something would be lost.
@@ -166,7 +160,7 @@
 
 
 def test_what_was_passed_on_is_answered_before_a_listener_that_ends_closes(
-    entry, caller, target, read_to_end
+    entry, caller, target, read_to_end, read_until
 ):
     """Symptom: a caller of a daemon that stops loses a request that has run.
 
@@ -187,7 +181,9 @@
     assert entry.server.lookahead.requests == 0
 
 
-def test_a_listener_that_finishes_waits_for_all_requests(entry, caller, target):
+def test_a_listener_that_finishes_waits_for_all_requests(
+    entry, caller, target, read_until
+):
     caller.sendall(get("/s/held/0") + get("/s/held/1"))
     wait_for(lambda: len(target.seen) == 2)
     ending = gevent.spawn(entry.server.finish, 30.0)
@@ -210,7 +206,7 @@
     assert entry.server.lookahead == type(entry.server.lookahead)(total=2)
 
 
-def test_half_a_head_does_not_hold_up_the_request_before_it(caller, target):
+def test_half_a_head_does_not_hold_up_the_request_before_it(caller, target, read_until):
     whole = get("/s/1")
     caller.sendall(get("/s/0") + whole[:10])
     assert bodies(read_until(caller, b"</s/0>")) == ["/s/0"]
@@ -218,7 +214,9 @@
     assert bodies(read_until(caller, b"</s/1>")) == ["/s/1"]
 
 
-def test_very_many_heads_at_once_are_bounded_and_all_answered(entry, caller, target):
+def test_very_many_heads_at_once_are_bounded_and_all_answered(
+    entry, caller, target, read_until
+):
     """Symptom: one caller fills the memory, or the slots of all targets."""
     paths = [f"/s/{i}" for i in range(MANY)]
     most = 0
@@ -281,7 +279,9 @@
     assert target.seen == ["/s/held/0"]
 
 
-def test_the_word_to_go_on_comes_after_the_answers_before_it(caller, target):
+def test_the_word_to_go_on_comes_after_the_answers_before_it(
+    caller, target, read_until
+):
     """Symptom: a caller takes "100 Continue" for the answer to an earlier request."""
     expecting = _request("PUT", "/s/1", ["Content-Length: 2", "Expect: 100-continue"])
     caller.sendall(get("/s/held/0") + expecting)
@@ -295,7 +295,7 @@
     assert bodies(read_until(caller, b"</s/1>")) == ["/s/1"]
 
 
-def test_the_idle_time_counts_from_the_last_answer(entry, caller, target):
+def test_the_idle_time_counts_from_the_last_answer(entry, caller, target, read_until):
     """Symptom: a connection is closed just as its caller uses it again.
 
     Cause: the idle time ran from the last request, which took most of it.
