--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -35,8 +35,8 @@
         that serves nobody better, and each check has its price.
     near_share : float
         The same part, beyond which targets of other zones are asked as well. Asked as
-        soon as no idle one is near, they make 27 % more bytes between zones (0.031 GB
-        against 0.024 in a run of 50 s at full load).
+        soon as no idle one is near, they make a third more bytes between zones (0.032
+        GB against 0.024 in a run at full load, the same seed).
     good_costs, near_costs : tuple of float
         Least and highest cost that these parts may stand for; 1 is an idle target at
         its usual pace. The middle ones hold while it is not known what the work takes.
