Read the change anew: tests without sleeps, guesses called guesses, one constant

The test of the idle time slept 0.4 s against a limit of 0.3 s and could fail on a busy machine; it now moves the time of the last answer itself, and a second one holds that an idle connection is closed. The test of a target that starts again no longer depends on a 5 s limit. A late answer's worth stood twice. No code of the product changed but a docstring.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-# Part of a request's worth that a late answer still has, as on the users' sheets.
-LATE_WORTH = 0.1
+from bench.model._result import LATE_WORTH
+
 # Prices below this part of a day's worth are left out.
 LEAST_PRICE = 0.002
 _PRICE = re.compile(r"^  -(-?\d+\.\d+)  (-?[\d.]+) (.+)$")
--- a/bench/model/_result.py
+++ b/bench/model/_result.py
@@ -4,12 +4,13 @@
 
 import attrs
 
-# Price of a caller that is answered late or not at all is 0.9 or 1; these are for a
-# check, and for a message to another zone and back: a check has some 300 bytes, a
-# request and its answer 2 KB.
+# Parts of what an answer in time is worth: for a check, and for a check or a request
+# that goes to another zone and back. By the users' prices, with some 300 bytes for a
+# check and 2 KB for a request and its answer.
 CHECK_PRICE = 0.0032
 FAR_CHECK_PRICE = 0.012
 FAR_REQUEST_PRICE = 0.08
+# What a late answer is worth, on the users' sheets.
 LATE_WORTH = 0.1
 
 
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -39,7 +39,8 @@
         GB against 0.024 in a run at full load, the same seed).
     good_costs, near_costs : tuple of float
         Least and highest cost that these parts may stand for; 1 is an idle target at
-        its usual pace. The middle ones hold while it is not known what the work takes.
+        its usual pace. The middle ones hold while it is not known what the work takes;
+        fixed at these the costs did as well in three runs. The bounds are chosen.
     load_cost : float
         Added cost of a target that is full, in proportion below that: of two that
         are equally fast the emptier one is taken, not the first in order.
--- a/tests/adapter/test_foreign_rows.py
+++ b/tests/adapter/test_foreign_rows.py
@@ -180,13 +180,14 @@
 
 
 def test_a_target_that_starts_again_is_used_at_its_new_address(
-    daemon, store, start_target, knows, prompt_news
+    daemon, store, start_target, knows, prompt_news, monkeypatch
 ):
     """Symptom: requests go where a target was before it started again.
 
     Events: it starts again under its name; a write that it made before its end is done
     only then. Cause: the row with the higher version was taken for the later one.
     """
+    monkeypatch.setattr(_followed, "DOUBT_S", 1000.0)
     first = start_target()
     second = start_target()
     old = target_row(first.port, born=1000)
--- a/tests/entry/test_pipelining.py
+++ b/tests/entry/test_pipelining.py
@@ -300,12 +300,22 @@
 
     Cause: the idle time ran from the last request, which took most of it.
     """
-    entry.server.limits.idle_s = 0.3
+    limit = entry.server.limits.idle_s
     caller.sendall(get("/s/held/0"))
     wait_for(lambda: target.seen)
-    gevent.sleep(0.4)
+    (handler,) = entry.server._handlers
+    # As if the request had taken far longer than a connection may be idle.
+    handler._pipeline.idle_since -= 2 * limit
+    assert handler._idle_left() == limit
     target.release("/s/held/0")
     read_until(caller, b"</s/held/0>")
+    wait_for(lambda: not handler.busy)
+    assert handler._idle_left() > 0
     caller.sendall(get("/s/1"))
     assert bodies(read_until(caller, b"</s/1>")) == ["/s/1"]
-    assert caller.recv(10) == b""
+
+
+def test_a_connection_that_is_idle_for_too_long_is_closed(entry):
+    entry.server.limits.idle_s = 0.01
+    with socket.create_connection((HOST, entry.port)) as sock:
+        assert sock.recv(10) == b""
--- a/tests/policy/test_restarts.py
+++ b/tests/policy/test_restarts.py
@@ -1,6 +1,14 @@
 """Targets that start again under their name: nothing learnt of before holds."""
 
-from cairnferry.policy import Answered, Ask, DrainSource, LoadReport, Lost, Send
+from cairnferry.policy import (
+    Answered,
+    Ask,
+    DrainSource,
+    GiveUp,
+    LoadReport,
+    Lost,
+    Send,
+)
 
 from ._asking import IDLE, call, policy_of, settle, target
 
@@ -60,7 +68,7 @@
     policy, attempt = restarted()
     attempt.call.idempotent = False
     decision = policy.finished(attempt, Lost(), 1.2)
-    assert type(decision).__name__ == "GiveUp"
+    assert isinstance(decision, GiveUp)
 
 
 def test_a_request_may_be_repeated_at_the_later_start():
