--- a/bench/days/__main__.py
+++ b/bench/days/__main__.py
@@ -1,4 +1,4 @@
-"""Play the days of this folder and print which rule broke.
+"""Play the days of deploy/days and print which rule broke.
 
     FLEETBENCH=program python -m bench.days SITE [NAME ...]
 
@@ -12,7 +12,7 @@
 import subprocess
 import sys
 
-FOLDER = pathlib.Path(__file__).parent
+FOLDER = pathlib.Path(__file__).parents[2] / "deploy" / "days"
 # Days played at the same time, each on a processor or two.
 AT_ONCE = 3
 # Seconds after which a day is given up; one takes 20 to 90.
--- a/tests/bench/test_days.py
+++ b/tests/bench/test_days.py
@@ -1,8 +1,10 @@
 """What the runner of own days takes for a day that went wrong."""
 
+import tomllib
+
 import pytest
 
-from bench.days.__main__ import find_faults
+from bench.days.__main__ import FOLDER, find_faults
 
 GOOD = """\
 day                  own/srv  score  worth served refused failed  weakest part
@@ -37,3 +39,11 @@
 def test_a_day_without_a_row_is_a_fault():
     assert find_faults("kills", GOOD) == ["no result"]
     assert find_faults("kills", "") == ["no result"]
+
+
+@pytest.mark.parametrize("file", sorted(FOLDER.glob("*.toml")), ids=lambda f: f.stem)
+def test_a_day_is_named_like_its_file(file):
+    """Symptom: a day is played and found in no report. Cause: its row has its name."""
+    day = tomllib.loads(file.read_text())
+    assert day["name"] == file.stem
+    assert day["plan"] or day["faults"]
