--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,8 +25,8 @@
 from bench.cases import Size  # noqa: E402
 from bench.runner import SERVICE, Bench  # noqa: E402
 from cairnferry.coordination import LogRow, Member, MemberState  # noqa: E402
-from cairnferry.entry._configuration import Configuration  # noqa: E402
-from cairnferry.entry._services import Services  # noqa: E402
+from cairnferry.entry.changelog._configuration import Configuration  # noqa: E402
+from cairnferry.entry.targets._services import Services  # noqa: E402
 from cairnferry.peers import Heartbeat  # noqa: E402
 from cairnferry.peers._generated.peer import ttypes  # noqa: E402
 from cairnferry.peers._messages import from_wire, to_wire  # noqa: E402
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -15,8 +15,8 @@
 from cairnferry.records import Route, Service, Target
 
 
-class Records(typing.Protocol):
-    """Brings rules and targets into force, from the platform or from a peer.
+class InForce(typing.Protocol):
+    """What a daemon says of the rules in force at it.
 
     Attributes
     ----------
@@ -29,6 +29,10 @@
     revision: int
     behind: object | None
 
+
+class Records(InForce, typing.Protocol):
+    """Brings rules and targets into force, from the platform or from a peer."""
+
     def tasks(self) -> list[Callable[[], None]]:
         """Give the functions that run as long as the daemon does."""
 
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -4,26 +4,6 @@
 sockets: a program patches these first.
 """
 
-from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._conventions import (
-    CallerConvention,
-    CheckResult,
-    TargetConvention,
-)
-from cairnferry.entry._core import Core
-from cairnferry.entry._core_settings import (
-    Conventions,
-    CoreSettings,
-    LeavingTimes,
-    PeerSettings,
-)
-from cairnferry.entry._disposable import disposable_instance
-from cairnferry.entry._enrolment import Enrolment
-from cairnferry.entry._followed import FollowedRecords
-from cairnferry.entry._handover import HANDOVER_PATH, Newcomer
-from cairnferry.entry._headers import FieldNames, RequestHead, read_request_head
-from cairnferry.entry._http_server import HANDLER_KEY, Limits
-from cairnferry.entry._logs import configure as configure_logs
 from cairnferry.entry._ports import (
     Batch,
     CallerLimits,
@@ -40,9 +20,29 @@
     Registry,
     Rules,
 )
-from cairnferry.entry._settings_watch import SettingsWatch
-from cairnferry.entry._small_apps import Page, PagesApp
-from cairnferry.entry._steering import Steering
+from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.core import (
+    Conventions,
+    Core,
+    CoreSettings,
+    LeavingTimes,
+    PeerSettings,
+    SettingsWatch,
+    disposable_instance,
+)
+from cairnferry.entry.following import HANDOVER_PATH, FollowedRecords, Newcomer
+from cairnferry.entry.http import (
+    HANDLER_KEY,
+    FieldNames,
+    Limits,
+    Page,
+    PagesApp,
+    RequestHead,
+    read_request_head,
+)
+from cairnferry.entry.members import Enrolment, Steering
+from cairnferry.entry.targets import CallerConvention, CheckResult, TargetConvention
+from cairnferry.entry.telemetry import configure_logs
 
 __all__ = [
     "HANDLER_KEY",
--- a/packages/entry/src/cairnferry/entry/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -5,18 +5,27 @@
 
 import attrs
 
-from cairnferry.entry._answers import Answer, Problem, problem_answer
-from cairnferry.entry._conventions import CallerConvention, OwnCallers
-from cairnferry.entry._forward import Forwarder
-from cairnferry.entry._headers import BadDeadline, RequestHead
-from cairnferry.entry._http_server import HANDLER_KEY, BadRequest
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._pipeline import CallerGone
-from cairnferry.entry._pipelined_server import PipelinedHandler
-from cairnferry.entry._request_log import RequestLog
-from cairnferry.entry._services import Services
-from cairnferry.entry._steering import Steering
-from cairnferry.entry._upstreams import OutboundRequest
+from cairnferry.entry.callers._forward import Forwarder
+from cairnferry.entry.callers._request_log import RequestLog
+from cairnferry.entry.http import (
+    HANDLER_KEY,
+    Answer,
+    BadDeadline,
+    BadRequest,
+    CallerGone,
+    PipelinedHandler,
+    Problem,
+    RequestHead,
+    problem_answer,
+)
+from cairnferry.entry.members import Steering
+from cairnferry.entry.targets import (
+    CallerConvention,
+    OutboundRequest,
+    OwnCallers,
+    Services,
+)
+from cairnferry.entry.telemetry import Metrics
 from cairnferry.policy import Call, Relay
 from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
--- a/packages/entry/src/cairnferry/entry/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -7,11 +7,13 @@
 import gevent
 from gevent.queue import Empty, SimpleQueue
 
-from cairnferry.entry._answers import Answer, not_run, unknown
-from cairnferry.entry._asking import StatusChecks
-from cairnferry.entry._headers import answer_headers
-from cairnferry.entry._runtime import ServiceRuntime
-from cairnferry.entry._upstreams import OutboundRequest, Upstreams
+from cairnferry.entry.http import Answer, answer_headers, not_run, unknown
+from cairnferry.entry.targets import (
+    OutboundRequest,
+    ServiceRuntime,
+    StatusChecks,
+    Upstreams,
+)
 from cairnferry.policy import (
     Abandoned,
     Ask,
--- a/packages/entry/src/cairnferry/entry/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -6,9 +6,8 @@
 
 import attrs
 
-from cairnferry.entry._logs import RateLimit
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._services import Services
+from cairnferry.entry.targets import Services
+from cairnferry.entry.telemetry import Metrics, RateLimit
 from cairnferry.policy import Call, GiveUp, Relay, ServicePolicy
 
 MS_PER_S = 1000
--- a/packages/entry/src/cairnferry/entry/_distribution.py
+++ b/packages/entry/src/cairnferry/entry/changelog/_distribution.py
@@ -14,8 +14,8 @@
     TableUnavailable,
     lowest_ranked,
 )
-from cairnferry.entry._cluster import Cluster
-from cairnferry.entry._configuration import Configuration, Gap
+from cairnferry.entry.changelog._configuration import Configuration, Gap
+from cairnferry.entry.members import Cluster
 from cairnferry.peers import PeerCallFailed, PeerLink
 
 SNAPSHOT_NAME = "snapshots/latest"
--- a/packages/entry/src/cairnferry/entry/command.py
+++ b/packages/entry/src/cairnferry/entry/command.py
@@ -12,9 +12,9 @@
 import cappa  # noqa: E402
 
 from cairnferry.cloudapi import CredentialsFault  # noqa: E402
-from cairnferry.entry._daemon import Daemon  # noqa: E402
 from cairnferry.entry._keys import KEYS  # noqa: E402
-from cairnferry.entry._logs import configure  # noqa: E402
+from cairnferry.entry.daemon import Daemon  # noqa: E402
+from cairnferry.entry.telemetry import configure_logs  # noqa: E402
 from cairnferry.peers import KeyFileFault  # noqa: E402
 from cairnferry.settings import describe, read_settings  # noqa: E402
 
@@ -60,7 +60,7 @@
 
 
 def _serve(cfg):
-    configure(cfg.get("instance", "name"), cfg.get("log", "debug"))
+    configure_logs(cfg.get("instance", "name"), cfg.get("log", "debug"))
     try:
         daemon = Daemon(cfg)
     except (KeyFileFault, CredentialsFault) as exc:
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/core/__init__.py
@@ -0,0 +1,21 @@
+"""What every daemon consists of, whatever platform it runs on."""
+
+from cairnferry.entry.core._core import Core
+from cairnferry.entry.core._core_settings import (
+    Conventions,
+    CoreSettings,
+    LeavingTimes,
+    PeerSettings,
+)
+from cairnferry.entry.core._disposable import disposable_instance
+from cairnferry.entry.core._settings_watch import SettingsWatch
+
+__all__ = [
+    "Conventions",
+    "Core",
+    "CoreSettings",
+    "LeavingTimes",
+    "PeerSettings",
+    "SettingsWatch",
+    "disposable_instance",
+]
--- a/packages/entry/src/cairnferry/entry/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -10,21 +10,14 @@
 from gevent.event import Event
 
 from cairnferry.coordination import NoteBoard
-from cairnferry.entry._asking import StatusChecks
-from cairnferry.entry._callers import CallersApp
-from cairnferry.entry._cluster import Cluster, new_membership
-from cairnferry.entry._core_settings import Conventions, CoreSettings
-from cairnferry.entry._faulty_rows import FaultyRows
-from cairnferry.entry._forward import Forwarder
-from cairnferry.entry._gossip import Gossip
-from cairnferry.entry._http_server import HttpServer, Limits
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._pipelined_server import PipelinedServer
 from cairnferry.entry._ports import CallerLimits, Records
-from cairnferry.entry._services import Services
-from cairnferry.entry._state_view import StateView
-from cairnferry.entry._steering import Steering
-from cairnferry.entry._upstreams import Upstreams
+from cairnferry.entry.callers import CallersApp, Forwarder
+from cairnferry.entry.core._core_settings import Conventions, CoreSettings
+from cairnferry.entry.core._state_view import StateView
+from cairnferry.entry.http import HttpServer, Limits, PipelinedServer
+from cairnferry.entry.members import Cluster, Gossip, Steering, new_membership
+from cairnferry.entry.targets import Services, StatusChecks, Upstreams
+from cairnferry.entry.telemetry import FaultyRows, Metrics
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
@@ -76,7 +69,6 @@
         self._tasks = []
         self._leaving = Event()
         self.farewells: list[Callable[[], None]] = []
-        self.shown = StateView(self)
         self.reload = Event()
 
     # -- parts ------------------------------------------------------------------
@@ -130,6 +122,15 @@
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(address, app, cfg.caller_limits)
         self._listeners.append(self.callers_server)
+        self.shown = StateView(
+            self.cluster,
+            self.gossip,
+            self.callers_server,
+            self.upstreams,
+            self.services,
+            self.peer_meter,
+            self.metrics,
+        )
         return self.callers_server
 
     def listen(self, address: Address, app, limits: Limits) -> HttpServer:
--- a/packages/entry/src/cairnferry/entry/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._conventions import (
+from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.http import Limits
+from cairnferry.entry.targets import (
     CallerConvention,
     OwnCallers,
     OwnTargets,
     TargetConvention,
 )
-from cairnferry.entry._http_server import Limits
 from cairnferry.policy import PolicySettings
 from cairnferry.settings import Address
 
--- a/packages/entry/src/cairnferry/entry/_disposable.py
+++ b/packages/entry/src/cairnferry/entry/core/_disposable.py
@@ -1,12 +1,12 @@
 """Settings of a daemon on an instance that keeps nothing and may vanish at any time."""
 
-from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._core_settings import (
+from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.core._core_settings import (
     CoreSettings,
     LeavingTimes,
     PeerSettings,
 )
-from cairnferry.entry._http_server import Limits
+from cairnferry.entry.http import Limits
 from cairnferry.policy import settings_for
 from cairnferry.settings import Address
 
--- a/packages/entry/src/cairnferry/entry/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -3,29 +3,47 @@
 import json
 import logging
 import time
-import typing
 
 import attrs
 
-from cairnferry.entry import _exposition
-from cairnferry.entry._logs import dropped_lines
-from cairnferry.entry._small_apps import TEXT, Page
-
-if typing.TYPE_CHECKING:
-    from cairnferry.entry._core import Core
+from cairnferry.entry.http import TEXT, Page, PipelinedServer
+from cairnferry.entry.members import Cluster, Gossip
+from cairnferry.entry.targets import Services, Upstreams
+from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
+from cairnferry.peers import ByteMeter
 
 log = logging.getLogger(__name__)
 
 
 @attrs.frozen
 class StateView:
-    """The state of a core as plain values, without secrets."""
+    """The state of a daemon as plain values, without secrets.
+
+    Parameters
+    ----------
+    cluster, gossip : Cluster, Gossip
+        The other daemons.
+    callers : PipelinedServer
+        The callers' listener.
+    upstreams, services : Upstreams, Services
+        The targets.
+    peer_meter : ByteMeter
+        Bytes exchanged with other daemons.
+    metrics : Metrics
+        Counters and histograms.
+    """
 
-    core: "Core"
+    cluster: Cluster
+    gossip: Gossip
+    callers: PipelinedServer
+    upstreams: Upstreams
+    services: Services
+    peer_meter: ByteMeter
+    metrics: Metrics
 
     def status(self) -> dict:
         """Give this daemon's view of all daemons."""
-        cluster = self.core.cluster
+        cluster = self.cluster
         me = cluster.membership.me
         behind = cluster.configuration.behind
         return {
@@ -39,35 +57,34 @@
 
     def dump(self) -> dict:
         """Give this daemon's whole state."""
-        core = self.core
         now = time.monotonic()
-        meter = core.peer_meter
+        meter = self.peer_meter
         return {
             **self.status(),
             "connections": {
-                "callers": core.callers_server.connections,
-                "callers_busy": core.callers_server.busy,
-                "callers_refused": core.callers_server.refused_connections,
-                "requests_ahead": core.callers_server.lookahead.total,
-                "targets": core.upstreams.counts(),
+                "callers": self.callers.connections,
+                "callers_busy": self.callers.busy,
+                "callers_refused": self.callers.refused_connections,
+                "requests_ahead": self.callers.lookahead.total,
+                "targets": self.upstreams.counts(),
             },
             "peers": {
                 "sent_bytes": meter.sent,
                 "received_bytes": meter.received,
                 "messages": meter.messages,
-                "rounds": core.gossip.rounds,
+                "rounds": self.gossip.rounds,
             },
             "services": {
                 name: runtime.policy.snapshot(now)
-                for name, runtime in core.services.active().items()
+                for name, runtime in self.services.active().items()
             },
             "log_lines_dropped": dropped_lines(),
-            "metrics": core.metrics.snapshot(),
+            "metrics": self.metrics.snapshot(),
         }
 
     def metrics_page(self, url: str) -> Page:
         """Give the metrics as text."""
-        text = _exposition.render(self.dump())
+        text = render_metrics(self.dump())
         return Page("200 OK", text.encode(), TEXT)
 
     def log_dump(self) -> None:
--- a/packages/entry/src/cairnferry/entry/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -15,26 +15,22 @@
     read_credentials,
 )
 from cairnferry.coordination import ChangeLog
-from cairnferry.entry import _exposition
-from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._configuration import Configuration
-from cairnferry.entry._core import (
-    Core,
-)
-from cairnferry.entry._core_settings import (
+from cairnferry.entry._ports import EntryRow
+from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.changelog import Configuration, Distribution
+from cairnferry.entry.core import (
     Conventions,
+    Core,
     CoreSettings,
     LeavingTimes,
     PeerSettings,
 )
-from cairnferry.entry._distribution import Distribution
-from cairnferry.entry._enrolment import Enrolment
-from cairnferry.entry._http_server import Limits
-from cairnferry.entry._listing import LeavingTargets, ListedRegistry
-from cairnferry.entry._operators import OperatorsApp, TokenFile
-from cairnferry.entry._ports import EntryRow
-from cairnferry.entry._probing import Probing
-from cairnferry.entry._submissions import Submissions
+from cairnferry.entry.daemon._listing import LeavingTargets, ListedRegistry
+from cairnferry.entry.http import Limits
+from cairnferry.entry.members import Enrolment
+from cairnferry.entry.operators import OperatorsApp, Submissions, TokenFile
+from cairnferry.entry.targets import Probing
+from cairnferry.entry.telemetry import render_metrics
 from cairnferry.peers import KeyRing
 from cairnferry.policy import settings_for
 from cairnferry.settings import Settings
@@ -133,7 +129,7 @@
             TokenFile(cfg.get("operators", "token_file")),
             self.core.shown.status,
             self.dump,
-            lambda: _exposition.render(self.dump()),
+            lambda: render_metrics(self.dump()),
             self.core.leave,
         )
         address = cfg.get("operators", "listen")
--- a/packages/entry/src/cairnferry/entry/_listing.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_listing.py
@@ -7,8 +7,6 @@
 
 from cairnferry.cloudapi import InstanceList
 from cairnferry.coordination import Note
-from cairnferry.entry._cluster import Cluster
-from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._ports import (
     Enrolled,
     EntryRow,
@@ -16,7 +14,8 @@
     FeedUnavailable,
     KeyExists,
 )
-from cairnferry.entry._services import Services
+from cairnferry.entry.members import Cluster, Gossip
+from cairnferry.entry.targets import Services
 from cairnferry.policy import DrainSource
 
 ENTRY_ROLE = "entry"
--- a/packages/entry/src/cairnferry/entry/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -10,9 +10,6 @@
 from gevent.event import Event
 
 from cairnferry.coordination import Note
-from cairnferry.entry._core import Core
-from cairnferry.entry._following import Follower
-from cairnferry.entry._handover import Handover
 from cairnferry.entry._ports import (
     ChangeFeed,
     DecodeFault,
@@ -20,6 +17,9 @@
     RecordDecoders,
     Rules,
 )
+from cairnferry.entry.core import Core
+from cairnferry.entry.following._following import Follower
+from cairnferry.entry.following._handover import Handover
 from cairnferry.peers import PeerCallFailed, PeerLink
 from cairnferry.policy import DrainSource
 from cairnferry.records import Lifecycle, Target
--- a/packages/entry/src/cairnferry/entry/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -15,7 +15,7 @@
 from expression import Error, Ok, Result
 
 from cairnferry.entry._ports import DecodeFault, Item
-from cairnferry.entry._small_apps import Page
+from cairnferry.entry.http import Page
 from cairnferry.settings import Address
 from cairnferry.wire import Client, Reply, describe
 
--- a/packages/entry/src/cairnferry/entry/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -10,8 +10,8 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from cairnferry.entry._answers import Problem, encode_raw
-from cairnferry.entry._head_fields import MalformedField, read_fields
+from cairnferry.entry.http._answers import Problem, encode_raw
+from cairnferry.entry.http._head_fields import MalformedField, read_fields
 from cairnferry.wire import is_quiet, set_no_delay
 
 MAX_HEAD_BYTES = 32 * 1024
--- a/packages/entry/src/cairnferry/entry/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -8,10 +8,15 @@
 import gevent
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
 
-from cairnferry.entry._answers import Problem
-from cairnferry.entry._head_fields import HeadFields
-from cairnferry.entry._http_server import HANDLER_KEY, BadRequest, Handler, HttpServer
-from cairnferry.entry._pipeline import (
+from cairnferry.entry.http._answers import Problem
+from cairnferry.entry.http._head_fields import HeadFields
+from cairnferry.entry.http._http_server import (
+    HANDLER_KEY,
+    BadRequest,
+    Handler,
+    HttpServer,
+)
+from cairnferry.entry.http._pipeline import (
     AnswerNotSent,
     CallerGone,
     ConnectionEnds,
--- a/packages/entry/src/cairnferry/entry/_small_apps.py
+++ b/packages/entry/src/cairnferry/entry/http/_small_apps.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cairnferry.entry._http_server import HANDLER_KEY
+from cairnferry.entry.http._http_server import HANDLER_KEY
 
 JSON = "application/json"
 TEXT = "text/plain; version=0.0.4"
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/members/__init__.py
@@ -0,0 +1,14 @@
+"""The other daemons: who lives, what each tells, and which of them callers use."""
+
+from cairnferry.entry.members._cluster import Cluster, new_membership
+from cairnferry.entry.members._enrolment import Enrolment
+from cairnferry.entry.members._gossip import Gossip
+from cairnferry.entry.members._steering import Steering
+
+__all__ = [
+    "Cluster",
+    "Enrolment",
+    "Gossip",
+    "Steering",
+    "new_membership",
+]
--- a/packages/entry/src/cairnferry/entry/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -14,9 +14,8 @@
     Note,
     NoteBoard,
 )
-from cairnferry.entry._configuration import Configuration
-from cairnferry.entry._logs import RateLimit
-from cairnferry.entry._ports import Records
+from cairnferry.entry._ports import InForce
+from cairnferry.entry.telemetry import RateLimit
 from cairnferry.peers import Heartbeat
 
 # A daemon whose last confirmed head is older than this may miss accepted
@@ -71,7 +70,7 @@
     ----------
     membership : Membership
         Who is there.
-    configuration : Configuration or Records
+    configuration : InForce
         Tells the revision in force here.
     notes : NoteBoard
         Notes on targets.
@@ -80,7 +79,7 @@
     """
 
     membership: Membership
-    configuration: Configuration | Records
+    configuration: InForce
     notes: NoteBoard
     spare: object
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
--- a/packages/entry/src/cairnferry/entry/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -9,9 +9,9 @@
 import gevent
 
 from cairnferry.coordination import MemberState
-from cairnferry.entry._cluster import Cluster, Listed
-from cairnferry.entry._gossip import Gossip
 from cairnferry.entry._ports import Enrolled, EntryRow, KeyExists, Registry
+from cairnferry.entry.members._cluster import Cluster, Listed
+from cairnferry.entry.members._gossip import Gossip
 from cairnferry.peers import KeyRing, SharedKey
 
 # Pause in seconds after a failed call, doubled up to the longest, with jitter: all
--- a/packages/entry/src/cairnferry/entry/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -9,8 +9,8 @@
 from gevent.pool import Pool
 
 from cairnferry.coordination import LogRow, MemberState
-from cairnferry.entry._cluster import Cluster
 from cairnferry.entry._ports import Records
+from cairnferry.entry.members._cluster import Cluster
 from cairnferry.peers import Heartbeat, PeerCallFailed, PeerLinks
 
 UNUSED_LINK_S = 60.0
--- a/packages/entry/src/cairnferry/entry/_steering.py
+++ b/packages/entry/src/cairnferry/entry/members/_steering.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cairnferry.coordination import Member, lowest_ranked
-from cairnferry.entry._cluster import Cluster
+from cairnferry.entry.members._cluster import Cluster
 
 MS_PER_S = 1000
 MIN_WEIGHT = 0.05
--- a/packages/entry/src/cairnferry/entry/_operators.py
+++ b/packages/entry/src/cairnferry/entry/operators/_operators.py
@@ -15,11 +15,10 @@
     OutcomeUnknown,
     TableUnavailable,
 )
-from cairnferry.entry._answers import Answer, Problem
-from cairnferry.entry._callers import BodyLimits
-from cairnferry.entry._configuration import Configuration
-from cairnferry.entry._http_server import HANDLER_KEY, BadRequest
-from cairnferry.entry._submissions import Submissions
+from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.changelog import Configuration
+from cairnferry.entry.http import HANDLER_KEY, Answer, BadRequest, Problem
+from cairnferry.entry.operators._submissions import Submissions
 from cairnferry.records import (
     Change,
     Kind,
--- a/packages/entry/src/cairnferry/entry/_submissions.py
+++ b/packages/entry/src/cairnferry/entry/operators/_submissions.py
@@ -7,8 +7,7 @@
 from gevent.queue import Queue
 
 from cairnferry.coordination import GroupCommit, OutcomeUnknown, Pending
-from cairnferry.entry._configuration import Configuration
-from cairnferry.entry._distribution import Distribution
+from cairnferry.entry.changelog import Configuration, Distribution
 from cairnferry.records import Change
 
 MAX_GATHERED = 256
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -0,0 +1,28 @@
+"""The targets of a service: connections, status checks, and the policy at work."""
+
+from cairnferry.entry.targets._asking import StatusChecks
+from cairnferry.entry.targets._conventions import (
+    CallerConvention,
+    CheckResult,
+    OwnCallers,
+    OwnTargets,
+    TargetConvention,
+)
+from cairnferry.entry.targets._probing import Probing
+from cairnferry.entry.targets._runtime import ServiceRuntime
+from cairnferry.entry.targets._services import Services
+from cairnferry.entry.targets._upstreams import OutboundRequest, Upstreams
+
+__all__ = [
+    "CallerConvention",
+    "CheckResult",
+    "OutboundRequest",
+    "OwnCallers",
+    "OwnTargets",
+    "Probing",
+    "ServiceRuntime",
+    "Services",
+    "StatusChecks",
+    "TargetConvention",
+    "Upstreams",
+]
--- a/packages/entry/src/cairnferry/entry/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -7,10 +7,10 @@
 from gevent.event import Event
 
 from cairnferry.coordination import TokenBucket
-from cairnferry.entry._conventions import CheckResult
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._runtime import ServiceRuntime
-from cairnferry.entry._upstreams import Upstreams
+from cairnferry.entry.targets._conventions import CheckResult
+from cairnferry.entry.targets._runtime import ServiceRuntime
+from cairnferry.entry.targets._upstreams import Upstreams
+from cairnferry.entry.telemetry import Metrics
 from cairnferry.policy import DrainSource
 from cairnferry.records import Target
 
--- a/packages/entry/src/cairnferry/entry/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -8,13 +8,17 @@
 
 import attrs
 
-from cairnferry.entry._exchange_result import REPORT_HEADER, classify, read_report
-from cairnferry.entry._headers import (
+from cairnferry.entry.http import (
     ATTEMPT_HEADER,
     TIMEOUT_HEADER,
     RequestHead,
     read_request_head,
 )
+from cairnferry.entry.targets._exchange_result import (
+    REPORT_HEADER,
+    classify,
+    read_report,
+)
 from cairnferry.policy import Attempt, AttemptKind, AttemptResult, LoadReport
 from cairnferry.records import Target
 from cairnferry.wire import AnswerRules, Outcome, Reply
--- a/packages/entry/src/cairnferry/entry/_probing.py
+++ b/packages/entry/src/cairnferry/entry/targets/_probing.py
@@ -9,10 +9,10 @@
 from gevent.pool import Pool
 
 from cairnferry.coordination import Note, rank
-from cairnferry.entry._cluster import Cluster
-from cairnferry.entry._exchange_result import DRAINING_VALUE
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._services import Services
+from cairnferry.entry.members import Cluster
+from cairnferry.entry.targets._exchange_result import DRAINING_VALUE
+from cairnferry.entry.targets._services import Services
+from cairnferry.entry.telemetry import Metrics
 from cairnferry.policy import DrainSource, PolicySettings, ProbePlan, probe_share
 from cairnferry.records import Target
 from cairnferry.wire import Client, Reply
--- a/packages/entry/src/cairnferry/entry/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/targets/_runtime.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import AsyncResult
 
-from cairnferry.entry._logs import RateLimit
+from cairnferry.entry.telemetry import RateLimit
 from cairnferry.policy import (
     Attempt,
     AttemptResult,
--- a/packages/entry/src/cairnferry/entry/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from cairnferry.entry._runtime import ServiceRuntime
-from cairnferry.entry._weights import WeightedTurns
+from cairnferry.entry.targets._runtime import ServiceRuntime
+from cairnferry.entry.targets._weights import WeightedTurns
 from cairnferry.policy import PolicySettings, ServicePolicy
 from cairnferry.records import Kind, RecordSet, Route, Service, Target
 
--- a/packages/entry/src/cairnferry/entry/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -6,8 +6,12 @@
 
 import attrs
 
-from cairnferry.entry._conventions import CheckResult, OwnTargets, TargetConvention
-from cairnferry.entry._headers import RequestHead
+from cairnferry.entry.http import RequestHead
+from cairnferry.entry.targets._conventions import (
+    CheckResult,
+    OwnTargets,
+    TargetConvention,
+)
 from cairnferry.policy import Attempt, AttemptResult
 from cairnferry.records import Target
 from cairnferry.wire import (
--- a/packages/entry/src/cairnferry/entry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -24,7 +24,7 @@
     suffix: str = ""
 
 
-def render(document: dict) -> str:
+def render_metrics(document: dict) -> str:
     """Turn a state dump into lines of text.
 
     Parameters
--- a/packages/entry/src/cairnferry/entry/_faulty_rows.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_faulty_rows.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from cairnferry.entry._logs import RateLimit
-from cairnferry.entry._metrics import Metrics
+from cairnferry.entry.telemetry._logs import RateLimit
+from cairnferry.entry.telemetry._metrics import Metrics
 
 log = logging.getLogger(__name__)
 
--- a/packages/entry/src/cairnferry/entry/_logs.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_logs.py
@@ -7,13 +7,13 @@
 import attrs
 from pythonjsonlogger.json import JsonFormatter
 
-from cairnferry.entry._log_lines import LineHandler
+from cairnferry.entry.telemetry._log_lines import LineHandler
 
 RATE = 5.0
 BURST = 20.0
 
 
-def configure(instance: str, debug: bool, stream=None) -> None:
+def configure_logs(instance: str, debug: bool, stream=None) -> None:
     """Send all logs to a stream, one JSON object a line.
 
     Parameters
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cairnferry.entry import _asking
+from cairnferry.entry.targets import _asking
 from cairnferry.standins import free_port, wait_for
 from cairnferry.wire import Client
 from hosting._settings import read_host_settings
--- a/tests/adapter/test_foreign_rows.py
+++ b/tests/adapter/test_foreign_rows.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cairnferry.entry import _followed
-from cairnferry.entry._handover import Handover
 from cairnferry.entry.adapter import DecodeFault, EntryRow, Item, Rules
+from cairnferry.entry.following import _followed
+from cairnferry.entry.following._handover import Handover
 from cairnferry.records import Target
 from cairnferry.standins import wait_for
 from hosting import _registry
--- a/tests/adapter/test_news.py
+++ b/tests/adapter/test_news.py
@@ -6,8 +6,8 @@
 import pytest
 from gevent.event import Event
 
-from cairnferry.entry import _followed
-from cairnferry.entry._handover import Handover
+from cairnferry.entry.following import _followed
+from cairnferry.entry.following._handover import Handover
 from cairnferry.standins import wait_for
 
 from ._standins import configuration, rule, target_row
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,13 +12,13 @@
 import pytest  # noqa: E402
 from gevent.server import StreamServer  # noqa: E402
 
-from cairnferry.entry._callers import BodyLimits, CallersApp  # noqa: E402
-from cairnferry.entry._forward import Forwarder  # noqa: E402
-from cairnferry.entry._http_server import Limits  # noqa: E402
-from cairnferry.entry._metrics import Metrics  # noqa: E402
-from cairnferry.entry._pipelined_server import PipelinedServer  # noqa: E402
-from cairnferry.entry._services import Services  # noqa: E402
-from cairnferry.entry._upstreams import Upstreams  # noqa: E402
+from cairnferry.entry.callers._callers import BodyLimits, CallersApp  # noqa: E402
+from cairnferry.entry.callers._forward import Forwarder  # noqa: E402
+from cairnferry.entry.http._http_server import Limits  # noqa: E402
+from cairnferry.entry.http._pipelined_server import PipelinedServer  # noqa: E402
+from cairnferry.entry.targets._services import Services  # noqa: E402
+from cairnferry.entry.targets._upstreams import Upstreams  # noqa: E402
+from cairnferry.entry.telemetry._metrics import Metrics  # noqa: E402
 from cairnferry.records import Change, Put, RecordSet  # noqa: E402
 from cairnferry.standins import (  # noqa: E402
     LocalSystem,
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/changelog/test_configuration.py
@@ -12,9 +12,9 @@
     NoteBoard,
     TableUnavailable,
 )
-from cairnferry.entry._cluster import Cluster
-from cairnferry.entry._configuration import CannotApply, Configuration, Gap
-from cairnferry.entry._distribution import Distribution
+from cairnferry.entry.changelog._configuration import CannotApply, Configuration, Gap
+from cairnferry.entry.changelog._distribution import Distribution
+from cairnferry.entry.members._cluster import Cluster
 from cairnferry.records import RecordSet, UnknownSchemaVersion
 from cairnferry.standins import service_v1, service_v2
 
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/core/test_settings_watch.py
@@ -4,7 +4,7 @@
 from expression import Error, Ok
 from gevent.event import Event
 
-from cairnferry.entry._settings_watch import SettingsWatch
+from cairnferry.entry.core._settings_watch import SettingsWatch
 
 
 @pytest.fixture
--- a/tests/entry/test_listing.py
+++ b/tests/entry/daemon/test_listing.py
@@ -7,12 +7,11 @@
 
 from cairnferry.cloudapi import Instance
 from cairnferry.coordination import Membership, TableUnavailable
-from cairnferry.entry._enrolment import Enrolment
-from cairnferry.entry._listing import ListedRegistry
 from cairnferry.entry._ports import EntryRow, FeedUnavailable, KeyExists
+from cairnferry.entry.daemon._listing import ListedRegistry
+from cairnferry.entry.members._enrolment import Enrolment
 from cairnferry.peers import KeyRing
-
-from .test_enrolment import Peers, member
+from tests.entry.members.test_enrolment import Peers, member
 
 ENTRIES = (
     Instance("a", "hall", "entry", "10.0.0.1:1", False),
--- a/tests/entry/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -6,9 +6,9 @@
 import pytest
 from expression import Error, Ok
 
-from cairnferry.entry import _following
-from cairnferry.entry._following import Follower
 from cairnferry.entry._ports import Batch, FeedUnavailable, HistoryLost, Item
+from cairnferry.entry.following import _following
+from cairnferry.entry.following._following import Follower
 
 
 class ScriptedFeed:
--- a/tests/entry/test_closing.py
+++ b/tests/entry/http/test_closing.py
@@ -4,7 +4,7 @@
 import pytest
 from gevent import socket
 
-from cairnferry.entry._http_server import HttpServer, Limits
+from cairnferry.entry.http._http_server import HttpServer, Limits
 
 TURNS = 20
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/entry/test_enrolment.py
+++ b/tests/entry/members/test_enrolment.py
@@ -7,9 +7,9 @@
 from expression import Error, Ok
 
 from cairnferry.coordination import Member, Membership, MemberState
-from cairnferry.entry import _enrolment
-from cairnferry.entry._enrolment import Enrolment
 from cairnferry.entry._ports import Enrolled, EntryRow, FeedUnavailable, KeyExists
+from cairnferry.entry.members import _enrolment
+from cairnferry.entry.members._enrolment import Enrolment
 from cairnferry.peers import SharedKey
 
 DOWN = FeedUnavailable("status 503")
--- a/tests/entry/test_operators.py
+++ b/tests/entry/operators/test_operators.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cairnferry.entry import KEYS
-from cairnferry.entry._daemon import Daemon
+from cairnferry.entry.daemon._daemon import Daemon
 from cairnferry.settings import read_settings
 from cairnferry.standins import PlatformStandin, free_port, service_v1
 from cairnferry.wire import Client
--- a/tests/entry/test_asking.py
+++ b/tests/entry/targets/test_asking.py
@@ -8,11 +8,11 @@
 from gevent import monkey
 from gevent.socket import wait_read
 
-from cairnferry.entry import _asking
-from cairnferry.entry._asking import StatusChecks
-from cairnferry.entry._conventions import CheckResult
-from cairnferry.entry._metrics import Metrics
-from cairnferry.entry._runtime import ServiceRuntime
+from cairnferry.entry.targets import _asking
+from cairnferry.entry.targets._asking import StatusChecks
+from cairnferry.entry.targets._conventions import CheckResult
+from cairnferry.entry.targets._runtime import ServiceRuntime
+from cairnferry.entry.telemetry._metrics import Metrics
 from cairnferry.policy import LoadReport, ServicePolicy, settings_for
 from cairnferry.records import Lifecycle, Service, Target
 
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/targets/test_runtime.py
@@ -5,8 +5,8 @@
 
 import gevent
 
-from cairnferry.entry._pipeline import CallerGone
-from cairnferry.entry._runtime import ServiceRuntime
+from cairnferry.entry.http._pipeline import CallerGone
+from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.policy import Answered, Call, Send, ServicePolicy, Wait
 from cairnferry.records import Lifecycle, Service, Target
 
--- a/tests/entry/test_weights.py
+++ b/tests/entry/targets/test_weights.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cairnferry.entry._weights import WeightedTurns
+from cairnferry.entry.targets._weights import WeightedTurns
 from cairnferry.records import Backend
 
 
--- a/tests/entry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -5,8 +5,8 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from cairnferry.entry import _exposition
-from cairnferry.entry._metrics import BOUNDS_S, Durations, Metrics
+from cairnferry.entry.telemetry import _exposition
+from cairnferry.entry.telemetry._metrics import BOUNDS_S, Durations, Metrics
 
 
 def service(**attempts):
@@ -43,7 +43,7 @@
 
 
 def read(document):
-    families = text_string_to_metric_families(_exposition.render(document))
+    families = text_string_to_metric_families(_exposition.render_metrics(document))
     return {
         (sample.name, *sorted(sample.labels.values())): sample.value
         for family in families
--- a/tests/entry/test_log_lines.py
+++ b/tests/entry/telemetry/test_log_lines.py
@@ -7,8 +7,8 @@
 import gevent
 import pytest
 
-from cairnferry.entry import _log_lines
-from cairnferry.entry._log_lines import LineHandler
+from cairnferry.entry.telemetry import _log_lines
+from cairnferry.entry.telemetry._log_lines import LineHandler
 
 
 @pytest.fixture
