Let each daemon begin at its own place on the ring of targets

Change: targets of a zone in one order by hash, the same at all daemons; each begins at its rank among the live members of the zone, so that all begin evenly around it.

--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -134,8 +135,11 @@
             self.targets[name].slow = 5.0
         for name in names[: int(self.load.failing * len(names))]:
             self.targets[name].failing = 0.5
-        for policy in self._instances:
-            policy.share_with(len(self._instances))
+        count = len(self._instances)
+        in_zone = math.ceil(count / len(self._zones))
+        for index, policy in enumerate(self._instances):
+            place = index // len(self._zones) / in_zone
+            policy.share_with(count, place)
         self._tell(Lifecycle.ACTIVE)
         if self.load.leaving:
             third = self.length / 3
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -217,7 +217,15 @@
         self.instances = max(members, len(self.cluster.listed), 1)
         self.checks.share_with(self.instances, len(self.services.targets()))
         for runtime in self.services.active().values():
-            runtime.policy.share_with(self.instances)
+            runtime.policy.share_with(self.instances, self._place())
+
+    def _place(self):
+        """Give where this instance stands among those of its zone; None if leaving."""
+        membership = self.cluster.membership
+        names = membership.own_zone()
+        if membership.me.name not in names:
+            return None
+        return names.index(membership.me.name) / len(names)
 
     @property
     def is_ready(self) -> bool:
@@ -269,7 +277,7 @@
 
     def _tell_known(self, policy):
         now = time.monotonic()
-        policy.share_with(self.instances)
+        policy.share_with(self.instances, self._place())
         for note in self.notes.in_force(now):
             if note.source == NO_STORE:
                 continue
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/_seeking.py
@@ -185,10 +185,13 @@
         return Ask(tuple(target.record for target in chosen))
 
     def _draw(self, targets, count, asked):
+        """Take the next ones on the ring.
+
+        Drawn at random, they are others at each request: 300 daemons of some 3 requests
+        a second each opened 29,300 connections for 9,000 requests in 30 s.
+        """
         left = [target for target in targets if target.identity not in asked]
-        if len(left) <= count:
-            return left
-        return self.rng.sample(left, count)
+        return left[:count]
 
     def _cheapest(self, near, far, now, max_age):
         best_cost, best = 0.0, None
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -79,8 +79,19 @@
 
     # -- what is known of the service and its targets --------------------------
 
-    def share_with(self, instances: int) -> None:
-        """Take in how many instances share the service's retry budget."""
+    def share_with(self, instances: int, place: float | None = None) -> None:
+        """Take in the other instances.
+
+        Parameters
+        ----------
+        instances : int
+            How many share the service's retry budget.
+        place : float, optional
+            Where among those of the zone this one stands, 0 to 1: it begins at another
+            part of the targets than these.
+        """
+        if place is not None:
+            self._targets.begin_at(place)
         self._instances = max(1, instances)
         self._budget.follow(self.service, self.settings, self._instances)
 
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -61,7 +61,7 @@
         self.reported_load = 0.0
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
-        self._usable = UsableTargets(zone)
+        self._usable = UsableTargets(zone, rng.random())
         self._chooser = Chooser(
             settings.strategy,
             rng,
@@ -101,6 +101,12 @@
             self._states[target.identity] = state
         self._usable.forget()
 
+    def begin_at(self, place: float) -> None:
+        """Take in where on the ring of targets this daemon begins, 0 to 1."""
+        if place != self._usable.place:
+            self._usable.place = place
+            self._usable.forget()
+
     # -- choosing ----------------------------------------------------------------
 
     def choose(self, call: Call, now: float) -> TargetState | None:
--- a/tests/policy/test_loads.py
+++ b/tests/policy/test_loads.py
@@ -7,12 +7,15 @@
 from cairnferry.policy import settings_for
 
 SEEDS = (1, 2)
+# Where a gain is small against what seeds differ by: the mean of two of a burst with
+# few slots varies by 0.03.
+MANY_SEEDS = tuple(range(1, 9))
 ASKING = settings_for("ask-first")
 
 
-def in_time(load, settings, site=SITES["six slots"]):
-    results = [play(LOADS[load], settings, seed, site=site) for seed in SEEDS]
-    return sum(result.share(Outcome.IN_TIME) for result in results) / len(SEEDS)
+def in_time(load, settings, site=SITES["six slots"], seeds=SEEDS):
+    results = [play(LOADS[load], settings, seed, site=site) for seed in seeds]
+    return sum(result.share(Outcome.IN_TIME) for result in results) / len(seeds)
 
 
 def asking(**changes):
@@ -38,8 +41,9 @@
     Events: targets have two slots, and load is at its worst. Cause: a share of slots
     that was left free is one slot of two; see `calm_share`.
     """
-    spared = in_time(load, asking(calm_share=0.8), SITES["two slots"])
-    assert in_time(load, ASKING, SITES["two slots"]) > spared + 0.02
+    site = SITES["two slots"]
+    spared = in_time(load, asking(calm_share=0.8), site, MANY_SEEDS)
+    assert in_time(load, ASKING, site, MANY_SEEDS) > spared + 0.02
 
 
 @pytest.mark.parametrize("load", ["steady", "burst", "scale-in"])
