--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -213,8 +213,7 @@
 
     def share_out(self) -> None:
         """Work out this instance's part of what all share."""
-        members = len(self.cluster.membership.live())
-        self.instances = max(members, len(self.cluster.listed), 1)
+        self.instances = self.cluster.count_instances()
         self.checks.share_with(self.instances, len(self.services.targets()))
         for runtime in self.services.active().values():
             runtime.policy.share_with(self.instances, self._place())
--- a/packages/entry/src/cairnferry/entry/following/_instances.py
+++ b/packages/entry/src/cairnferry/entry/following/_instances.py
@@ -47,7 +47,7 @@
                 entries[key] = entry
         self._rows = rows
         self._entries = entries
-        self.enrolment.take_entries(entries.values())
+        self.enrolment.take_all(entries.values())
 
     def _read(self, key, row):
         decoded = self.decode(key, row.value)
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -83,6 +83,9 @@
         Instances that the platform or the registry lists, by name.
     tables : dict of str to SharedTable
         Copies of tables that daemons tell each other.
+    told_instances : int
+        Instances that there are by the word of the one by which this daemon joined, as
+        long as it has not heard of all of them.
     """
 
     membership: Membership
@@ -92,6 +95,7 @@
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
     listed: dict[str, Listed] = attrs.field(factory=dict)
     tables: dict[str, SharedTable] = attrs.field(factory=dict)
+    told_instances: int = 0
     _health: dict[str, PeerHealth] = attrs.field(factory=dict)
 
     def heartbeat(self, zone: str) -> Heartbeat:
@@ -149,6 +153,15 @@
         members = len(self.membership.others())
         return self.notes.post(note, time.monotonic(), members)
 
+    def count_instances(self) -> int:
+        """Count the instances that share common budgets, rather too many than too few.
+
+        Members of other zones are not all known, and those that were lost may come
+        back: counted too low, all together would overspend.
+        """
+        members = len(self.membership.live())
+        return max(members, len(self.listed), self.told_instances, 1)
+
     def is_sound(self, now: float) -> bool:
         """Tell whether callers may be sent to this daemon."""
         config = self.configuration
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -137,6 +137,7 @@
         self._incarnation = self.cluster.membership.me.incarnation
         self.joined_by = welcome.told_by
         self.keys.set(welcome.key)
+        self.cluster.told_instances = welcome.instances
         self.take_entries(welcome.entries)
         self.gossip.hurry()
         log.info(
@@ -192,6 +193,11 @@
         if self.me.name in self._entries:
             self._listed_at = now
 
+    def take_all(self, entries: Collection[EntryRow]) -> None:
+        """Take in who is listed, where these are known to be all."""
+        self.cluster.told_instances = 0
+        self.take_entries(entries)
+
     # -- instances that join by this one ------------------------------------------
 
     def welcome(self, newcomer: EntryRow) -> Welcome | None:
@@ -202,10 +208,12 @@
         if not self._is_gathering:
             self._is_gathering = True
             gevent.spawn(self._write_joining)
-        others = (self._entries | self._joining).values()
+        known = self._entries | self._joining
+        others = known.values()
         told = self._some(others, newcomer, same_zone=True, count=TOLD_NEAR)
         told += self._some(others, newcomer, same_zone=False, count=TOLD_FAR)
-        return Welcome(self.keys.own(), (self.me, *told), self.me.peer_address)
+        count = len(known | {self.me.name: self.me})
+        return Welcome(self.keys.own(), (self.me, *told), self.me.peer_address, count)
 
     def join_page(self, body: bytes) -> Page:
         """Answer an instance that asks to join, by its row."""
--- a/packages/entry/src/cairnferry/entry/members/_joining.py
+++ b/packages/entry/src/cairnferry/entry/members/_joining.py
@@ -45,11 +45,14 @@
         Some of the others.
     told_by : str
         "IP:port" for other daemons of the one that answered.
+    instances : int
+        How many instances there are.
     """
 
     key: bytes
     entries: tuple[EntryRow, ...]
     told_by: str
+    instances: int
 
     def to_json(self) -> dict:
         """Write it as plain values."""
@@ -57,6 +60,7 @@
             "key": base64.b64encode(self.key).decode(),
             "entries": [attrs.asdict(entry) for entry in self.entries],
             "told_by": self.told_by,
+            "instances": self.instances,
         }
 
     @classmethod
@@ -68,7 +72,8 @@
             entries = tuple(EntryRow(**entry) for entry in document["entries"])
             if len(key) < MIN_KEY_BYTES:
                 return Error(DecodeFault("welcome", "no key, or one that is too short"))
-            return Ok(cls(key, entries, str(document["told_by"])))
+            told_by, instances = str(document["told_by"]), int(document["instances"])
+            return Ok(cls(key, entries, told_by, instances))
         except (ValueError, TypeError, LookupError, RecursionError) as exc:
             return Error(DecodeFault("welcome", f"{type(exc).__name__}: {exc}"))
 
--- a/tests/entry/members/test_joining.py
+++ b/tests/entry/members/test_joining.py
@@ -17,6 +17,7 @@
 from cairnferry.settings import Address
 from cairnferry.standins import free_port, wait_for
 
+from ._clusters import cluster
 from .test_enrolment import MemoryRegistry, Peers
 
 HOST = "127.0.0.1"
@@ -110,6 +111,25 @@
     assert len(registry.groups) == 4
 
 
+def test_one_that_joins_shares_budgets_with_all_before_it_has_heard_of_them(seed):
+    """Symptom: repeats exceed their budget right after all instances were restarted.
+
+    Events: each is told of some twenty others and takes these for all; the slack of the
+    budget, which all share, is spent many times over. Cause: the count of those known.
+    """
+    first, address = seed
+    for index in range(60):
+        first.welcome(row(f"n{index}", "hall" if index % 2 else "yard"))
+    view = cluster("late")
+    late = enrolment(GroupRegistry(), "late", joiner(address))
+    late.cluster = view
+    late.enrol()
+    assert len(view.listed) < 30
+    assert view.count_instances() == 62
+    late.take_all([row(f"n{index}") for index in range(40)])
+    assert view.count_instances() == 40
+
+
 def test_those_that_join_are_told_of_each_other(seed):
     first, _ = seed
     for index in range(40):
@@ -200,9 +220,9 @@
         b"",
         b"[]",
         b"{}",
-        b'{"key": "", "entries": [], "told_by": ""}',
-        b'{"key": "aGVsbG8=", "entries": [], "told_by": ""}',
-        b'{"key": 1, "entries": [], "told_by": ""}',
+        b'{"key": "", "entries": [], "told_by": "", "instances": 1}',
+        b'{"key": "aGVsbG8=", "entries": [], "told_by": "", "instances": 1}',
+        b'{"key": 1, "entries": [], "told_by": "", "instances": 1}',
     ],
 )
 def test_a_welcome_that_cannot_be_read_is_a_fault(body):
