Model of many daemons in simulated time; newcomers leave other zones to others

The model (the daemon's own Cluster, Gossip, WatchDuty and TableCopy over direct calls) showed that daemons that had just joined, knowing a part of their zone, took themselves for its first and called other zones: 167 to 186 members known in place of some 97, and news of these for half a minute (3,630 bytes a second and daemon in the calm).

Change: a daemon that has just joined calls no other zone for 2 s. The duty to watch is worked out ten times a second, not by each follower.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -5,8 +5,19 @@
 instance drives a `ServicePolicy` of its own, as the daemon does.
 """
 
+from bench.model._fleet import Fleet
 from bench.model._loads import LOADS, SITES, Load, Site
 from bench.model._result import Outcome, Result
 from bench.model._world import World, play
 
-__all__ = ["LOADS", "SITES", "Load", "Outcome", "Result", "Site", "World", "play"]
+__all__ = [
+    "Fleet",
+    "LOADS",
+    "SITES",
+    "Load",
+    "Outcome",
+    "Result",
+    "Site",
+    "World",
+    "play",
+]
--- /dev/null
+++ b/bench/model/_fleet.py
@@ -0,0 +1,281 @@
+"""Model of many daemons in simulated time: members, news of a table, who watches.
+
+The parts are the daemon's own (`Cluster`, `Gossip`, `WatchDuty`, `TableCopy`); calls go
+straight from one to the other, and the clock is the model's.
+"""
+
+import collections
+import heapq
+import random
+from unittest import mock
+
+import attrs
+import gevent
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from cairnferry.coordination import (
+    Batch,
+    Member,
+    Membership,
+    MemberState,
+    NoteBoard,
+    Row,
+    TableCopy,
+)
+from cairnferry.entry.members import Cluster, Gossip, WatchDuty
+from cairnferry.entry.members._duty import SETTLE_S
+from cairnferry.peers import PeerCallFailed
+from cairnferry.peers._messages import news_to_wire, to_wire
+
+ROUND_S = 0.5
+FANOUT = 2
+# Seconds between two looks of a daemon at its duty, and longest wait of a watcher's
+# call.
+LOOK_S = 0.15
+WAIT_S = 5.6
+# Seconds between two calls that fail.
+RETRY_S = 1.0
+TABLE = "targets"
+
+
+@attrs.define
+class Store:
+    """The platform's table: versions, and a count of calls."""
+
+    rows: dict[str, Row] = attrs.field(factory=dict)
+    version: int = 0
+    calls: int = 0
+    is_up: bool = True
+
+    def change(self, key: str, value: bytes | None) -> None:
+        """Write or remove a row."""
+        self.version += 1
+        self.rows[key] = Row(key, value, self.version)
+
+    def since(self, version: int) -> Batch:
+        """Give what has changed."""
+        changed = [row for row in self.rows.values() if row.version > version]
+        return Batch(tuple(sorted(changed, key=lambda r: r.version)), self.version)
+
+
+@attrs.define
+class SharedCopy:
+    """A copy that notes when it got which version."""
+
+    copy: TableCopy = attrs.field(factory=TableCopy)
+    grace_left: float = 0.0
+
+    def hold_for(self, seconds: float) -> None:
+        """Hold nothing: no outage of writers is modelled."""
+
+    def take_news(self, news) -> bool:
+        """Take in what another daemon told."""
+        return self.copy.take_news(news)
+
+
+class _Rules:
+    revision = 1
+    behind = None
+
+
+@attrs.define(eq=False)
+class Daemon:
+    """One daemon of the model."""
+
+    name: str
+    zone: str
+    cluster: Cluster
+    gossip: Gossip
+    duty: WatchDuty
+    table: SharedCopy
+    is_up: bool = True
+    is_cut: bool = False
+    refused: bool = False
+    called_at: float = 0.0
+
+
+class Fleet:
+    """Daemons in zones, a store, and what happens to them.
+
+    Parameters
+    ----------
+    size, zones : int
+        Daemons, and availability zones.
+    seed : int
+        Seed of all choices.
+    loss : float, optional
+        Share of calls between daemons that fail.
+    """
+
+    def __init__(self, size: int, zones: int, seed: int, loss: float = 0.0):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.store = Store()
+        self.loss = loss
+        self.bytes = collections.Counter()
+        self.messages = 0
+        self._events = []
+        self._serial = 0
+        with self._clock():
+            self.daemons = {
+                d.name: d for d in (self._make(i, zones) for i in range(size))
+            }
+            self._introduce()
+        for daemon in self.daemons.values():
+            self._at(self.rng.random() * ROUND_S, self._round, daemon)
+            self._at(self.rng.random() * LOOK_S, self._look, daemon)
+
+    def _clock(self):
+        return mock.patch("time.monotonic", lambda: self.now)
+
+    def _make(self, index, zones):
+        zone = f"z{index % zones}"
+        name = f"{zone}-{index}"
+        me = Member(name, zone, f"{name}:1", f"{name}:2", 1, MemberState.ALIVE)
+        membership = Membership(me, random.Random(self.rng.random()))
+        cluster = Cluster(membership, _Rules(), NoteBoard(_ignore), lambda: 1.0)
+        table = SharedCopy()
+        cluster.tables = {TABLE: table}
+        gossip = Gossip(cluster, None, self, ROUND_S, FANOUT, ())
+        duty = WatchDuty(cluster)
+        duty.is_ready = True
+        return Daemon(name, zone, cluster, gossip, duty, table)
+
+    def _introduce(self):
+        """Tell each the addresses of all, as the registry does; none is known yet."""
+        zones = {f"{d.name}:1": d.zone for d in self.daemons.values()}
+        for daemon in self.daemons.values():
+            mine = f"{daemon.name}:1"
+            daemon.gossip.strangers = {a: z for a, z in zones.items() if a != mine}
+            # The first ones asked the store themselves, as seeds do.
+            if int(daemon.name.partition("-")[2]) >= 3:
+                daemon.duty.told_at = 0.0
+                daemon.gossip.settled_at = SETTLE_S
+
+    # -- time ---------------------------------------------------------------------
+
+    def _at(self, delay, action, *args):
+        self._serial += 1
+        event = (self.now + delay, self._serial, action, args)
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float, until=None) -> float:
+        """Let time pass; end early once a condition holds. Give the seconds passed."""
+        begin, end = self.now, self.now + seconds
+        with self._clock():
+            while self._events and self._events[0][0] <= end:
+                self.now, _, action, args = heapq.heappop(self._events)
+                action(*args)
+                if until is not None and until():
+                    return self.now - begin
+        self.now = end
+        return seconds
+
+    def _round(self, daemon):
+        if daemon.is_up:
+            daemon.gossip.one_round()
+            daemon.gossip._calls.join()
+            # What a daemon that was called fetches runs in tasks of its own.
+            gevent.sleep(0)
+        hurries = daemon.gossip._hurry.is_set()
+        daemon.gossip._hurry.clear()
+        self._at(0.02 if hurries else ROUND_S, self._round, daemon)
+
+    def _look(self, daemon):
+        """Watch the store, if that is this daemon's duty."""
+        self._at(LOOK_S * (0.5 + self.rng.random()), self._look, daemon)
+        if not daemon.is_up or not daemon.duty.is_mine():
+            return
+        copy = daemon.table.copy
+        serves = self.store.is_up and not daemon.refused
+        is_new = serves and self.store.version > copy.version
+        pause = WAIT_S if serves else RETRY_S
+        if not is_new and self.now - daemon.called_at < pause:
+            return
+        self.store.calls += 1
+        daemon.called_at = self.now
+        if not serves:
+            daemon.duty.note_failure()
+            daemon.gossip.hurry()
+            return
+        daemon.cluster.confirmation.confirm(self.now)
+        if copy.take_changes(self.store.since(copy.version)):
+            daemon.gossip.hurry()
+
+    # -- calls between daemons ------------------------------------------------------
+
+    def to(self, address: str, is_far: bool = False) -> "Call":
+        """Give the link to a daemon, as `PeerLinks` does."""
+        return Call(self, self.daemons[address.partition(":")[0]], is_far)
+
+    def close_unused(self, since: float) -> None:
+        """Keep no connections."""
+
+    def carry(self, kind, daemon, is_far, question, answer):
+        """Count the bytes of a call."""
+        size = sum(_size(message) for message in (question, answer) if message)
+        self.bytes[kind, "far" if is_far else "near"] += size
+        self.messages += 1
+
+    # -- what is looked at ------------------------------------------------------------
+
+    def up(self) -> list[Daemon]:
+        """List the daemons that run."""
+        return [daemon for daemon in self.daemons.values() if daemon.is_up]
+
+    def is_watching(self, daemon: Daemon) -> bool:
+        """Tell whether a daemon watches the store."""
+        with self._clock():
+            return daemon.duty.is_mine_at(self.now)
+
+    def watchers(self) -> dict[str, int]:
+        """Count those that watch, by zone."""
+        watching = (daemon for daemon in self.up() if self.is_watching(daemon))
+        return collections.Counter(daemon.zone for daemon in watching)
+
+    def all_hold(self, version: int) -> bool:
+        """Tell whether all that can hear of it hold a version of the table."""
+        hearing = [daemon for daemon in self.up() if not daemon.is_cut]
+        return all(daemon.table.copy.version >= version for daemon in hearing)
+
+
+@attrs.frozen
+class Call:
+    """Calls to one daemon, which may be lost."""
+
+    fleet: Fleet
+    daemon: Daemon
+    is_far: bool
+
+    def heartbeat(self, mine):
+        """Exchange heartbeats."""
+        self._reach(mine.sender.name)
+        theirs = self.daemon.gossip.heartbeat(mine)
+        self.fleet.carry(
+            "heartbeat", self.daemon, self.is_far, to_wire(mine), to_wire(theirs)
+        )
+        return theirs
+
+    def news_since(self, table, version):
+        """Fetch what is new in a table."""
+        self._reach(None)
+        news = self.daemon.gossip.news_since(table, version)
+        self.fleet.carry("news", self.daemon, self.is_far, None, news_to_wire(news))
+        return news
+
+    def _reach(self, caller):
+        fleet = self.fleet
+        cut = self.daemon.is_cut or (caller and fleet.daemons[caller].is_cut)
+        if not self.daemon.is_up or cut or fleet.rng.random() < fleet.loss:
+            raise PeerCallFailed(self.daemon.name, "model")
+
+
+def _size(message):
+    buffer = TMemoryBuffer()
+    message.write(TCompactProtocolAcceleratedFactory().getProtocol(buffer))
+    return len(buffer.getvalue())
+
+
+def _ignore(subject, source, until):
+    """Take no notice of a note."""
--- a/packages/entry/src/cairnferry/entry/members/_duty.py
+++ b/packages/entry/src/cairnferry/entry/members/_duty.py
@@ -22,6 +22,8 @@
 # Seconds for which one whose call to the store failed leaves the watching to others: a
 # store that is away altogether is asked by each candidate in turn, about that often.
 REFUSED_S = 6.0
+# Seconds for which what was found is taken for true: several followers ask.
+LOOK_S = 0.1
 # Source of the note that a daemon got no answer from the store.
 NO_STORE = "no-store"
 # Seconds after the start for which a daemon that was told of the others by one of them
@@ -57,11 +59,17 @@
     cluster: Cluster
     told_at: float = -math.inf
     is_ready: bool = False
-    _since: float = attrs.field(factory=time.monotonic)
+    _since: float = attrs.field(factory=lambda: time.monotonic())
+    _looked_at: float = -math.inf
+    _was_mine: bool = False
 
     def is_mine(self) -> bool:
         """Tell whether to watch now."""
-        return self.is_mine_at(time.monotonic())
+        now = time.monotonic()
+        if now >= self._looked_at + LOOK_S:
+            self._looked_at = now
+            self._was_mine = self.is_mine_at(now)
+        return self._was_mine
 
     def is_mine_at(self, now: float) -> bool:
         """Tell whether to watch at a monotonic time in seconds."""
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -15,7 +15,7 @@
 from cairnferry.entry._ports import EntryRow, KeyExists, Registry
 from cairnferry.entry.http import Page
 from cairnferry.entry.members._cluster import Cluster, Listed
-from cairnferry.entry.members._duty import WatchDuty
+from cairnferry.entry.members._duty import SETTLE_S, WatchDuty
 from cairnferry.entry.members._gossip import Gossip
 from cairnferry.entry.members._joining import Joiner, Welcome
 from cairnferry.peers import KeyRing, SharedKey
@@ -128,6 +128,7 @@
         if self.duty is not None and not self.duty.is_ready:
             self.duty.told_at = told_at
             self.duty.is_ready = True
+            self.gossip.settled_at = told_at + SETTLE_S
 
     def _join(self):
         """Join by another instance, if there is one that is known from the start."""
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -1,6 +1,7 @@
 """Heartbeats with peers: rounds of calls, and answers to theirs."""
 
 import logging
+import math
 import time
 
 import attrs
@@ -56,6 +57,10 @@
     strangers : dict of str to str
         Availability zones by address of daemons that are listed; all of them are
         there, also those that are gone.
+    settled_at : float
+        Monotonic time in seconds up to which other zones are not called: a daemon that
+        has just joined knows a part of its zone, and would tell the others of members
+        that are not to represent it.
     """
 
     cluster: Cluster
@@ -65,6 +70,7 @@
     fanout: int
     seeds: tuple[str, ...]
     strangers: dict[str, str] = attrs.field(factory=dict)
+    settled_at: float = -math.inf
     rounds: int = 0
     _hurry: Event = attrs.field(factory=Event)
     _calls: Pool = attrs.field(factory=lambda: Pool(MAX_CALLS))
@@ -90,7 +96,7 @@
         membership.pass_time(now)
         chosen = membership.next_peers(self.fanout)
         calls = [(member.name, member.peer_address, member.zone) for member in chosen]
-        if self._calls_other_zones():
+        if self._calls_other_zones(now):
             calls += self._far_calls()
         if self.rounds % STRANGER_ROUNDS == 1:
             calls += self._stranger_calls()
@@ -102,7 +108,9 @@
         self.links.close_unused(now - UNUSED_LINK_S)
         self.cluster.forget_old()
 
-    def _calls_other_zones(self):
+    def _calls_other_zones(self, now):
+        if now < self.settled_at:
+            return False
         membership = self.cluster.membership
         return membership.me.name in membership.own_zone()[:FAR_CALLERS]
 
--- a/tests/adapter/test_watching.py
+++ b/tests/adapter/test_watching.py
@@ -18,6 +18,7 @@
 def prompt(monkeypatch):
     """Make pauses short; let one daemon watch, as where there are several zones."""
     monkeypatch.setattr(_duty, "WATCHERS", 1)
+    monkeypatch.setattr(_duty, "LOOK_S", 0.0)
     monkeypatch.setattr(_duty, "SETTLE_S", math.inf)
     monkeypatch.setattr(_followed, "TARGETS_COALESCE_S", 0.001)
     monkeypatch.setattr(_following, "DUTY_LOOK_S", 0.01)
