Write a row of one's own only if it is not there

Cause: an instance that joined by another one took its row for missing if no table with it had come for 8 s. A quiet table does not come, so that each of hundreds wrote its row every 8 s or so; each write is a call and a change for all. Found by reading; test first failed. A refuted suspicion wrote the row too, though the followed table shows that it is there.

--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -307,7 +307,7 @@
         row: daemons that start later would not find it.
         """
         incarnation = self.cluster.membership.me.incarnation
-        if self._is_leaving:
+        if self._is_leaving or self._is_followed():
             return
         if incarnation == self._incarnation and not self._is_missing(now):
             return
@@ -315,9 +315,13 @@
             self._incarnation = incarnation
             self._listed_at = now
 
+    def _is_followed(self):
+        """Tell whether the table of instances is followed here and has the own row."""
+        return self.joiner is not None and self.me.name in self._entries
+
     def _is_missing(self, now):
         """Tell whether no row of this instance is there, as far as can be known."""
-        if self.joined_by is None or now - self._listed_at < ROW_MISSING_S:
+        if self.joiner is None or now - self._listed_at < ROW_MISSING_S:
             return False
         return self.cluster.confirmation.age(now) < STORE_AWAY_S
 
--- a/tests/entry/members/test_joining.py
+++ b/tests/entry/members/test_joining.py
@@ -160,6 +160,23 @@
     assert "bb" in registry.rows
 
 
+def test_one_whose_row_is_there_does_not_write_it_again(registry, seed):
+    """Symptom: each of hundreds of daemons writes its row every few seconds.
+
+    Events: nothing changes in the table of instances for a while. Cause: a row counted
+    as missing if none had come lately.
+    """
+    _, address = seed
+    second = enrolment(registry, "bb", joiner(address))
+    second.enrol()
+    second.cluster.confirmation = Age(1.0)
+    second.take_all([row("a"), row("bb")])
+    written = []
+    registry.write = written.append
+    second.keep(second._listed_at + 10 * _enrolment.ROW_MISSING_S)
+    assert written == []
+
+
 class Age:
     """Rules whose confirmation is some seconds old."""
 
