--- a/packages/entry/src/cairnferry/entry/members/_joining.py
+++ b/packages/entry/src/cairnferry/entry/members/_joining.py
@@ -19,10 +19,9 @@
 # Seconds for one answer: there is nothing to wait for, but the one who is asked may be
 # asked by hundreds that start with it.
 TIMEOUT_S = 1.0
-# Seconds between the first two rounds, and at most: those who are asked start at the
-# same moment, and have enrolled themselves some 30 ms after they listen, unless the
-# store is away. With 0.15 s from the first on, callers were refused for 0.15 s more
-# after all instances were killed.
+# Seconds between the first two rounds, and at most. Those who are asked start at the
+# same moment, and have enrolled themselves shortly after they listen, unless the store
+# is away; callers are refused until then. Both are chosen, not measured.
 ROUND_S = 0.05
 MAX_ROUND_S = 0.4
 # Seconds for which others are asked before the store is. One that answers but has not
