Sight: tell ends of targets from all else that breaks a connection

The lines of a storm could not tell which request was in hand at each end, nor whether a broken connection was an end. A look over a new connection now follows each break, and a line names the target, what the look showed, and the requests in hand by a digest of what they are, of their caller, by ID and by how long they ran. Lines on requests that were sent on carry the same digest; targets_ended_total counts ends by service. No decision changes.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -47,7 +47,12 @@
     read_request_head,
 )
 from cairnferry.entry.members import JOIN_PATH, Enrolment, Joiner, Steering
-from cairnferry.entry.targets import CallerConvention, CheckResult, TargetConvention
+from cairnferry.entry.targets import (
+    CallerConvention,
+    CheckResult,
+    TargetConvention,
+    lost,
+)
 from cairnferry.entry.telemetry import configure_logs
 
 __all__ = [
@@ -93,5 +98,6 @@
     "TargetConvention",
     "configure_logs",
     "disposable_instance",
+    "lost",
     "read_request_head",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -26,7 +26,7 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.policy import Call, Relay
+from cairnferry.policy import Call, Relay, RequestIdentity
 from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
 
@@ -195,4 +195,12 @@
         objective=objective,
         rank=route.rank,
         route=route.name,
+        identity=_identity(handler, head),
+    )
+
+
+def _identity(handler, head: RequestHead):
+    caller = head.credentials or handler.client_address[0]
+    return RequestIdentity(
+        handler.command, head.host or "", handler.path, handler.body, caller
     )
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -9,6 +9,7 @@
 
 from cairnferry.entry.http import Answer, answer_headers, not_run, unknown
 from cairnferry.entry.targets import (
+    Endings,
     OutboundRequest,
     ServiceRuntime,
     StatusChecks,
@@ -21,6 +22,7 @@
     Call,
     Decision,
     GiveUp,
+    Lost,
     Refuse,
     Relay,
     Send,
@@ -55,10 +57,13 @@
         Connections to targets.
     checks : StatusChecks, optional
         Asks targets for their load, where the policy wants that.
+    endings : Endings, optional
+        Finds out whether a target ended under a request.
     """
 
     upstreams: Upstreams
     checks: StatusChecks | None = None
+    endings: Endings | None = None
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -103,13 +108,22 @@
         except BaseException:
             runtime.cancelled(attempt)
             raise
-        return self.conclude(attempt, outcome, runtime)
+        return self.conclude(req, attempt, outcome, runtime)
 
     def conclude(
-        self, attempt: Attempt, outcome: Outcome, runtime: ServiceRuntime
+        self,
+        req: OutboundRequest,
+        attempt: Attempt,
+        outcome: Outcome,
+        runtime: ServiceRuntime,
     ) -> tuple[Decision, Reply | None]:
         """Tell the policy of an attempt's end; give its decision and the reply."""
         result = self.upstreams.classify(outcome, attempt)
+        if isinstance(result, Lost) and result.broken and self.endings is not None:
+            service = runtime.policy.service.name
+            self.endings.note_break(
+                attempt, attempt.call.identity, req.head.request_id, service
+            )
         reply = outcome if isinstance(outcome, Reply) else None
         return runtime.finished(attempt, result), reply
 
@@ -150,7 +164,7 @@
                     self.runtime.cancelled(attempt)
                     raise outcome
                 decision, reply = self.forwarder.conclude(
-                    attempt, outcome, self.runtime
+                    self.req, attempt, outcome, self.runtime
                 )
                 if not isinstance(decision, Abandoned):
                     return decision, reply
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -134,9 +134,18 @@
             "after_ms": round(after * MS_PER_S, 1),
             "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
             "repeats_left": round(policy.repeats_left, 1),
+            **_identified(call),
         }
 
 
+def _identified(call):
+    """Tell what a request is that was sent on, so that it is known again."""
+    identity = call.identity
+    if identity is None or not (call.possibly_run or len(call.attempts) > 1):
+        return {}
+    return {"content": identity.content, "caller": identity.caller_tag}
+
+
 def _told(attempt, call):
     """Tell an attempt: kind, target, and when it was sent."""
     sent = (attempt.started - call.arrived) * MS_PER_S
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -23,7 +23,7 @@
     WatchDuty,
     new_membership,
 )
-from cairnferry.entry.targets import Services, StatusChecks, Upstreams
+from cairnferry.entry.targets import Endings, Services, StatusChecks, Upstreams
 from cairnferry.entry.telemetry import FaultyRows, Metrics
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
@@ -66,6 +66,7 @@
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
         )
         self.checks = StatusChecks(self.upstreams, self.metrics, cfg.checks_per_s)
+        self.endings = Endings(self.upstreams, self.metrics)
         self.notes = NoteBoard(self._note_draining)
         self.keys = keys
         self.peer_meter = ByteMeter()
@@ -121,7 +122,7 @@
         cfg = self.cfg
         app = CallersApp(
             self.services,
-            Forwarder(self.upstreams, self.checks),
+            Forwarder(self.upstreams, self.checks, self.endings),
             self.steering if steer_on_it else None,
             self.metrics,
             cfg.bodies,
--- a/packages/entry/src/cairnferry/entry/http/_headers.py
+++ b/packages/entry/src/cairnferry/entry/http/_headers.py
@@ -61,6 +61,8 @@
         Identifies the request in logs and answers.
     host : str or None
         Host that the caller named.
+    credentials : str or None
+        By which the caller proves who it is.
     """
 
     timeout_ms: int | None
@@ -70,6 +72,7 @@
     forwarded: list[tuple[str, str]]
     request_id: str | None = None
     host: str | None = None
+    credentials: str | None = None
 
 
 @attrs.frozen
@@ -125,6 +128,7 @@
         forwarded=forwarded,
         request_id=found.get(names.request_id),
         host=found.get("host"),
+        credentials=found.get("authorization"),
     )
 
 
--- a/packages/entry/src/cairnferry/entry/targets/__init__.py
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -8,6 +8,8 @@
     OwnTargets,
     TargetConvention,
 )
+from cairnferry.entry.targets._endings import Endings, LostRun
+from cairnferry.entry.targets._exchange_result import lost
 from cairnferry.entry.targets._probing import Probing
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._services import Services
@@ -16,6 +18,8 @@
 __all__ = [
     "CallerConvention",
     "CheckResult",
+    "Endings",
+    "LostRun",
     "OutboundRequest",
     "OwnCallers",
     "OwnTargets",
@@ -25,4 +29,5 @@
     "StatusChecks",
     "TargetConvention",
     "Upstreams",
+    "lost",
 ]
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -39,11 +39,14 @@
         Whether it calls itself well.
     misplaced : bool
         Whether another target has its address now.
+    heard : bool
+        Whether there was an answer at all.
     """
 
     report: LoadReport | None
     well: bool
     misplaced: bool = False
+    heard: bool = False
 
 
 class CallerConvention(typing.Protocol):
--- a/packages/entry/src/cairnferry/entry/targets/_exchange_result.py
+++ b/packages/entry/src/cairnferry/entry/targets/_exchange_result.py
@@ -17,6 +17,9 @@
 IN_USE_METRIC = "named_metrics.in_use"
 DRAINING_VALUE = "draining"
 SERVER_ERROR = 500
+# Ends of an exchange that the target's side brought about: it closed or reset the
+# connection before the answer was whole.
+BREAKS = frozenset([Failure.RESET, Failure.CUT_SHORT])
 
 
 def classify(outcome: Outcome, refusal: RefusalContract | None) -> AttemptResult:
@@ -32,12 +35,18 @@
     match outcome:
         case NotSent(failure):
             return NotRun(deadline=failure is Failure.TIMEOUT)
-        case Incomplete(failure):
-            return Lost(timed_out=failure is Failure.TIMEOUT)
+        case Incomplete() as incomplete:
+            return lost(incomplete)
         case Reply() as reply:
             return _classify_reply(reply, refusal)
 
 
+def lost(outcome: Incomplete) -> Lost:
+    """Give what an exchange without a whole answer proves."""
+    failure = outcome.failure
+    return Lost(timed_out=failure is Failure.TIMEOUT, broken=failure in BREAKS)
+
+
 def _classify_reply(reply, refusal):
     report = read_report(reply.header(REPORT_HEADER))
     if refusal is not None and reply.status == refusal.status:
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -1,5 +1,6 @@
 """Connections to targets and the exchanges over them."""
 
+import enum
 import re
 import time
 from collections.abc import Iterable
@@ -16,6 +17,7 @@
 from cairnferry.records import Target
 from cairnferry.wire import (
     ConnectFailed,
+    Connection,
     ConnectionPool,
     Failure,
     NotSent,
@@ -30,6 +32,19 @@
 _IDLE_TIMEOUT = re.compile(r"(?:^|[,\s])timeout=([0-9]{1,6})")
 
 
+class Presence(enum.StrEnum):
+    """What a look at a target showed."""
+
+    SERVING = "serving"
+    REFUSING = "refusing"
+    REPLACED = "replaced"
+    SILENT = "silent"
+
+
+# Errors of a connection by which a machine says that nothing listens there.
+_REFUSALS = frozenset(["ConnectionRefusedError", "ConnectionResetError"])
+
+
 @attrs.frozen
 class OutboundRequest:
     """A request as it goes to any target.
@@ -110,11 +125,38 @@
         conn = pool.take(True, timeout)
         if isinstance(conn, ConnectFailed):
             return self.convention.read_check(NotSent(Failure.CONNECT), target)
+        return self._check_on(conn, pool, target, deadline)
+
+    def look_at(self, target: Target, timeout: float) -> Presence:
+        """Look whether a target is there, over a new connection.
+
+        Parameters
+        ----------
+        target : Target
+            Record of the target.
+        timeout : float
+            Seconds for the whole look.
+        """
+        deadline = time.monotonic() + timeout
+        pool = self._pool(target)
+        conn = pool.open(timeout)
+        if isinstance(conn, ConnectFailed):
+            refuses = conn.reason in _REFUSALS
+            return Presence.REFUSING if refuses else Presence.SILENT
+        found = self._check_on(conn, pool, target, deadline)
+        if found.misplaced:
+            return Presence.REPLACED
+        return Presence.SERVING if found.heard else Presence.SILENT
+
+    def _check_on(
+        self, conn: Connection, pool: ConnectionPool, target: Target, deadline: float
+    ) -> CheckResult:
         host = f"{target.host}:{target.port}"
         payload = encode_request("GET", target.health_path, host, [], b"")
         outcome = exchange(conn, "GET", payload, deadline, MAX_CHECK_BYTES)
         self._give_back(pool, conn, outcome)
-        return self.convention.read_check(outcome, target)
+        found = self.convention.read_check(outcome, target)
+        return attrs.evolve(found, heard=isinstance(outcome, Reply))
 
     def _pool(self, target):
         key = _pool_key(target)
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -73,6 +73,8 @@
     )
     faulty = _counted(metrics["faulty_rows"], "table")
     yield "faulty_rows_total", "counter", faulty
+    ends = _counted(metrics["target_ends"], "service")
+    yield "targets_ended_total", "counter", ends
     yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
     yield "wait_seconds", "histogram", _histograms(metrics["wait_s"])
     yield "attempts_total", "counter", _attempts(document["services"])
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -71,6 +71,8 @@
         Calls to the platform's store by kind and result.
     faulty_rows : Counter
         Rows of the platform's store that could not be read, by table.
+    target_ends : Counter
+        Targets that ended under requests of this daemon, by service.
     latency : dict of str to Durations
         From a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -83,6 +85,7 @@
     probes: collections.Counter = attrs.field(factory=collections.Counter)
     store_calls: collections.Counter = attrs.field(factory=collections.Counter)
     faulty_rows: collections.Counter = attrs.field(factory=collections.Counter)
+    target_ends: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=dict)
     waits: dict[str, Durations] = attrs.field(factory=dict)
     started: float = attrs.field(factory=time.monotonic)
@@ -124,6 +127,7 @@
             "probes": dict(sorted(self.probes.items())),
             "store_calls": _named(self.store_calls),
             "faulty_rows": dict(sorted(self.faulty_rows.items())),
+            "target_ends": dict(sorted(self.target_ends.items())),
             "latency_us": {
                 service: durations.quantiles()
                 for service, durations in self.latency.items()
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -29,6 +29,7 @@
     NotRun,
     TargetRefused,
 )
+from cairnferry.policy._identity import RequestIdentity
 from cairnferry.policy._model import (
     Abandoned,
     Ask,
@@ -75,6 +76,7 @@
     "RandomChoice",
     "Refuse",
     "Relay",
+    "RequestIdentity",
     "RoundRobin",
     "Send",
     "SeekSettings",
--- a/packages/policy/src/cairnferry/policy/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/_evidence.py
@@ -58,9 +58,18 @@
 
 @attrs.frozen
 class Lost:
-    """Something was written, and no whole answer came: unknown."""
+    """Something was written, and no whole answer came: unknown.
+
+    Attributes
+    ----------
+    timed_out : bool
+        Whether the request's time was over first.
+    broken : bool
+        Whether the target's side broke the connection.
+    """
 
     timed_out: bool = False
+    broken: bool = False
 
 
 AttemptResult = Answered | TargetRefused | NotRun | Lost
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cairnferry.policy._identity import RequestIdentity
 from cairnferry.records import Priority, RefusalContract, Target
 
 if typing.TYPE_CHECKING:
@@ -74,6 +75,8 @@
         Name of its route: requests of one route are alike.
     search : Search
         Targets asked for the attempt that is being prepared.
+    identity : RequestIdentity or None
+        Tells it from others; None where it is never compared.
     """
 
     arrived: float
@@ -88,6 +91,7 @@
     rank: int = 0
     route: str = ""
     search: "Search" = attrs.field(factory=lambda: Search())
+    identity: RequestIdentity | None = None
 
     def tried(self, target: "TargetState") -> bool:
         """Tell whether an attempt went to this start of a target."""
--- a/packages/wire/src/cairnferry/wire/_pool.py
+++ b/packages/wire/src/cairnferry/wire/_pool.py
@@ -67,6 +67,10 @@
             # all that lie below it are older.
             self._idle.append(conn)
             break
+        return self.open(timeout)
+
+    def open(self, timeout: float) -> Connection | ConnectFailed:
+        """Open a connection, whatever idles."""
         self.opened += 1
         return connect(self.address, timeout)
 
