Operators see requests that are kept from targets, and let them through

cairnferry blocked and unblock (own interface), cairnferry explain tells a refused request with the ends that led to it, at whichever instance and however long ago. A block outlives the loss of all daemons: four processes on the platform's stand-in, all killed and started anew, refuse the request at once.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -3,13 +3,14 @@
 import json
 import sys
 import time
+import urllib.parse
 import uuid
 
 from cairnferry.ctl import _charts, _explain, _report
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
-from cairnferry.ctl._tables import print_records, print_status
+from cairnferry.ctl._tables import print_blocked, print_records, print_status
 
 POLL_S = 0.2
 
@@ -157,6 +158,23 @@
     print("leaving")
 
 
+def list_blocked(api: Api, as_json) -> None:
+    """List the requests that are kept from targets."""
+    document = _get(api, "/v1/blocked", as_json)
+    if as_json:
+        print(json.dumps(document, indent=1))
+    else:
+        print_blocked(document)
+
+
+def unblock(api: Api, content: str, as_json) -> None:
+    """Let a request through to targets again, at all daemons."""
+    result = api.post(f"/v1/blocked/{urllib.parse.quote(content, safe='')}/lift", {})
+    if result.is_error():
+        fail(result.error, None, as_json)
+    print(f"{content} is let through")
+
+
 def _missing(document, revision):
     """List the live instances that are not known to have a revision."""
     if revision is None:
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -25,6 +25,14 @@
     "leaving",
     "log lines dropped",
 )
+# Lines on a request that ends targets, whoever sent it: they tell of it by its digest.
+SUSPICIONS = (
+    "request suspected",
+    "request blocked",
+    "request tried again",
+    "request let through again",
+    "target ended under requests",
+)
 # Names of targets in a belief's line.
 TARGET_FIELDS = ("target", "came", "went", "lifecycle", "keys")
 
@@ -51,6 +59,11 @@
     request_id: str | None
     facts: dict
 
+    def contents(self) -> set[str]:
+        """Give the digests of requests that the line is about."""
+        in_hand = {text.split(" ")[0] for text in self.facts.get("in_hand", ())}
+        return in_hand | {self.facts.get("content", "")} - {""}
+
     def names(self) -> set[str]:
         """Give the targets that the line is about."""
         found = set()
@@ -118,7 +131,8 @@
         The ID that its caller gave it.
     before_s : float
         Seconds before it for which changes of belief are told: those of its instance
-        on rules and feeds, and on the targets that were asked or tried.
+        on rules and feeds, and on the targets that were asked or tried. What any
+        instance said of targets that ended under a request like it is told in any case.
 
     Returns
     -------
@@ -129,11 +143,15 @@
     if not own:
         return []
     instances = {line.instance for line in own}
+    contents = set().union(*(line.contents() for line in own))
     targets = set().union(*(_targets_of(line) for line in own))
     begin = min(_arrived(line) for line in own) - timedelta(seconds=before_s)
     end = max(line.time for line in own)
 
     def tells(line):
+        if line.message in SUSPICIONS:
+            # Of all instances and however long ago: three ends elsewhere decide.
+            return line.time <= end and bool(line.contents() & contents)
         if line.request_id is not None or line.instance not in instances:
             return line.request_id == request_id
         if line.message not in BELIEFS or not begin <= line.time <= end:
--- a/packages/ctl/src/cairnferry/ctl/_tables.py
+++ b/packages/ctl/src/cairnferry/ctl/_tables.py
@@ -42,6 +42,20 @@
         print(f"this instance is behind: {document['behind']}")
 
 
+def print_blocked(document: dict) -> None:
+    """Print the requests that are kept from targets."""
+    table = _table("content", "caller", "since", "trials", "next trial")
+    for block in document["blocked"]:
+        table.add_row(
+            block["content"],
+            block["scope"],
+            f"{block['since_s']:.0f} s ago",
+            str(block["trials"]),
+            f"in {block['next_trial_s']:.0f} s",
+        )
+    _print(table)
+
+
 def _table(*columns):
     table = Table(box=None, pad_edge=False)
     for column in columns:
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -144,6 +144,23 @@
     json: _Json = False
 
 
+@cappa.command(name="blocked", help="List requests that are kept from targets.")
+@attrs.define
+class Blocked:
+    """Arguments of `blocked`."""
+
+    as_json: _Json = False
+
+
+@cappa.command(name="unblock", help="Let a request through to targets again.")
+@attrs.define
+class Unblock:
+    """Arguments of `unblock`."""
+
+    content: typing.Annotated[str, cappa.Arg(help="its digest, as in `blocked`")]
+    as_json: _Json = False
+
+
 @cappa.command(name="explain", help="Tell a request's life from log lines.")
 @attrs.define
 class Explain:
@@ -182,6 +199,8 @@
     | Status
     | Dump
     | Drain
+    | Blocked
+    | Unblock
     | Explain
     | Report
 )
@@ -248,6 +267,10 @@
             _commands.dump(api)
         case Drain(as_json):
             _commands.drain(api, as_json)
+        case Blocked(as_json):
+            _commands.list_blocked(api, as_json)
+        case Unblock(content, as_json):
+            _commands.unblock(api, content, as_json)
 
 
 def _api(args):
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -107,6 +107,7 @@
             case Free():
                 return None
             case Barred() as barred:
+                call.is_suspect = True
                 if not barred.retry_after and self._may_try(barred):
                     self._isolate(call)
                     return None
@@ -125,7 +126,7 @@
 
     def _isolate(self, call):
         self.quarantine.begin(call.identity)
-        call.is_suspect = call.is_isolated = True
+        call.is_isolated = True
 
     def _refuse(self, barred):
         self.metrics.quarantine["refused"] += 1
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -141,7 +141,8 @@
 def _identified(call):
     """Tell what a request is that was sent on, so that it is known again."""
     identity = call.identity
-    if identity is None or not (call.possibly_run or len(call.attempts) > 1):
+    is_told = call.is_suspect or call.possibly_run or len(call.attempts) > 1
+    if identity is None or not is_told:
         return {}
     return {"content": identity.content, "caller": identity.caller_tag}
 
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -131,6 +131,8 @@
             self.dump,
             lambda: render_metrics(self.dump()),
             self.core.leave,
+            self.core.guard.snapshot,
+            self.core.guard.lift,
         )
         address = cfg.get("operators", "listen")
         limits = self.core.cfg.page_limits
--- a/packages/entry/src/cairnferry/entry/operators/_operators.py
+++ b/packages/entry/src/cairnferry/entry/operators/_operators.py
@@ -102,6 +102,10 @@
         Gives the metrics as text.
     drain : callable
         Makes this daemon leave.
+    blocked : callable
+        Gives the requests that are kept from targets, as plain values.
+    unblock : callable
+        Lets one through again, by its digest; tells whether it was kept back.
     """
 
     configuration: Configuration
@@ -111,6 +115,8 @@
     dump: Callable[[], dict]
     metrics: Callable[[], str]
     drain: Callable[[], None]
+    blocked: Callable[[], list[dict]]
+    unblock: Callable[[str], bool]
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -145,6 +151,12 @@
             case "GET", ("metrics",):
                 headers = [("Content-Type", "text/plain; version=0.0.4")]
                 return Answer("200 OK", headers, self.metrics().encode())
+            case "GET", ("v1", "blocked"):
+                return _json("200 OK", {"blocked": self.blocked()})
+            case "POST", ("v1", "blocked", content, "lift"):
+                if self.unblock(content):
+                    return _json("200 OK", {"state": "let through"})
+                return _json("404 Not Found", {"error": "not-blocked"})
             case "POST", ("v1", "drain"):
                 self.drain()
                 return _json("202 Accepted", {"state": "leaving"})
--- a/tests/adapter/test_requests_that_end_targets.py
+++ b/tests/adapter/test_requests_that_end_targets.py
@@ -42,7 +42,9 @@
     """One daemon in a process, and a caller of it."""
 
     def __init__(self, folder, host, text):
+        self.folder = folder
         self.host = host
+        self.text = text
         self.cfg = read_host_settings(text).ok
         settings = folder / f"{self.cfg.name}.conf"
         settings.write_text(text)
@@ -93,6 +95,10 @@
         self.process.kill()
         self.process.wait()
 
+    def start_again(self):
+        """Start as after a loss of power: nothing is kept."""
+        return Process(self.folder, self.host, self.text)
+
 
 @pytest.fixture
 def targets(store):
@@ -161,3 +167,28 @@
         wait_for(lambda each=process: each.answers("/a/other"))
         if "method" not in req:
             wait_for(lambda each=process: each.answers(like_it))
+
+
+def test_what_is_known_of_such_a_request_outlives_the_loss_of_all_daemons(
+    fleet, targets, store
+):
+    """Symptom: after a loss of power it ends three targets once more, and so each time.
+
+    What the daemons knew of it they had told each other alone.
+    """
+    req = REQUESTS["an order with a large body"]
+    for turn in range(4):
+        fleet[turn].call(**req, request_id=f"r-{turn}")
+        let_news_go_round(fleet)
+    before = sum(target.ends for target in targets)
+    wait_for(lambda: [k for k in store.rows["cairnferry-entries"] if " blocked " in k])
+    for process in fleet:
+        process.end()
+    fleet[:] = [process.start_again() for process in fleet]
+    for process in fleet:
+        wait_for(lambda each=process: each.answers("/a/first"))
+        # The table of instances, which is told from daemon to daemon, holds the block.
+        wait_for(lambda each=process: each.metric("cairnferry_blocked_requests") == 1)
+    replies = [process.call(**req) for process in fleet]
+    assert [reply.status for reply in replies] == [503] * len(fleet)
+    assert sum(target.ends for target in targets) == before
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -55,6 +55,45 @@
     assert lines[0].facts["target"] == "t1"
 
 
+def test_a_request_that_is_kept_from_targets_is_told_with_the_ends_that_led_to_it():
+    """The ends were seen by other instances, long before it came here."""
+    refused = {
+        "request_id": ID,
+        "attempts": [],
+        "asked": [],
+        "after_ms": 0.4,
+        "cause": "ends-targets",
+        "content": "c0ffee",
+        "caller": "cafe",
+    }
+    hands = {"c0ffee": "c0ffee of cafe r1 61 ms", "beef": "beef of cafe r2 3 ms"}
+    texts = [line(50.0, "request given up", **refused)]
+    for second, names in (
+        (1.0, ["beef", "c0ffee"]),
+        (2.0, ["c0ffee"]),
+        (3.0, ["beef"]),
+    ):
+        texts.append(
+            line(
+                second,
+                "target ended under requests",
+                instance="front-2",
+                target=f"t{second:.0f}",
+                in_hand=[hands[name] for name in names],
+            )
+        )
+    blocked = {"content": "c0ffee", "caller": "cafe", "by": "ends"}
+    texts.append(line(2.1, "request blocked", instance="front-2", **blocked))
+    texts.append(line(2.2, "request blocked", instance="front-2", content="beef"))
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [(each.message, each.facts.get("target")) for each in lines] == [
+        ("target ended under requests", "t1"),
+        ("target ended under requests", "t2"),
+        ("request blocked", None),
+        ("request given up", None),
+    ]
+
+
 def test_a_longer_time_before_it_tells_more():
     lines = explain(read_log(TEXTS), ID, before_s=60.0)
     assert [each.facts.get("target") for each in lines][:2] == ["t2", "t1"]
--- a/tests/entry/daemon/test_requests_that_end_targets.py
+++ b/tests/entry/daemon/test_requests_that_end_targets.py
@@ -77,3 +77,13 @@
     assert json.loads(reply.body)["cause"] == "ends-targets"
     for daemon in daemons:
         wait_for(lambda d=daemon: d.call("callers", "GET", "/s/other").status == 200)
+    listed = installed.tool("blocked", "--json")
+    (block,) = json.loads(listed.stdout)["blocked"]
+    assert block["content"] in installed.tool("blocked").stdout
+    # Targets that a release has mended: the operator need not wait for the next trial.
+    for name in TARGETS:
+        installed.set_target(name, ends_on="")
+    assert installed.tool("unblock", block["content"]).returncode == 0
+    assert installed.tool("unblock", "none-such").returncode != 0
+    for daemon in daemons:
+        wait_for(lambda d=daemon: d.call("callers", method, POISON).status == 200)
