--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -95,6 +95,8 @@
         try:
             while True:
                 match decision:
+                    case Send(attempt) if self._is_stopped(call):
+                        decision = self._stop(attempt, runtime)
                     case Send(attempt):
                         decision, reply = self._attempt(req, attempt, runtime)
                     case Ask(targets):
@@ -112,6 +114,24 @@
             runtime.abandon(call)
             raise
 
+    def _is_stopped(self, call):
+        """Tell whether a request was blocked since it arrived.
+
+        It may have waited for room, or for what targets say of themselves.
+        """
+        return self.guard is not None and self.guard.stops(call)
+
+    def _stop(self, attempt, runtime):
+        """Give up a request that is not to be sent any more."""
+        call = attempt.call
+        runtime.cancelled(attempt)
+        call.attempts.remove(attempt)
+        refused = self.guard.refuse(call)
+        decision = runtime.policy.turn_away(refused.cause, refused.retry_after)
+        if call.possibly_run:
+            return GiveUp(decision.cause, decision.retry_after)
+        return decision
+
     def _attempt(self, req, attempt, runtime):
         call = attempt.call
         delay = runtime.policy.hedge_delay() if call.idempotent else None
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -103,15 +103,15 @@
         """
         if not len(self.quarantine) or call.identity is None:
             return None
-        match self.quarantine.judge(call.identity, time.monotonic()):
+        match self._judge(call):
             case Free():
                 return None
             case Barred() as barred:
                 call.is_suspect = True
                 if not barred.retry_after and self._may_try(barred):
-                    self._isolate(call)
+                    self._begin_trial(call)
                     return None
-                return self._refuse(barred)
+                return self._refusal(barred)
             case Suspect(alone):
                 call.is_suspect = True
                 return self._run_alone(call) if alone else None
@@ -124,11 +124,28 @@
         call.is_isolated = True
         return None
 
-    def _isolate(self, call):
+    def _begin_trial(self, call):
         self.quarantine.begin(call.identity)
-        call.is_isolated = True
+        call.is_isolated = call.is_trial = True
+
+    def stops(self, call: Call) -> bool:
+        """Tell whether a request that was let pass must not be sent any more."""
+        if not len(self.quarantine) or call.identity is None or call.is_trial:
+            return False
+        return isinstance(self._judge(call), Barred)
+
+    def refuse(self, call: Call) -> Refuse:
+        """Refuse a request that `stops` has stopped."""
+        match self._judge(call):
+            case Barred() as barred:
+                return self._refusal(barred)
+            case _:
+                return Refuse(Cause.ENDS_TARGETS, ALONE_RETRY_S)
+
+    def _judge(self, call):
+        return self.quarantine.judge(call.identity, time.monotonic())
 
-    def _refuse(self, barred):
+    def _refusal(self, barred):
         self.metrics.quarantine["refused"] += 1
         self._remind(barred)
         return Refuse(Cause.ENDS_TARGETS, barred.retry_after or TRIAL_RETRY_S)
@@ -148,7 +165,7 @@
 
     def look_again(self, call: Call) -> None:
         """Keep a request that has just ended a target from another one, if it must."""
-        match self.quarantine.judge(call.identity, time.monotonic()):
+        match self._judge(call):
             case Barred() | Suspect(alone=True):
                 call.may_retry = False
             case Suspect():
@@ -160,7 +177,7 @@
             return decision
         if call.identity is None:
             return decision
-        match self.quarantine.judge(call.identity, time.monotonic()):
+        match self._judge(call):
             case Barred(retry_after=retry_after):
                 return GiveUp(Cause.ENDS_TARGETS, retry_after or TRIAL_RETRY_S)
             case _:
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -83,6 +83,8 @@
         at the same moment.
     is_isolated : bool
         Whether no other one like it runs at this daemon meanwhile.
+    is_trial : bool
+        Whether it tries if a target runs by now what ended others.
     """
 
     arrived: float
@@ -100,6 +102,7 @@
     identity: RequestIdentity | None = None
     is_suspect: bool = False
     is_isolated: bool = False
+    is_trial: bool = False
 
     def tried(self, target: "TargetState") -> bool:
         """Tell whether an attempt went to this start of a target."""
--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -1,6 +1,7 @@
 """Requests that end targets, at one daemon and at many, in one process."""
 
 import json
+import time
 
 import gevent
 import pytest
@@ -26,6 +27,7 @@
 from cairnferry.entry.targets import LostRun
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.policy import (
+    EVERYBODY,
     Block,
     BlockRef,
     Call,
@@ -155,6 +157,33 @@
         }
 
 
+def test_a_request_that_waited_while_it_was_blocked_is_not_sent(
+    start_entry, start_target, records_for
+):
+    """Symptom: targets go on to end for seconds after a request was blocked.
+
+    Events: several of its kind wait for room, or for the answers of targets that were
+    asked, when it is blocked. Cause: it was looked at as it arrived, and then no more.
+    """
+    target = start_target(slots=1, service_ms=200)
+    entry = start_entry(*records_for(target, deadline_ms=20_000))
+    first = gevent.spawn(entry.call, "GET", "/s/slow")
+    wait_for(lambda: target.in_use == 1)
+    # The second one fills the window of a target with one slot; the third one waits.
+    second = gevent.spawn(entry.call, "GET", "/s/slow")
+    waiting = gevent.spawn(entry.call, "POST", POISON, body=b"x")
+    wait_for(lambda: entry.policy().waiting)
+    identity = RequestIdentity("POST", "", POISON, b"x", "127.0.0.1")
+    now = time.monotonic()
+    block = BlockTold(BlockRef(identity.content, EVERYBODY), Block(now, now - 1))
+    note = note_of(block, now)
+    suspicion_board(entry.guard).post(note, now, 3)
+    gevent.joinall([first, second, waiting])
+    assert cause(waiting.value) == "ends-targets"
+    assert waiting.value.header("cairnferry-outcome") == "not-run"
+    assert [method for _, method, _ in target.seen] == ["GET", "GET"]
+
+
 def test_the_name_by_which_a_caller_calls_the_daemon_changes_nothing(sides):
     """Symptom: a request that ends targets is another one at each daemon.
 
