Ask the store for a trial now and then; tell one block by one note

Found by reading the mend: a request that comes hundreds of times a second would have called the store each time from the moment at which its trial is due, and each daemon that clocked the same ends some milliseconds apart told the block as another note.

--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -87,6 +88,7 @@
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     _stored: dict[BlockRef, Row] = attrs.field(factory=dict)
     _reminded: dict[BlockRef, float] = attrs.field(factory=dict)
+    _asked: dict[BlockRef, float] = attrs.field(factory=dict)
     _to_tell: TokenBucket = attrs.field(
         factory=lambda: TokenBucket(
             TOLD_RATE, TOLD_BURST, time.monotonic(), tokens=TOLD_BURST
@@ -259,6 +261,11 @@
         where they do not hear each other. Without a store the first by rank has it.
         """
         ref = barred.ref
+        now = time.monotonic()
+        if now - self._asked.get(ref, -math.inf) < TRIAL_RETRY_S:
+            # It may come hundreds of times a second, and the store has its rates.
+            return False
+        self._asked[ref] = now
         block = attrs.evolve(barred.block, trials=barred.block.trials + 1)
         if self.rows is not None:
             row = self._stored.get(ref)
@@ -311,6 +318,7 @@
         self.quarantine.drop_lapsed(now)
         blocks = self.quarantine.blocks(now)
         self._reminded = {r: t for r, t in self._reminded.items() if r in blocks}
+        self._asked = {r: t for r, t in self._asked.items() if r in blocks}
         if self.rows is None:
             return
         for ref in blocks.keys() - self._stored.keys():
--- a/packages/entry/src/cairnferry/entry/callers/_suspicions.py
+++ b/packages/entry/src/cairnferry/entry/callers/_suspicions.py
@@ -15,6 +15,9 @@
 MAX_TOLD = 16
 # Seconds for which a note is passed on: many times what it takes to reach 312 daemons.
 TELL_S = 3.0
+# Step of the time that a block's proof took, as it is told. Daemons clock the same ends
+# some milliseconds apart.
+SPAN_STEP_MS = 100
 MS_PER_S = 1000
 
 
@@ -56,11 +59,16 @@
         case AnswerTold(content, caller, at):
             return Note(content, f"answered {caller}", MEMORY_S - (now - at))
         case BlockTold(ref, block):
-            span_ms = round((block.at - block.since) * MS_PER_S)
+            span_ms = _round_up(round((block.at - block.since) * MS_PER_S))
             source = f"blocked {ref.scope} {block.trials} {span_ms}"
             return Note(ref.content, source, BLOCK_NOTE_S - (now - block.at))
 
 
+def _round_up(milliseconds):
+    """Round up, so that daemons that clocked the same ends tell the same note."""
+    return -(-milliseconds // SPAN_STEP_MS) * SPAN_STEP_MS
+
+
 def read_note(subject: str, source: str, until: float) -> Told | None:
     """Read a note; None if it is of a later release.
 
--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -318,6 +318,24 @@
     assert tried == [True, False, False, False]
 
 
+def test_a_request_that_comes_all_the_time_asks_the_store_for_a_trial_now_and_then(
+    clock,
+):
+    """Symptom: a store that is away is called for each of hundreds of requests."""
+    table = Table()
+    fleet = Fleet(clock, 1, table)
+    identity = block_at_one(fleet, clock)
+    guard = fleet.guards[0]
+    guard.take_rows(dict(table.rows))
+    table.is_up = False
+    calls = []
+    guard.rows.write = lambda *args: calls.append(args) or Error(FeedUnavailable("x"))
+    clock.now += 21.0
+    for _ in range(100):
+        assert isinstance(guard.admit(call(identity)), Refuse)
+    assert len(calls) == 1
+
+
 def test_no_trial_while_the_store_is_away(clock):
     table = Table()
     fleet = Fleet(clock, 3, table)
