--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -8,6 +8,7 @@
 from bench.model._fleet import Fleet
 from bench.model._loads import LOADS, SITES, Load, Site
 from bench.model._result import Outcome, Result
+from bench.model._storm import Storm
 from bench.model._world import World, play
 
 __all__ = [
@@ -18,6 +19,7 @@
     "Outcome",
     "Result",
     "Site",
+    "Storm",
     "World",
     "play",
 ]
--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -27,12 +27,9 @@
 from cairnferry.entry.callers import Guard, suspicion_board
 from cairnferry.entry.members import Cluster, Gossip, WatchDuty
 from cairnferry.entry.members._duty import SETTLE_S
-from cairnferry.entry.targets import LostRun
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.peers import PeerCallFailed
 from cairnferry.peers._messages import news_to_wire, to_wire
-from cairnferry.policy import Call as PolicyCall
-from cairnferry.policy import RequestIdentity
 
 ROUND_S = 0.5
 FANOUT = 2
@@ -228,17 +225,6 @@
         self.bytes[kind, "far" if is_far else "near"] += size
         self.messages += 1
 
-    # -- a request that ends targets --------------------------------------------------
-
-    def storm(
-        self, per_s: float, seconds: float, others: int = 0, path: str = "/poison"
-    ) -> "Storm":
-        """Let one request come again and again, at any daemon."""
-        storm = Storm(self, others, path)
-        for _ in range(round(per_s * seconds)):
-            self.after(self.rng.random() * seconds, storm.arrive)
-        return storm
-
     # -- what is looked at ------------------------------------------------------------
 
     def up(self) -> list[Daemon]:
@@ -261,73 +247,6 @@
         return all(daemon.table.copy.version >= version for daemon in hearing)
 
 
-RUN_S = 0.1
-ATTEMPTS = 2
-
-
-@attrs.define
-class Storm:
-    """A request that ends each target that runs it, and what it did.
-
-    Parameters
-    ----------
-    fleet : Fleet
-        Gets it at any daemon that is up.
-    others : int
-        Other requests in hand at each target, each at another daemon.
-    path : str
-        Path of the request.
-
-    Attributes
-    ----------
-    ends : list of float
-        Times at which targets ended.
-    """
-
-    fleet: Fleet
-    others: int
-    path: str
-    ends: list[float] = attrs.field(factory=list)
-    refused: int = 0
-    _innocents: int = 0
-
-    def arrive(self) -> None:
-        """Let it come at some daemon."""
-        daemon = self.fleet.rng.choice(self.fleet.up())
-        identity = RequestIdentity("GET", "shop", self.path, b"", "10.0.0.1")
-        call = PolicyCall(self.fleet.now, self.fleet.now + 9, True, identity=identity)
-        if daemon.guard.admit(call) is not None:
-            self.refused += 1
-            return
-        self.fleet.after(RUN_S, self._end, daemon, call, 1)
-
-    def _end(self, daemon, call, attempt):
-        """End a target, and with it whatever it has in hand."""
-        fleet = self.fleet
-        self.ends.append(fleet.now)
-        target = f"i-{len(self.ends)} of {self.path}"
-        began = fleet.now - RUN_S
-        in_hand = [(daemon, call.identity)]
-        for _ in range(self.others):
-            self._innocents += 1
-            path = f"/page/{self._innocents} beside {self.path}"
-            innocent = RequestIdentity("GET", "shop", path, b"", "10.0.0.2")
-            in_hand.append((fleet.rng.choice(fleet.up()), innocent))
-        for holder, identity in in_hand:
-            run = LostRun(identity, None, "s", target, began, fleet.now)
-            holder.guard.note_end(run)
-        daemon.guard.look_again(call)
-        if attempt < ATTEMPTS and call.may_retry and daemon.is_up:
-            fleet.after(RUN_S, self._end, daemon, call, attempt + 1)
-        else:
-            daemon.guard.finish(call)
-
-    def ends_after_third(self, seconds: float) -> int:
-        """Count the ends that came later than that after the third one."""
-        ends = sorted(self.ends)
-        return sum(end > ends[2] + seconds for end in ends[3:])
-
-
 @attrs.frozen
 class Call:
     """Calls to one daemon, which may be lost."""
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -1,6 +1,5 @@
 """Keeping requests that end targets from further ones, at all daemons."""
 
-import json
 import logging
 import math
 import time
@@ -8,10 +7,9 @@
 
 import attrs
 import gevent
-from expression import Error, Ok, Result
 
 from cairnferry.coordination import Note, NoteBoard, Row, TokenBucket
-from cairnferry.entry._ports import BlockRows, DecodeFault
+from cairnferry.entry.callers._block_table import BlockTable
 from cairnferry.entry.callers._suspicions import (
     BLOCK_NOTE_S,
     MAX_KEPT,
@@ -30,7 +28,6 @@
     EVERYBODY,
     TRIAL_RETRY_S,
     Barred,
-    Block,
     BlockRef,
     Call,
     Cause,
@@ -54,8 +51,6 @@
 # Seconds after which a daemon that still refuses a request tells the others again: one
 # that started meanwhile may have missed it.
 REMIND_S = 5.0
-# Rows of blocks that are kept in the store; further ones are only told.
-MAX_ROWS = 256
 
 log = logging.getLogger(__name__)
 
@@ -77,16 +72,15 @@
     is_first : callable
         Tells whether this daemon is the one of its availability zone that acts on a
         request, by the request's digest.
-    rows : BlockRows or None
+    table : BlockTable, optional
         Where blocks outlive all daemons.
     """
 
     metrics: Metrics
     tell: Callable[[Note, bool], None] = lambda note, again: None
     is_first: Callable[[str], bool] = lambda content: True
-    rows: BlockRows | None = None
+    table: BlockTable = attrs.field(factory=BlockTable)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
-    _stored: dict[BlockRef, Row] = attrs.field(factory=dict)
     _reminded: dict[BlockRef, float] = attrs.field(factory=dict)
     _asked: dict[BlockRef, float] = attrs.field(factory=dict)
     _to_tell: TokenBucket = attrs.field(
@@ -219,7 +213,7 @@
         self._note_block(ref, block, by="ends" if is_own else "ends told by others")
         self._spread(BlockTold(ref, block))
         if is_own:
-            gevent.spawn(self._store, ref)
+            gevent.spawn(self.table.add, ref, block)
 
     def note_answer(self, call: Call) -> None:
         """Take in that a target ran a request and answered."""
@@ -267,12 +261,8 @@
             return False
         self._asked[ref] = now
         block = attrs.evolve(barred.block, trials=barred.block.trials + 1)
-        if self.rows is not None:
-            row = self._stored.get(ref)
-            if row is None:
-                return False
-            written = self.rows.write(name_of(ref), encode_block(block), row.version)
-            if written.is_error():
+        if self.table.rows is not None:
+            if not self.table.replace(ref, block):
                 return False
         elif not self.is_first(ref.content):
             return False
@@ -287,23 +277,13 @@
 
     def take_rows(self, rows: dict[str, Row]) -> None:
         """Take in all rows of blocks by name."""
-        before = self._stored
-        self._stored = {}
         now = time.monotonic()
-        for name, row in rows.items():
-            ref = read_name(name)
-            self._stored[ref] = row
-            if before.get(ref) is row:
-                continue
-            block = decode_block(row.value)
-            if block.is_error():
-                log.warning("block row", extra={"row": name, "why": str(block.error)})
-                continue
-            if not block.ok.holds(now):
-                continue
-            if self.quarantine.take_block(ref.content, ref.scope, block.ok):
-                self._note_block(ref, block.ok, by="store")
-        for ref in before.keys() - self._stored.keys():
+        news = self.table.take(rows)
+        for ref, block in news.written.items():
+            held = block.holds(now)
+            if held and self.quarantine.take_block(ref.content, ref.scope, block):
+                self._note_block(ref, block, by="store")
+        for ref in news.removed:
             self._clear(AnswerTold(ref.content, ref.scope, now), by="row removed")
 
     def keep(self) -> None:
@@ -319,34 +299,15 @@
         blocks = self.quarantine.blocks(now)
         self._reminded = {r: t for r, t in self._reminded.items() if r in blocks}
         self._asked = {r: t for r, t in self._asked.items() if r in blocks}
-        if self.rows is None:
-            return
-        for ref in blocks.keys() - self._stored.keys():
-            if self.is_first(ref.content):
-                self._store(ref)
-        for ref, row in list(self._stored.items()):
-            if self._is_over(ref, row, now) and self.is_first(ref.content):
-                self._unstore(ref)
-
-    def _is_over(self, ref, row, now):
-        block = decode_block(row.value)
-        return block.is_error() or self.quarantine.is_over(ref, block.ok, now)
-
-    def _store(self, ref):
-        block = self.quarantine.block(ref)
-        if self.rows is None or block is None or len(self._stored) >= MAX_ROWS:
-            return
-        written = self.rows.write(name_of(ref), encode_block(block), 0)
-        if written.is_error():
-            log.info("block not stored", extra={"why": str(written.error)})
-
-    def _unstore(self, ref):
-        row = self._stored.get(ref)
-        if self.rows is None or row is None:
+        if self.table.rows is None:
             return
-        removed = self.rows.remove(name_of(ref), row.version)
-        if removed.is_error():
-            log.info("block not removed", extra={"why": str(removed.error)})
+        for ref, block in blocks.items():
+            if self.table.lacks(ref) and self.is_first(ref.content):
+                self.table.add(ref, block)
+        for ref, block in self.table.read_all().items():
+            is_over = block is None or self.quarantine.is_over(ref, block, now)
+            if is_over and self.is_first(ref.content):
+                self.table.remove(ref)
 
     # -- what operators see ----------------------------------------------------------
 
@@ -382,7 +343,7 @@
             self.metrics.quarantine["lifted"] += 1
             self._log("request let through again", ref.content, ref.scope, by=by)
             if removes_row:
-                gevent.spawn(self._unstore, ref)
+                gevent.spawn(self.table.remove, ref)
         self._blame(told.content, is_own=False)
         return bool(lifted)
 
@@ -394,36 +355,3 @@
 def suspicion_board(guard: Guard) -> NoteBoard:
     """Give the board of notes by which a guard hears of others."""
     return NoteBoard(guard.hear, BLOCK_NOTE_S, MAX_KEPT, MAX_TOLD, TELL_S)
-
-
-def name_of(ref: BlockRef) -> str:
-    """Give the name of a block's row."""
-    return f"{ref.content} {ref.scope}"
-
-
-def read_name(name: str) -> BlockRef:
-    """Read the name of a block's row."""
-    content, _, scope = name.partition(" ")
-    return BlockRef(content, scope)
-
-
-def encode_block(block: Block) -> bytes:
-    """Write a block with the time of day, which all daemons have in common."""
-    at = time.time() - (time.monotonic() - block.at)
-    document = {
-        "at": round(at, 3),
-        "span_s": round(block.at - block.since, 3),
-        "trials": block.trials,
-    }
-    return json.dumps(document).encode()
-
-
-def decode_block(data: bytes) -> Result[Block, DecodeFault]:
-    """Read what `encode_block` wrote."""
-    try:
-        document = json.loads(data)
-        age = max(0.0, time.time() - float(document["at"]))
-        at = time.monotonic() - age
-        return Ok(Block(at, at - float(document["span_s"]), int(document["trials"])))
-    except (ValueError, TypeError, LookupError, RecursionError) as exc:
-        return Error(DecodeFault("block", f"{type(exc).__name__}: {exc}"))
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -13,6 +13,16 @@
 All times are monotonic seconds of one clock.
 """
 
+from cairnferry.policy._blocks import (
+    EVERYBODY,
+    SAME_END_S,
+    Barred,
+    Block,
+    BlockRef,
+    End,
+    Free,
+    Suspect,
+)
 from cairnferry.policy._choice import (
     LeastInFlight,
     LoadAware,
@@ -48,17 +58,9 @@
 from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
 from cairnferry.policy._quarantine import (
     ALONE_RETRY_S,
-    EVERYBODY,
     MEMORY_S,
-    SAME_END_S,
     TRIAL_RETRY_S,
-    Barred,
-    Block,
-    BlockRef,
-    End,
-    Free,
     Quarantine,
-    Suspect,
 )
 from cairnferry.policy._seeking import SeekSettings
 from cairnferry.policy._service import ServicePolicy
--- a/packages/policy/src/cairnferry/policy/_quarantine.py
+++ b/packages/policy/src/cairnferry/policy/_quarantine.py
@@ -11,10 +11,20 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
 
 import attrs
 
+from cairnferry.policy._blocks import (
+    EVERYBODY,
+    FREE,
+    Barred,
+    Block,
+    BlockRef,
+    End,
+    Suspect,
+    Verdict,
+    runs_in_turn,
+)
 from cairnferry.policy._identity import RequestIdentity, head_of
 
 # Runs, each begun after the target of the one before had ended, that are proof enough.
@@ -32,141 +42,15 @@
 # Seconds for which ends are kept in mind. A request that its caller sends every few
 # minutes would else never be blamed.
 MEMORY_S = 600.0
-# Seconds after a block was set, and after each failed trial, at which one request may
-# try whether a target runs it by now; the pause grows by the factor up to the longest.
-# A release may have mended the targets, but each trial may cost one of them.
-FIRST_TRIAL_S = 20.0
-TRIAL_FACTOR = 4.0
-MAX_TRIAL_S = 3600.0
-# Seconds after a trial is due at which a block that nobody asks for is forgotten.
-FORGET_S = 24 * 3600.0
 # Requests that are kept in mind, with ends and answers of each. A flood of requests
 # that each end a target would else fill an instance's memory.
 MAX_CASES = 1024
 MAX_ENDS = 24
 MAX_ANSWERS = 24
-# Seconds within which ends of one target are the same end, seen by several daemons. A
-# target takes longer to start, and may do so under the same name.
-SAME_END_S = 1.0
 # Seconds after which one that found another of its kind running may come back.
 ALONE_RETRY_S = 1.0
 # Seconds after which one that found another one trying may come back.
 TRIAL_RETRY_S = 5.0
-# Scope of a block that holds for all callers.
-EVERYBODY = "*"
-
-
-@attrs.frozen
-class End:
-    """A target that ended with a request in hand.
-
-    Attributes
-    ----------
-    target : str
-        Name of the target's start.
-    caller : str
-        Tag of the request's caller.
-    started, ended : float
-        When the request was sent, and the target ended.
-    """
-
-    target: str
-    caller: str
-    started: float
-    ended: float
-
-    def is_same(self, other: "End") -> bool:
-        """Tell whether both are one end, under requests of one caller."""
-        if (self.target, self.caller) != (other.target, other.caller):
-            return False
-        return abs(self.ended - other.ended) < SAME_END_S
-
-
-@attrs.frozen
-class Block:
-    """That a request is kept from targets.
-
-    Attributes
-    ----------
-    at : float
-        When the last of the targets that prove it ended.
-    since : float
-        When the first of the runs that prove it began: an answer after that disproves
-        it, also one that is heard of later.
-    trials : int
-        Trials made.
-    """
-
-    at: float
-    since: float
-    trials: int = 0
-
-    @property
-    def next_trial(self) -> float:
-        """Time from which the next trial may be made."""
-        pauses = (FIRST_TRIAL_S * TRIAL_FACTOR**n for n in range(self.trials + 1))
-        return self.at + sum(min(MAX_TRIAL_S, pause) for pause in pauses)
-
-    def holds(self, now: float) -> bool:
-        """Tell whether it is in force."""
-        return now < self.next_trial + FORGET_S
-
-
-@attrs.frozen
-class BlockRef:
-    """What a block is about.
-
-    Attributes
-    ----------
-    content : str
-        Digest of the request.
-    scope : str
-        Tag of the caller for which it holds, or `EVERYBODY`.
-    """
-
-    content: str
-    scope: str
-
-
-@attrs.frozen
-class Free:
-    """Nothing is held against the request."""
-
-
-@attrs.frozen
-class Suspect:
-    """Targets ended under the request.
-
-    Attributes
-    ----------
-    alone : bool
-        Whether it is to be run by itself, and not sent on.
-    """
-
-    alone: bool
-
-
-@attrs.frozen
-class Barred:
-    """The request is kept from targets.
-
-    Attributes
-    ----------
-    ref : BlockRef
-        Which block it is.
-    block : Block
-        The block.
-    retry_after : float
-        Seconds until it may be tried again; 0 if it may be tried now.
-    """
-
-    ref: BlockRef
-    block: Block
-    retry_after: float
-
-
-Verdict = Free | Suspect | Barred
-FREE = Free()
 
 
 @attrs.define
@@ -207,19 +91,6 @@
         self.blocks = {s: b for s, b in self.blocks.items() if b.holds(now)}
 
 
-def runs_in_turn(ends: Iterable[End]) -> list[End]:
-    """Give the ends that prove something: each run began after the one before ended.
-
-    A rack that is lost, and a request that several daemons run at the same moment, are
-    one event, however many targets it takes.
-    """
-    runs = []
-    for end in sorted(ends, key=lambda end: end.ended):
-        if not runs or end.started >= runs[-1].ended:
-            runs.append(end)
-    return runs
-
-
 class Quarantine:
     """Keeps requests that end targets from further ones.
 
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.model import Fleet
+from bench.model import Fleet, Storm
 
 TARGETS = 60
 
@@ -161,7 +161,7 @@
     """
     fleet = Fleet(size, zones, seed)
     fleet.run(8.0)
-    storm = fleet.storm(per_s, 10.0, others=8)
+    storm = Storm.begin(fleet, per_s, 10.0, others=8)
     fleet.run(12.0)
     assert len(storm.ends) >= 3
     assert storm.ends_after_third(1.0) == 0
@@ -177,7 +177,7 @@
     quiet = sum(fleet.bytes.values())
     forget_counts(fleet)
     for number in range(100):
-        fleet.storm(3, 20.0, others=8, path=f"/poison/{number}")
+        Storm.begin(fleet, 3, 20.0, others=8, path=f"/poison/{number}")
     fleet.run(20.0)
     # At most 16 notes of some 60 bytes in each message, and rounds of 20 ms at most.
     per_daemon = (sum(fleet.bytes.values()) - quiet) / 18 / 20.0
--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -10,8 +10,9 @@
 from cairnferry.coordination import Note, Row
 from cairnferry.entry._ports import FeedUnavailable
 from cairnferry.entry.callers import Guard, suspicion_board
-from cairnferry.entry.callers._guard import (
+from cairnferry.entry.callers._block_table import (
     MAX_ROWS,
+    BlockTable,
     decode_block,
     encode_block,
     name_of,
@@ -209,7 +210,7 @@
         self.boards = []
         self.guards = []
         for number in range(count):
-            guard = Guard(Metrics(), self._teller(number), rows=rows)
+            guard = Guard(Metrics(), self._teller(number), table=BlockTable(rows))
             self.guards.append(guard)
             self.boards.append(suspicion_board(guard))
         self.cut = set()
@@ -329,7 +330,9 @@
     guard.take_rows(dict(table.rows))
     table.is_up = False
     calls = []
-    guard.rows.write = lambda *args: calls.append(args) or Error(FeedUnavailable("x"))
+    guard.table.rows.write = lambda *args: (
+        calls.append(args) or Error(FeedUnavailable("x"))
+    )
     clock.now += 21.0
     for _ in range(100):
         assert isinstance(guard.admit(call(identity)), Refuse)
@@ -355,7 +358,7 @@
     identity = block_at_one(Fleet(clock, 2, table), clock)
     assert len(table.rows) == 1
     clock.now += 5.0
-    newcomer = Guard(Metrics(), rows=table)
+    newcomer = Guard(Metrics(), table=BlockTable(table))
     newcomer.take_rows(dict(table.rows))
     refused = newcomer.admit(call(identity))
     assert isinstance(refused, Refuse)
@@ -455,7 +458,7 @@
 
 def test_rows_have_a_bound(clock):
     table = Table()
-    guard = Guard(Metrics(), rows=table)
+    guard = Guard(Metrics(), table=BlockTable(table))
     for number in range(MAX_ROWS + 10):
         for end in range(3):
             at = clock.now + 0.2 * end
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -19,6 +19,7 @@
     RequestIdentity,
     Suspect,
 )
+from cairnferry.policy import _blocks as blocks
 from cairnferry.policy import _identity as identity_module
 from cairnferry.policy import _quarantine as module
 
@@ -76,7 +77,7 @@
     assert daemon.judge(req, 1.2) == Suspect(alone=True)
     ref, block = daemon.ends(req, 1.4, first=2)
     assert ref == BlockRef(req.content, req.caller_tag)
-    assert daemon.judge(req, 1.4) == Barred(ref, block, module.FIRST_TRIAL_S)
+    assert daemon.judge(req, 1.4) == Barred(ref, block, blocks.FIRST_TRIAL_S)
 
 
 def test_a_rack_that_is_lost_blames_nobody(daemon):
@@ -249,7 +250,7 @@
 def test_a_block_that_nobody_asks_for_is_forgotten(daemon):
     req = request()
     _, block = daemon.ends(req, 1.0, 1.2, 1.4)
-    late = block.next_trial + module.FORGET_S
+    late = block.next_trial + blocks.FORGET_S
     assert isinstance(daemon.judge(req, late - 1), Barred)
     assert daemon.judge(req, late) == Free()
     daemon.quarantine.drop_lapsed(late)
