--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -251,7 +251,8 @@
 def clock(monkeypatch):
     """Give a clock that the test moves."""
     clock = Clock()
-    monkeypatch.setattr("cairnferry.entry.callers._guard.time", clock)
+    for module in ("_guard", "_block_table"):
+        monkeypatch.setattr(f"cairnferry.entry.callers.{module}.time", clock)
     return clock
 
 
@@ -330,9 +331,12 @@
     guard.take_rows(dict(table.rows))
     table.is_up = False
     calls = []
-    guard.table.rows.write = lambda *args: (
-        calls.append(args) or Error(FeedUnavailable("x"))
-    )
+
+    def write(*args):
+        calls.append(args)
+        return Error(FeedUnavailable("away"))
+
+    table.write = write
     clock.now += 21.0
     for _ in range(100):
         assert isinstance(guard.admit(call(identity)), Refuse)
