Blocks of the own interface outlive all daemons: one row of the platform's table

Three daemons killed and started anew refuse the request at once and no further target ends; without the rows the test fails (nothing is blocked after the start).

--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -25,6 +25,7 @@
     LeavingTimes,
     PeerSettings,
 )
+from cairnferry.entry.daemon._blocked import TableBlocks
 from cairnferry.entry.daemon._listing import LeavingTargets, ListedRegistry
 from cairnferry.entry.http import Limits
 from cairnferry.entry.members import Enrolment
@@ -42,6 +43,9 @@
 WRITE_PAUSE_S = 0.03
 HOUSEKEEPING_S = 0.1
 SHARE_OUT_ROUNDS = 10
+# Seconds between two readings of the blocked requests, if there are any; else they are
+# read at the start alone, and others tell of new ones. A trial may be that much late.
+BLOCKED_POLL_S = 10.0
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +66,8 @@
         self.core = core = Core(_core_settings(cfg), Conventions(), keys)
         self.configuration = Configuration(self._install)
         self._build_platform()
+        self.blocked = TableBlocks(self.table)
+        core.guard.table.rows = self.blocked
         self.distribution = Distribution(
             ChangeLog(self.table, self._pause),
             self.objects,
@@ -148,6 +154,7 @@
             self.submissions.run,
             self._poll_head,
             self._poll_list,
+            self._poll_blocked,
             self._probe,
         ]
         return self.core.run(tasks)
@@ -180,6 +187,19 @@
             if self.distribution.is_poller():
                 self.enrolment.refresh()
 
+    def _poll_blocked(self):
+        """Learn of requests that were blocked before this daemon started."""
+        guard = self.core.guard
+        is_known = False
+        while True:
+            if not is_known or guard.snapshot():
+                read = self.blocked.read()
+                if read.is_ok():
+                    is_known = True
+                    guard.take_rows(read.ok)
+            pause = BLOCKED_POLL_S if is_known else START_RETRY_S
+            gevent.sleep(pause * (0.5 + self.core.rng.random()))
+
     def _probe(self):
         rounds = 0
         while True:
--- /dev/null
+++ b/tests/entry/daemon/test_blocked.py
@@ -0,0 +1,80 @@
+"""Blocked requests in one row of the platform's table."""
+
+import pytest
+from expression import Error, Ok
+
+from cairnferry.coordination import ConditionFailed, Item, TableUnavailable
+from cairnferry.entry.daemon._blocked import BLOCKED_KEY, TableBlocks
+
+
+class Table:
+    """Keeps one row, or is away."""
+
+    def __init__(self):
+        self.item = None
+        self.is_up = True
+        self.before_write = lambda: None
+
+    def read(self, key):
+        assert key == BLOCKED_KEY
+        return Ok(self.item) if self.is_up else Error(TableUnavailable("away"))
+
+    def transact(self, writes):
+        self.before_write()
+        (write,) = writes
+        if write.expected_version != (self.item.version if self.item else None):
+            return Error(ConditionFailed((BLOCKED_KEY,)))
+        self.item = write.item
+        return Ok(None)
+
+
+@pytest.fixture
+def table():
+    return Table()
+
+
+@pytest.fixture
+def blocks(table):
+    return TableBlocks(table)
+
+
+def test_rows_are_written_read_and_removed_by_their_versions(blocks):
+    assert blocks.read().ok == {}
+    assert blocks.write("a", b"1", 0).is_ok()
+    assert blocks.write("b", b"2", 0).is_ok()
+    assert blocks.write("a", b"3", 0).is_error()
+    row = blocks.read().ok["a"]
+    assert (row.value, row.version) == (b"1", 1)
+    assert blocks.write("a", b"3", row.version).is_ok()
+    assert blocks.remove("a", row.version).is_error()
+    assert blocks.remove("a", blocks.read().ok["a"].version).is_ok()
+    assert set(blocks.read().ok) == {"b"}
+
+
+def test_of_two_that_write_at_the_same_moment_one_does(table, blocks):
+    """Symptom: two daemons try a request at the same time, and two targets end."""
+    blocks.write("a", b"1", 0)
+    version = blocks.read().ok["a"].version
+
+    def another():
+        table.before_write = lambda: None
+        assert TableBlocks(table).write("a", b"2", version).is_ok()
+
+    table.before_write = another
+    assert blocks.write("a", b"3", version).is_error()
+    assert blocks.read().ok["a"].value == b"2"
+
+
+@pytest.mark.parametrize("body", ["", "[]", "[1]", '{"a": 1}', '{"a": ["x", "y"]}'])
+def test_a_row_that_cannot_be_read_names_nothing_and_is_replaced(table, blocks, body):
+    table.item = Item(BLOCKED_KEY, 7, body)
+    assert blocks.read().ok == {}
+    assert blocks.write("a", b"1", 0).is_ok()
+    assert table.item.version == 8
+
+
+def test_a_table_that_is_away_writes_nothing(table, blocks):
+    table.is_up = False
+    assert blocks.read().is_error()
+    assert blocks.write("a", b"1", 0).is_error()
+    assert blocks.remove("a", 1).is_error()
--- a/tests/entry/daemon/test_requests_that_end_targets.py
+++ b/tests/entry/daemon/test_requests_that_end_targets.py
@@ -87,3 +87,26 @@
     assert installed.tool("unblock", "none-such").returncode != 0
     for daemon in daemons:
         wait_for(lambda d=daemon: d.call("callers", method, POISON).status == 200)
+
+
+def test_what_is_known_of_such_a_request_outlives_the_loss_of_all_daemons(installed):
+    """Symptom: after a loss of power it ends three targets once more."""
+    daemons = list(installed.daemons.values())
+    for turn in range(4):
+        daemons[turn % len(daemons)].call("callers", "POST", POISON)
+        let_news_go_round(installed)
+    before = count_ends(installed)
+    assert before == 3
+    wait_for(lambda: installed.tool("blocked").stdout.count("s ago") == 1)
+    for daemon in daemons:
+        daemon.popen.kill()
+        daemon.popen.wait()
+    for name, zone in DAEMONS.items():
+        installed.start_daemon(name, zone)
+    installed.await_serving()
+    installed.await_revision(1)
+    for daemon in installed.daemons.values():
+        wait_for(lambda d=daemon: d.read("operators", "/v1/blocked")["blocked"])
+        reply = daemon.call("callers", "POST", POISON)
+        assert json.loads(reply.body)["cause"] == "ends-targets"
+    assert count_ends(installed) == before
