--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -159,7 +159,13 @@
         reply = outcome if isinstance(outcome, Reply) else None
         if self.guard is None:
             return runtime.finished(attempt, result), reply
-        self._learn(req, attempt, result, runtime)
+        try:
+            self._learn(req, attempt, result, runtime)
+        except BaseException:
+            # The caller left meanwhile. Not counted out, the attempt would hold its
+            # place at the target for good.
+            runtime.cancelled(attempt)
+            raise
         decision = runtime.finished(attempt, result)
         return self.guard.settle(attempt.call, decision), reply
 
--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 from expression import Error, Ok
+from gevent.event import Event
 
 from cairnferry.coordination import Note, Row
 from cairnferry.entry._ports import FeedUnavailable
@@ -185,6 +186,35 @@
     assert [method for _, method, _ in target.seen] == ["GET", "GET"]
 
 
+def test_a_caller_that_leaves_during_a_look_gives_its_place_back(
+    start_entry, start_target, records_for, monkeypatch
+):
+    """Symptom: a daemon takes fewer requests with each caller that leaves.
+
+    Events: a target breaks off a request under suspicion, and its caller leaves while
+    the daemon looks whether the target ended. Cause: the attempt was never counted out.
+    """
+    target = start_target(fault="cut-before-run")
+    entry = start_entry(*records_for(target))
+    identity = RequestIdentity("GET", "", POISON, b"", "127.0.0.1")
+    now = time.monotonic()
+    end = End("i-0", identity.caller_tag, now - 1, now)
+    entry.guard.quarantine.note_end(identity.content, end, now)
+    looks = []
+
+    def look_for_ever(*args):
+        looks.append(Event())
+        return looks[0]
+
+    endings = entry.server.application.forwarder.endings
+    monkeypatch.setattr(type(endings), "note_break", lambda *args: look_for_ever())
+    with gevent.socket.create_connection(("127.0.0.1", entry.port)) as sock:
+        sock.sendall(f"GET {POISON} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        wait_for(lambda: looks)
+        assert entry.policy().in_flight == 1
+    wait_for(lambda: entry.policy().in_flight == 0)
+
+
 def test_the_name_by_which_a_caller_calls_the_daemon_changes_nothing(sides):
     """Symptom: a request that ends targets is another one at each daemon.
 
