--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -145,7 +145,7 @@
         duty = WatchDuty(cluster)
         duty.is_ready = True
         guard = Guard(Metrics(), partial(_accuse, cluster, gossip))
-        cluster.suspicions = suspicion_board(guard)
+        cluster.suspicions = suspicion_board(guard.hear)
         return Daemon(name, zone, cluster, gossip, duty, table, guard)
 
     def _introduce(self):
--- a/packages/entry/src/cairnferry/entry/callers/__init__.py
+++ b/packages/entry/src/cairnferry/entry/callers/__init__.py
@@ -2,7 +2,8 @@
 
 from cairnferry.entry.callers._callers import BodyLimits, CallersApp
 from cairnferry.entry.callers._forward import Forwarder
-from cairnferry.entry.callers._guard import Guard, suspicion_board
+from cairnferry.entry.callers._guard import Guard
+from cairnferry.entry.callers._suspicions import suspicion_board
 
 __all__ = [
     "BodyLimits",
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -8,13 +8,9 @@
 import attrs
 import gevent
 
-from cairnferry.coordination import Note, NoteBoard, Row, TokenBucket
+from cairnferry.coordination import Note, Row, TokenBucket
 from cairnferry.entry.callers._block_table import BlockTable
 from cairnferry.entry.callers._suspicions import (
-    BLOCK_NOTE_S,
-    MAX_KEPT,
-    MAX_TOLD,
-    TELL_S,
     AnswerTold,
     BlockTold,
     EndTold,
@@ -350,8 +346,3 @@
     def _log(self, message, content, caller, **facts):
         extra = {"content": content, "caller": caller, **facts}
         log.warning(message, extra=extra)
-
-
-def suspicion_board(guard: Guard) -> NoteBoard:
-    """Give the board of notes by which a guard hears of others."""
-    return NoteBoard(guard.hear, BLOCK_NOTE_S, MAX_KEPT, MAX_TOLD, TELL_S)
--- a/packages/entry/src/cairnferry/entry/callers/_suspicions.py
+++ b/packages/entry/src/cairnferry/entry/callers/_suspicions.py
@@ -1,8 +1,10 @@
 """What daemons tell each other of requests under which targets ended."""
 
+from collections.abc import Callable
+
 import attrs
 
-from cairnferry.coordination import Note
+from cairnferry.coordination import Note, NoteBoard
 from cairnferry.policy import MEMORY_S, Block, BlockRef, End
 
 # Seconds for which a note on a block goes on to be believed: it has to outlive any
@@ -49,6 +51,17 @@
 Told = EndTold | AnswerTold | BlockTold
 
 
+def suspicion_board(hear: Callable[[str, str, float], None]) -> NoteBoard:
+    """Give the board of such notes.
+
+    Parameters
+    ----------
+    hear : callable
+        Called with subject, source and end of each note that is new.
+    """
+    return NoteBoard(hear, BLOCK_NOTE_S, MAX_KEPT, MAX_TOLD, TELL_S)
+
+
 def note_of(told: Told, now: float) -> Note:
     """Turn it into a note, of which the time left tells the age."""
     match told:
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -103,7 +103,7 @@
         )
         self.cluster = Cluster(membership, configuration, self.notes, self._spare)
         self.cluster.tables = records.tables
-        self.cluster.suspicions = suspicion_board(self.guard)
+        self.cluster.suspicions = suspicion_board(self.guard.hear)
         self.duty = WatchDuty(self.cluster)
         self.gossip = Gossip(
             self.cluster,
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -266,53 +266,6 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class FragileTarget:
-    """A target that ends when it begins to run a marked request, and is back later.
-
-    Each start has a name and a row of its own, as targets of the platform have.
-    """
-
-    MARK = "poison"
-    DOWN_S = 1.0
-
-    def __init__(self, store, name, service="svc"):
-        self.store = store
-        self.name = name
-        self.service = service
-        self.ends = 0
-        self.ran = []
-        self._starts = 0
-        self._port = 0
-        self._timer = None
-        self._begin()
-
-    def _begin(self):
-        self._starts += 1
-        name = f"{self.name}-{self._starts}"
-        self._target = HostedTarget(name, self._behave, port=self._port)
-        self._port = self._target.port
-        self.store.put("servers", name, target_row(self._port, self.service))
-
-    def _behave(self, number):
-        _, path, _, body = self._target.seen[-1]
-        self.ran.append(path)
-        if self.MARK not in path and self.MARK.encode() not in body[:100]:
-            return
-        self.ends += 1
-        self._target.end()
-        self._timer = gevent.spawn_later(self.DOWN_S, self._return)
-        raise ConnectionAbortedError
-
-    def _return(self):
-        self.store.drop("servers", self._target.name)
-        self._begin()
-
-    def stop(self):
-        if self._timer is not None:
-            self._timer.kill()
-        self._target.stop()
-
-
 def configuration(version=3, *, rules=None, clusters=("svc",), **limits):
     """Give a configuration document as the operators write it."""
     return {
--- a/tests/adapter/test_requests_that_end_targets.py
+++ b/tests/adapter/test_requests_that_end_targets.py
@@ -21,7 +21,8 @@
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
-from ._standins import FragileTarget, configuration, rule
+from ._fragile import FragileTarget
+from ._standins import configuration, rule
 from .conftest import settings_text
 from .test_process import PART, ROOT
 
