--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,11 +1,12 @@
 """What many daemons cost each other and the store, in simulated time (`make model`)."""
 
+import logging
 import random
 import statistics
 import sys
 import time
 
-from bench.model import Fleet
+from bench.model import Fleet, Storm
 
 SIZES = (13, 30, 100, 300, 1000)
 SEED = 1
@@ -14,6 +15,11 @@
 START_S = 10.0
 CALM_S = 20.0
 CHANGES = 5
+# A request that ends targets: how often it comes, for how long, and what else a target
+# has in hand.
+STORM_PER_S = 3
+STORM_S = 5.0
+OTHERS = 8
 COLUMNS = (
     "daemons",
     "zones",
@@ -25,6 +31,8 @@
     "members known",
     "seconds to all, mean",
     "longest",
+    "ends under a request that ends targets",
+    "seconds from the third to the last",
     "seconds to all after 55 % were killed",
     "lasted s",
 )
@@ -32,6 +40,8 @@
 
 def main() -> None:
     """Print a row for each size."""
+    # Each daemon of the model would tell of each block.
+    logging.disable(logging.WARNING)
     sizes = [int(text) for text in sys.argv[1:]] or SIZES
     print("| " + " | ".join(COLUMNS) + " |")
     print("| " + " | ".join("---" for _ in COLUMNS) + " |")
@@ -54,6 +64,9 @@
     rates = [n / CALM_S / size for n in (fleet.messages, *_near_and_far(fleet))]
     known = [len(d.cluster.membership.others()) for d in fleet.up()]
     spread = [_time_to_spread(fleet) for _ in range(CHANGES)]
+    storm = Storm.begin(fleet, STORM_PER_S, STORM_S, others=OTHERS)
+    fleet.run(STORM_S + 1.0)
+    ends = sorted(storm.ends)
     for daemon in random.Random(SEED).sample(fleet.up(), int(0.55 * size)):
         daemon.is_up = False
     after = _time_to_spread(fleet)
@@ -68,6 +81,8 @@
         f"{min(known)} to {max(known)}",
         f"{statistics.mean(spread):.2f}",
         f"{max(spread):.2f}",
+        str(len(ends)),
+        f"{ends[-1] - ends[2]:.2f}",
         f"{after:.2f}",
         f"{time.monotonic() - began:.0f}",
     ]
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -61,7 +61,7 @@
     Parameters
     ----------
     metrics : Metrics
-        Counts what is suspected, blocked, refused, tried and lifted.
+        Counts what is blocked, refused, tried, lifted and not told.
     tell : callable
         Spreads a note to all daemons; the second argument says whether it was told
         before and is to go round once more.
