--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -261,8 +261,10 @@
 class BlockRows(typing.Protocol):
     """Where blocks of requests that end targets outlive all daemons."""
 
-    def write(self, name: str, data: bytes, version: int) -> Result[None, FeedFault]:
-        """Write a row if it still has the version; 0 if it must not be there."""
+    def write(
+        self, name: str, data: bytes | None, version: int
+    ) -> Result[None, FeedFault]:
+        """Write a row, or remove it if there is no data.
 
-    def remove(self, name: str, version: int) -> Result[None, FeedFault]:
-        """Remove a row if it still has the version."""
+        Nothing is done unless the row still has the version; 0 if it must not be there.
+        """
--- a/packages/entry/src/cairnferry/entry/callers/_block_table.py
+++ b/packages/entry/src/cairnferry/entry/callers/_block_table.py
@@ -92,7 +92,7 @@
         row = self._stored.get(ref)
         if self.rows is None or row is None:
             return
-        removed = self.rows.remove(name_of(ref), row.version)
+        removed = self.rows.write(name_of(ref), None, row.version)
         if removed.is_error():
             log.info("block not removed", extra={"why": str(removed.error)})
 
--- a/packages/entry/src/cairnferry/entry/daemon/_blocked.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_blocked.py
@@ -41,15 +41,10 @@
         """Give all rows by name."""
         return self._read().map(lambda content: content.rows)
 
-    def write(self, name: str, data: bytes, version: int) -> Result[None, FeedFault]:
-        """Write a row if it still has the version; 0 if it must not be there."""
-        return self._change(name, data, version)
-
-    def remove(self, name: str, version: int) -> Result[None, FeedFault]:
-        """Remove a row if it still has the version."""
-        return self._change(name, None, version)
-
-    def _change(self, name, data, version):
+    def write(
+        self, name: str, data: bytes | None, version: int
+    ) -> Result[None, FeedFault]:
+        """Write or remove a row if it still has the version."""
         read = self._read()
         if read.is_error():
             return read
--- a/tests/entry/callers/test_many_guards.py
+++ b/tests/entry/callers/test_many_guards.py
@@ -61,13 +61,10 @@
         if not self.is_up or (row.version if row else 0) != version:
             return Error(FeedUnavailable("changed"))
         self.version += 1
-        self.rows[name] = Row(name, data, self.version)
-        return Ok(None)
-
-    def remove(self, name, version):
-        if not self.is_up or self.rows[name].version != version:
-            return Error(FeedUnavailable("changed"))
-        del self.rows[name]
+        if data is None:
+            del self.rows[name]
+        else:
+            self.rows[name] = Row(name, data, self.version)
         return Ok(None)
 
 
--- a/tests/entry/daemon/test_blocked.py
+++ b/tests/entry/daemon/test_blocked.py
@@ -46,8 +46,8 @@
     row = blocks.read().ok["a"]
     assert (row.value, row.version) == (b"1", 1)
     assert blocks.write("a", b"3", row.version).is_ok()
-    assert blocks.remove("a", row.version).is_error()
-    assert blocks.remove("a", blocks.read().ok["a"].version).is_ok()
+    assert blocks.write("a", None, row.version).is_error()
+    assert blocks.write("a", None, blocks.read().ok["a"].version).is_ok()
     assert set(blocks.read().ok) == {"b"}
 
 
@@ -77,4 +77,4 @@
     table.is_up = False
     assert blocks.read().is_error()
     assert blocks.write("a", b"1", 0).is_error()
-    assert blocks.remove("a", 1).is_error()
+    assert blocks.write("a", None, 1).is_error()
