--- a/packages/standins/src/cairnferry/standins/__init__.py
+++ b/packages/standins/src/cairnferry/standins/__init__.py
@@ -5,7 +5,7 @@
 
 from cairnferry.standins._load import LoadPlan, LoadReport, Operation, run_load
 from cairnferry.standins._platform import Outage, PlatformStandin
-from cairnferry.standins._ports import free_port
+from cairnferry.standins._ports import free_port, own_host
 from cairnferry.standins._processes import LocalSystem, Process
 from cairnferry.standins._samples import (
     route_v1,
@@ -37,6 +37,7 @@
     "TargetBehaviour",
     "TargetStandin",
     "free_port",
+    "own_host",
     "parse_scenario",
     "route_v1",
     "route_v2",
--- a/packages/standins/src/cairnferry/standins/_ports.py
+++ b/packages/standins/src/cairnferry/standins/_ports.py
@@ -8,6 +8,10 @@
 # Below the range from which the system takes ports for connections.
 FIRST_PORT = 12000
 LAST_PORT = 30000
+# Subnets of loopback from which a process takes addresses of its own, by its ID.
+FIRST_SUBNET = 32
+SUBNETS = 200
+PIDS_IN_SUBNET = 250
 # "INDEX/COUNT" of this process among those that share the machine's ports.
 PART_VARIABLE = "CAIRNFERRY_TEST_PART"
 
@@ -42,4 +46,20 @@
             return port
 
 
+def own_host(number: int) -> str:
+    """Give a loopback address that no other process of the machine uses.
+
+    For programs that listen at a port which cannot be chosen: two runs of the tests on
+    one machine would else take it from each other, which shows as a program that ends
+    at once ("Address already in use").
+
+    Parameters
+    ----------
+    number : int
+        Which one of this process, 1 to 250.
+    """
+    high, low = divmod(os.getpid(), PIDS_IN_SUBNET)
+    return f"127.{FIRST_SUBNET + high % SUBNETS}.{low}.{number}"
+
+
 _ports = itertools.cycle(_own_ports(os.environ.get(PART_VARIABLE, "0/1")))
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -13,7 +13,7 @@
 import pytest
 from gevent.event import Event
 
-from cairnferry.standins import wait_for
+from cairnferry.standins import own_host, wait_for
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
@@ -23,8 +23,7 @@
 ROOT = pathlib.Path(__file__).parents[2]
 # The program serves metrics at a port of its own on the address of its instance, so
 # that each process of a test run needs an address of its own.
-PART = int(os.environ.get("CAIRNFERRY_TEST_PART", "0/1").partition("/")[0])
-INSTANCE = f"127.0.1.{PART + 1}"
+INSTANCE = own_host(1)
 
 # Bytes of the smallest pipe that the kernel makes.
 SMALLEST_PIPE = 4096
--- a/tests/adapter/test_requests_that_end_targets.py
+++ b/tests/adapter/test_requests_that_end_targets.py
@@ -17,17 +17,15 @@
 
 import pytest
 
-from cairnferry.standins import wait_for
+from cairnferry.standins import own_host, wait_for
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
 from ._fragile import FragileTarget
 from ._standins import configuration, rule
 from .conftest import settings_text
-from .test_process import PART, ROOT
+from .test_process import ROOT
 
-# The first of these addresses belongs to a test of one process.
-SUBNET = 20 + PART
 DAEMONS = ("hall", "hall", "yard", "yard")
 TARGETS = 6
 # Targets that may end under one request: it is known for sure with the third, and
@@ -117,7 +115,7 @@
     started = []
     seeds = []
     for number, zone in enumerate(DAEMONS):
-        host = f"127.0.{SUBNET}.{number + 1}"
+        host = own_host(number + 1)
         text = settings_text(store.port, f"front-{number}", seeds, host)
         process = Process(tmp_path, host, text.replace("zone=hall", f"zone={zone}"))
         seeds = seeds or [process.cfg.handover]
