--- a/tests/adapter/test_losses.py
+++ b/tests/adapter/test_losses.py
@@ -7,13 +7,13 @@
 import pytest
 from gevent.event import Event
 
-from cairnferry.standins import wait_for
+from cairnferry.standins import own_host, wait_for
 from cairnferry.wire import Client, NotSent, Reply
 from hosting._settings import read_host_settings
 
 from ._standins import configuration, rule
 from .conftest import settings_text
-from .test_process import PART, Program
+from .test_process import Program
 
 ORDERS = [rule(prefix="/o/", kind="unsafe", attempts=2), rule("r-2")]
 
@@ -22,7 +22,7 @@
     """A program with an address of its own."""
 
     def __init__(self, folder, store_port, number):
-        self.host = f"127.0.{number + 2}.{PART + 1}"
+        self.host = own_host(number + 2)
         text = settings_text(store_port, name=f"front-{number}", host=self.host)
         self.cfg = read_host_settings(text).ok
         folder.mkdir(exist_ok=True)
