--- a/tests/entry/callers/test_guard.py
+++ b/tests/entry/callers/test_guard.py
@@ -22,6 +22,8 @@
 from cairnferry.standins import wait_for
 
 POISON = "/s/poison"
+# Time in seconds that a look takes on a busy daemon; a call takes some 2 ms.
+LATE_LOOK_S = 0.05
 
 
 def cause(reply):
@@ -64,6 +66,27 @@
     assert outcomes == ["unknown"] * 3 + ["not-run"] * 2
 
 
+def test_a_caller_that_comes_back_before_its_target_was_looked_at_is_known(
+    sides, monkeypatch
+):
+    """Symptom: on a busy daemon an order ends a fourth target, now and then.
+
+    Events: its caller comes back within the time that a look at the last target takes.
+    Cause: the end was not known yet, and the order was sent as if there were none.
+    """
+    entry, targets = sides
+    look_at = type(entry.upstreams).look_at
+
+    def look_late(self, *args):
+        gevent.sleep(LATE_LOOK_S)
+        return look_at(self, *args)
+
+    monkeypatch.setattr(type(entry.upstreams), "look_at", look_late)
+    replies = [entry.call("POST", POISON, body=b"order") for _ in range(6)]
+    assert ends(targets) == 3
+    assert [cause(reply) for reply in replies[-2:]] == ["ends-targets"] * 2
+
+
 def test_a_target_that_drops_requests_and_serves_on_has_not_ended(
     start_entry, start_target, records_for
 ):
