--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -80,6 +80,7 @@
         """
         if self.guard is None:
             return self._forward(req, call, runtime)
+        self.endings.wait_for_look(call.identity)
         refused = self.guard.admit(call)
         if refused is not None:
             decision = runtime.policy.turn_away(refused.cause, refused.retry_after)
--- a/packages/entry/src/cairnferry/entry/targets/_endings.py
+++ b/packages/entry/src/cairnferry/entry/targets/_endings.py
@@ -124,6 +124,15 @@
         look.runs.append(run)
         return look.done
 
+    def wait_for_look(self, identity: RequestIdentity) -> None:
+        """Wait while it is not known yet what became of a request's last target.
+
+        A caller that comes back sooner would be let pass as if no target had ended.
+        """
+        for look in list(self._looks.values()):
+            if any(run.identity.is_same(identity) for run in look.runs):
+                look.done.wait()
+
     def _look_at(self, record, look):
         try:
             presence = self.upstreams.look_at(record, LOOK_TIMEOUT_S)
--- a/packages/policy/src/cairnferry/policy/_identity.py
+++ b/packages/policy/src/cairnferry/policy/_identity.py
@@ -55,6 +55,10 @@
             self._content = self.head + body
         return self._content
 
+    def is_same(self, other: "RequestIdentity") -> bool:
+        """Tell whether both are the same request, whoever sends it."""
+        return self.head == other.head and self.content == other.content
+
     @property
     def caller_tag(self) -> str:
         """Digest of the caller; credentials must not stand in logs."""
