Read the limits that targets name, and say which daemon has heard which

Lines and metrics could not tell whether a daemon had heard of a limit, and what it sent from then on. Each now reads the header of answers and checks, keeps the last word of each target in an order that does not depend on when answers come, and writes a line when a limit is named, changed or lifted. Gauge cairnferry_target_limit, counters cairnferry_limited_requests_total and cairnferry_limit_events_total. Nothing is decided by it yet.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -50,8 +50,10 @@
 from cairnferry.entry.targets import (
     CallerConvention,
     CheckResult,
+    LimitFault,
     TargetConvention,
     lost,
+    read_limit,
 )
 from cairnferry.entry.telemetry import configure_logs
 
@@ -83,6 +85,7 @@
     "Joiner",
     "KeyExists",
     "LeavingTimes",
+    "LimitFault",
     "Limits",
     "Newcomer",
     "Page",
@@ -99,5 +102,6 @@
     "configure_logs",
     "disposable_instance",
     "lost",
+    "read_limit",
     "read_request_head",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -11,6 +11,7 @@
 from cairnferry.entry.http import Answer, answer_headers, not_run, unknown
 from cairnferry.entry.targets import (
     Endings,
+    Limiter,
     OutboundRequest,
     ServiceRuntime,
     StatusChecks,
@@ -63,12 +64,15 @@
         Finds out whether a target ended under a request.
     guard : Guard, optional
         Keeps requests that end targets from further ones.
+    limiter : Limiter, optional
+        Takes in limits that targets name.
     """
 
     upstreams: Upstreams
     checks: StatusChecks | None = None
     endings: Endings | None = None
     guard: Guard | None = None
+    limiter: Limiter | None = None
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -158,6 +162,8 @@
         """Tell the policy of an attempt's end; give its decision and the reply."""
         result = self.upstreams.classify(outcome, attempt)
         reply = outcome if isinstance(outcome, Reply) else None
+        if self.limiter is not None:
+            self.limiter.note_answer(attempt, self.upstreams.limit_of(outcome))
         if self.guard is None:
             return runtime.finished(attempt, result), reply
         try:
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -28,7 +28,13 @@
     WatchDuty,
     new_membership,
 )
-from cairnferry.entry.targets import Endings, Services, StatusChecks, Upstreams
+from cairnferry.entry.targets import (
+    Endings,
+    Limiter,
+    Services,
+    StatusChecks,
+    Upstreams,
+)
 from cairnferry.entry.telemetry import FaultyRows, Metrics
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
@@ -70,7 +76,10 @@
         self.upstreams = Upstreams(
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
         )
-        self.checks = StatusChecks(self.upstreams, self.metrics, cfg.checks_per_s)
+        self.limiter = Limiter(self.services.limits, self.metrics)
+        self.checks = StatusChecks(
+            self.upstreams, self.metrics, cfg.checks_per_s, self.limiter
+        )
         self.guard = Guard(self.metrics, self._accuse, self._is_first_for)
         self.endings = Endings(self.upstreams, self.metrics, self.guard.note_end)
         self.notes = NoteBoard(self._note_draining)
@@ -129,7 +138,9 @@
         cfg = self.cfg
         app = CallersApp(
             self.services,
-            Forwarder(self.upstreams, self.checks, self.endings, self.guard),
+            Forwarder(
+                self.upstreams, self.checks, self.endings, self.guard, self.limiter
+            ),
             self.steering if steer_on_it else None,
             self.metrics,
             cfg.bodies,
@@ -148,6 +159,7 @@
             self.peer_meter,
             self.metrics,
             self.guard,
+            self.limiter,
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -9,7 +9,7 @@
 from cairnferry.entry.callers import Guard
 from cairnferry.entry.http import TEXT, Page, PipelinedServer
 from cairnferry.entry.members import Cluster, Gossip
-from cairnferry.entry.targets import Services, Upstreams
+from cairnferry.entry.targets import Limiter, Services, Upstreams
 from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
 from cairnferry.peers import ByteMeter
 
@@ -34,6 +34,8 @@
         Counters and histograms.
     guard : Guard
         Requests that are kept from targets.
+    limiter : Limiter
+        Limits that targets name.
     """
 
     cluster: Cluster
@@ -44,6 +46,7 @@
     peer_meter: ByteMeter
     metrics: Metrics
     guard: Guard
+    limiter: Limiter
 
     def status(self) -> dict:
         """Give this daemon's view of all daemons."""
@@ -86,6 +89,7 @@
                 for name, runtime in self.services.active().items()
             },
             "blocked_requests": self.guard.snapshot(),
+            "limits": self.limiter.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
         }
--- a/packages/entry/src/cairnferry/entry/targets/__init__.py
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -10,6 +10,8 @@
 )
 from cairnferry.entry.targets._endings import Endings, LostRun
 from cairnferry.entry.targets._exchange_result import lost
+from cairnferry.entry.targets._limit_words import LimitFault, read_limit
+from cairnferry.entry.targets._limiter import Limiter
 from cairnferry.entry.targets._probing import Probing
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._services import Services
@@ -19,6 +21,8 @@
     "CallerConvention",
     "CheckResult",
     "Endings",
+    "LimitFault",
+    "Limiter",
     "LostRun",
     "OutboundRequest",
     "OwnCallers",
@@ -30,4 +34,5 @@
     "TargetConvention",
     "Upstreams",
     "lost",
+    "read_limit",
 ]
--- a/packages/entry/src/cairnferry/entry/targets/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -8,6 +8,7 @@
 
 from cairnferry.coordination import TokenBucket
 from cairnferry.entry.targets._conventions import CheckResult
+from cairnferry.entry.targets._limiter import Limiter
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._upstreams import Upstreams
 from cairnferry.entry.telemetry import Metrics
@@ -52,11 +53,14 @@
         Counts checks.
     rate : float
         Checks a second for each target, over all instances; 0 for no limit.
+    limiter : Limiter, optional
+        Takes in limits that the answers name.
     """
 
     upstreams: Upstreams
     metrics: Metrics
     rate: float = 0.0
+    limiter: Limiter | None = None
     _bucket: TokenBucket = attrs.field(
         factory=lambda: TokenBucket(0.0, 0.0, time.monotonic())
     )
@@ -110,13 +114,18 @@
         target = check.target
         try:
             result = self.upstreams.check(target, CHECK_TIMEOUT_S)
-            self._tell(target, result, runtime)
+            self._tell(check, result, runtime)
         finally:
             self._running.pop(target.identity, None)
             check.done.set()
 
-    def _tell(self, target, result: CheckResult, runtime):
+    def _tell(self, check, result: CheckResult, runtime):
         now = time.monotonic()
+        target = check.target
+        if self.limiter is not None:
+            self.limiter.note_check(
+                target.identity, target.name, result.limit, check.started
+            )
         self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
         runtime.policy.note_check(target.identity, result.report, result.well, now)
         if result.misplaced:
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -19,12 +19,15 @@
     classify,
     read_report,
 )
+from cairnferry.entry.targets._limit_words import LimitFault, read_limit
 from cairnferry.policy import Attempt, AttemptKind, AttemptResult, LoadReport
 from cairnferry.records import Target
 from cairnferry.wire import AnswerRules, Outcome, Reply
 
 MS_PER_S = 1000
 HTTP_OK = 200
+# Requests a second that a target in need takes from all daemons together.
+LIMIT_HEADERS = frozenset(["server-limit"])
 
 
 @attrs.frozen
@@ -41,12 +44,15 @@
         Whether another target has its address now.
     heard : bool
         Whether there was an answer at all.
+    limit : float, LimitFault or None
+        Limit that it names; None if it says nothing of that.
     """
 
     report: LoadReport | None
     well: bool
     misplaced: bool = False
     heard: bool = False
+    limit: float | LimitFault | None = None
 
 
 class CallerConvention(typing.Protocol):
@@ -93,6 +99,9 @@
     def classify(self, outcome: Outcome, attempt: Attempt) -> AttemptResult:
         """Give what an exchange proves."""
 
+    def limit_of(self, outcome: Outcome) -> float | LimitFault | None:
+        """Read the limit that an answer names; None if it says nothing of that."""
+
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the answer to a status check."""
 
@@ -139,11 +148,18 @@
         """Give what an exchange proves."""
         return classify(outcome, attempt.refusal)
 
+    def limit_of(self, outcome: Outcome) -> float | LimitFault | None:
+        """Read the limit; an answer that is no refusal and names none lifts it."""
+        if not isinstance(outcome, Reply):
+            return None
+        return read_limit(outcome.headers, LIMIT_HEADERS, outcome.status == HTTP_OK)
+
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the load that comes with a health answer."""
         match outcome:
             case Reply() as reply:
                 report = read_report(reply.header(REPORT_HEADER))
-                return CheckResult(report, reply.status == HTTP_OK)
+                limit = read_limit(reply.headers, LIMIT_HEADERS, may_lift=False)
+                return CheckResult(report, reply.status == HTTP_OK, limit=limit)
             case _:
                 return CheckResult(None, False)
--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -8,7 +8,7 @@
 
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._weights import WeightedTurns
-from cairnferry.policy import PolicySettings, ServicePolicy
+from cairnferry.policy import PolicySettings, ServicePolicy, TargetLimits
 from cairnferry.records import Kind, RecordSet, Route, Service, Target
 
 
@@ -29,12 +29,15 @@
         Called with each policy that is made, to tell it what is known already.
     settings : PolicySettings, optional
         Constants of the policies.
+    limits : TargetLimits, optional
+        Limits that targets name.
     """
 
     zone: str
     rng: random.Random
     on_start: Callable[[ServicePolicy], None]
     settings: PolicySettings = PolicySettings()
+    limits: TargetLimits = attrs.field(factory=TargetLimits)
     revision: int = 0
     _services: dict[str, Service] = attrs.field(factory=dict)
     _routes: dict[tuple[str | None, str], Route] = attrs.field(factory=dict)
@@ -128,7 +131,9 @@
             service = self._services.get(name)
             if service is None:
                 return None
-            policy = ServicePolicy(service, self.zone, self.rng, self.settings)
+            policy = ServicePolicy(
+                service, self.zone, self.rng, self.settings, self.limits
+            )
             runtime = ServiceRuntime(policy)
             self._runtimes[name] = runtime
             self._update(name)
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -77,6 +77,11 @@
     yield "targets_ended_total", "counter", ends
     events = _counted(metrics["quarantine"], "event")
     yield "quarantine_events_total", "counter", events
+    words = _counted(metrics["limits"], "event")
+    yield "limit_events_total", "counter", words
+    limits = document["limits"]
+    yield "target_limit", "gauge", _by_target(limits, "per_s")
+    yield "limited_requests_total", "counter", _by_target(limits, "sent")
     yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
     yield "wait_seconds", "histogram", _histograms(metrics["wait_s"])
     yield "attempts_total", "counter", _attempts(document["services"])
@@ -122,6 +127,11 @@
         yield Sample(state[field], {"service": service})
 
 
+def _by_target(limits, field):
+    for target, state in limits.items():
+        yield Sample(state[field], {"target": target})
+
+
 def _histograms(by_service):
     for service, histogram in by_service.items():
         for bound, count in histogram["buckets"].items():
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -75,6 +75,8 @@
         Targets that ended under requests of this daemon, by service.
     quarantine : Counter
         What was done about requests that end targets, by event.
+    limits : Counter
+        Limits that targets name, by what happened to them.
     latency : dict of str to Durations
         From a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -89,6 +91,7 @@
     faulty_rows: collections.Counter = attrs.field(factory=collections.Counter)
     target_ends: collections.Counter = attrs.field(factory=collections.Counter)
     quarantine: collections.Counter = attrs.field(factory=collections.Counter)
+    limits: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=dict)
     waits: dict[str, Durations] = attrs.field(factory=dict)
     started: float = attrs.field(factory=time.monotonic)
@@ -132,6 +135,7 @@
             "faulty_rows": dict(sorted(self.faulty_rows.items())),
             "target_ends": dict(sorted(self.target_ends.items())),
             "quarantine": dict(sorted(self.quarantine.items())),
+            "limits": dict(sorted(self.limits.items())),
             "latency_us": {
                 service: durations.quantiles()
                 for service, durations in self.latency.items()
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -40,6 +40,7 @@
     TargetRefused,
 )
 from cairnferry.policy._identity import RequestIdentity
+from cairnferry.policy._limits import NO_LIMIT, LimitBook, NamedLimit, TargetLimits
 from cairnferry.policy._model import (
     Abandoned,
     Ask,
@@ -71,6 +72,7 @@
     "ALONE_RETRY_S",
     "EVERYBODY",
     "MEMORY_S",
+    "NO_LIMIT",
     "SAME_END_S",
     "STRATEGY_NAMES",
     "TRIAL_RETRY_S",
@@ -92,9 +94,11 @@
     "Free",
     "GiveUp",
     "LeastInFlight",
+    "LimitBook",
     "LoadAware",
     "LoadReport",
     "Lost",
+    "NamedLimit",
     "NotRun",
     "PolicySettings",
     "ProbePlan",
@@ -111,6 +115,7 @@
     "Suspect",
     "Strategy",
     "TargetEvent",
+    "TargetLimits",
     "TargetRefused",
     "TwoChoices",
     "Wait",
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -14,6 +14,7 @@
     TargetRefused,
     follow,
 )
+from cairnferry.policy._limits import TargetLimits
 from cairnferry.policy._model import (
     Abandoned,
     Ask,
@@ -53,6 +54,8 @@
         Source of randomness.
     settings : PolicySettings, optional
         Constants.
+    limits : TargetLimits, optional
+        Limits that targets name, of all services of the daemon.
     """
 
     def __init__(
@@ -61,12 +64,14 @@
         zone: str,
         rng: random.Random,
         settings: PolicySettings | None = None,
+        limits: TargetLimits | None = None,
     ):
         self.settings = settings or PolicySettings()
         self.service = service
         self.given_up = dict.fromkeys(Cause, 0)
         self.attempts = dict.fromkeys(AttemptKind, 0)
         self.repeats_denied = 0
+        self.limits = TargetLimits() if limits is None else limits
         self._rng = rng
         self._work = WorkEstimates()
         self._targets = TargetSet(zone, rng, self.settings)
@@ -394,6 +399,7 @@
         attempt = Attempt(call, target, kind, now, trial)
         call.attempts.append(attempt)
         target.note_sent(now)
+        self.limits.note_sent(target.identity)
         self._room.take(call.priority)
         self.attempts[kind] += 1
         return attempt
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -28,6 +28,7 @@
     metrics.faulty_rows["targets"] = 6
     metrics.target_ends["svc"] = 4
     metrics.quarantine["blocked"] = 2
+    metrics.limits["named"] = 3
     return {
         "metrics": metrics.snapshot(),
         "connections": {
@@ -41,6 +42,7 @@
         "services": {"svc": service(first=4, hedge=1)},
         "confirmed_head_age_s": 0.5,
         "blocked_requests": [{"content": "c"}],
+        "limits": {"i-1": {"per_s": 2.6, "sent": 7}},
         "log_lines_dropped": 0,
         "revision": 9,
     }
@@ -64,6 +66,9 @@
         ("targets_ended_total", "svc"): 4,
         ("quarantine_events_total", "blocked"): 2,
         ("blocked_requests",): 1,
+        ("limit_events_total", "named"): 3,
+        ("target_limit", "i-1"): 2.6,
+        ("limited_requests_total", "i-1"): 7,
         ("probes_total", "healthy"): 12_345_678,
         ("store_calls_total", "nothing", "rules-feed"): 1,
         ("attempts_total", "hedge", "svc"): 1,
