--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -24,6 +24,7 @@
     NO_STORE,
     Cluster,
     Gossip,
+    PermitGivers,
     Steering,
     WatchDuty,
     new_membership,
@@ -31,9 +32,12 @@
 from cairnferry.entry.targets import (
     Endings,
     Limiter,
+    PermitAsking,
+    PermitGiving,
     Services,
     StatusChecks,
     Upstreams,
+    limit_board,
 )
 from cairnferry.entry.telemetry import FaultyRows, Metrics
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
@@ -76,7 +80,7 @@
         self.upstreams = Upstreams(
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
         )
-        self.limiter = Limiter(self.services.limits, self.metrics)
+        self.limiter = Limiter(self.services.limits, self.metrics, self._tell_limit)
         self.checks = StatusChecks(
             self.upstreams, self.metrics, cfg.checks_per_s, self.limiter
         )
@@ -113,20 +117,32 @@
         self.cluster = Cluster(membership, configuration, self.notes, self._spare)
         self.cluster.tables = records.tables
         self.cluster.suspicions = suspicion_board(self.guard.hear)
+        self.cluster.limits = limit_board(self.limiter.hear)
         self.duty = WatchDuty(self.cluster)
+        links = PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S)
         self.gossip = Gossip(
             self.cluster,
             records,
-            PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S),
+            links,
             cfg.peers.interval_s,
             cfg.peers.fanout,
             cfg.peers.seeds,
         )
+        self._share_limits(links)
         self.peer_server = PeerServer(
             cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
         )
         self.steering = Steering(self.cluster, cfg.zone, cfg.answer_ttl_s, cfg.shard)
 
+    def _share_limits(self, links):
+        """Make the parts that ask for permits and give them."""
+        givers = PermitGivers(self.cluster)
+        giving = PermitGiving(self.limiter, givers, self.rng)
+        self.gossip.permits = giving.give
+        self.permits = PermitAsking(
+            self.cfg.name, self.services, self.limiter, givers, giving, links
+        )
+
     def listen_for_callers(self, steer_on_it: bool) -> HttpServer:
         """Make the callers' listener.
 
@@ -196,7 +212,13 @@
         self.peer_server.start()
         for server in self._listeners:
             server.start()
-        for task in (self.gossip.run, self._keep_house, self.guard.keep, *tasks):
+        for task in (
+            self.gossip.run,
+            self._keep_house,
+            self.guard.keep,
+            self.permits.run,
+            *tasks,
+        ):
             self.spawn(task)
         log.info("serving", extra={"callers": str(self.cfg.callers)})
 
@@ -235,10 +257,16 @@
     def share_out(self) -> None:
         """Work out this instance's part of what all share."""
         self.instances = self.cluster.count_instances()
-        self.checks.share_with(self.instances, len(self.services.targets()))
+        targets = self.services.targets()
+        self.checks.share_with(self.instances, len(targets))
+        self.limiter.forget_unlisted({target.identity for target in targets})
         for runtime in self.services.active().values():
             runtime.policy.share_with(self.instances, self._place())
 
+    def _tell_limit(self, note: Note, again: bool):
+        if self.cluster.tell_limit(note, again) or again:
+            self.gossip.hurry()
+
     def _place(self):
         """Give where this instance stands among those of its zone; None if leaving."""
         membership = self.cluster.membership
--- a/packages/entry/src/cairnferry/entry/members/__init__.py
+++ b/packages/entry/src/cairnferry/entry/members/__init__.py
@@ -5,6 +5,7 @@
 from cairnferry.entry.members._enrolment import Enrolment
 from cairnferry.entry.members._gossip import Gossip
 from cairnferry.entry.members._joining import JOIN_PATH, Joiner
+from cairnferry.entry.members._permit_givers import Giver, PermitGivers
 from cairnferry.entry.members._steering import Steering
 
 __all__ = [
@@ -14,7 +15,9 @@
     "WatchDuty",
     "Cluster",
     "Enrolment",
+    "Giver",
     "Gossip",
+    "PermitGivers",
     "Steering",
     "new_membership",
 ]
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -56,10 +56,13 @@
         Availability zone.
     leaving : bool
         Whether its instance is about to be taken away.
+    peer_address : str
+        "IP:port" for other daemons.
     """
 
     zone: str
     leaving: bool
+    peer_address: str = ""
 
 
 @attrs.define
@@ -83,6 +86,8 @@
         Instances that the platform or the registry lists, by name.
     suspicions : NoteBoard or None
         Notes on requests under which targets ended.
+    limits : NoteBoard or None
+        Notes on limits that targets name.
     tables : dict of str to SharedTable
         Copies of tables that daemons tell each other.
     told_instances : int
@@ -96,6 +101,7 @@
     spare: object
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
     suspicions: NoteBoard | None = None
+    limits: NoteBoard | None = None
     listed: dict[str, Listed] = attrs.field(factory=dict)
     tables: dict[str, SharedTable] = attrs.field(factory=dict)
     told_instances: int = 0
@@ -116,6 +122,7 @@
                 for name, table in self.tables.items()
             ),
             suspicions=self.suspicions.to_tell(now) if self.suspicions else (),
+            limits=self.limits.to_tell(now) if self.limits else (),
         )
 
     def _own_spare(self, now):
@@ -134,6 +141,8 @@
             fresh = self.post(note) or fresh
         for note in theirs.suspicions:
             fresh = self.accuse(note) or fresh
+        for note in theirs.limits:
+            fresh = self.tell_limit(note) or fresh
         confirmed_at = now - theirs.confirmed_age
         health = PeerHealth(theirs.revision, theirs.spare, confirmed_at)
         self._health[theirs.sender.name] = health
@@ -156,6 +165,8 @@
         self.notes.drop_lapsed(now)
         if self.suspicions is not None:
             self.suspicions.drop_lapsed(now)
+        if self.limits is not None:
+            self.limits.drop_lapsed(now)
 
     def post(self, note: Note) -> bool:
         """Take in a note on a target; give back whether it was new."""
@@ -172,14 +183,28 @@
         again : bool, optional
             Whether to pass it on also if it is known.
         """
-        if self.suspicions is None:
+        return self._post_on(self.suspicions, note, again)
+
+    def tell_limit(self, note: Note, again: bool = False) -> bool:
+        """Take in a note on a limit that a target names; tell whether it was new.
+
+        Parameters
+        ----------
+        note : Note
+            The note.
+        again : bool, optional
+            Whether to pass it on also if it is known.
+        """
+        return self._post_on(self.limits, note, again)
+
+    def _post_on(self, board, note, again):
+        if board is None:
             return False
         now = time.monotonic()
         members = len(self.membership.others())
         if again:
-            key = (note.subject, note.source)
-            self.suspicions.tell_again(key, now, members)
-        return self.suspicions.post(note, now, members)
+            board.tell_again((note.subject, note.source), now, members)
+        return board.post(note, now, members)
 
     def count_instances(self) -> int:
         """Count the instances that share common budgets, rather too many than too few.
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -3,6 +3,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 
 import attrs
 import gevent
@@ -12,7 +13,13 @@
 from cairnferry.coordination import LogRow, MemberState, News
 from cairnferry.entry._ports import EntryRow, Records
 from cairnferry.entry.members._cluster import Cluster
-from cairnferry.peers import Heartbeat, PeerCallFailed, PeerLinks
+from cairnferry.peers import (
+    Heartbeat,
+    PeerCallFailed,
+    PeerLinks,
+    PermitsGiven,
+    PermitsWanted,
+)
 
 UNUSED_LINK_S = 60.0
 MAX_CALLS = 32
@@ -61,6 +68,8 @@
         Monotonic time in seconds up to which other zones are not called: a daemon that
         has just joined knows a part of its zone, and would tell the others of members
         that are not to represent it.
+    permits : callable
+        Gives a daemon permits for limited targets, by its name and what it asks for.
     """
 
     cluster: Cluster
@@ -71,6 +80,9 @@
     seeds: tuple[str, ...]
     strangers: dict[str, str] = attrs.field(factory=dict)
     settled_at: float = -math.inf
+    permits: Callable[[str, list[PermitsWanted]], list[PermitsGiven]] = (
+        lambda asker, wanted: []
+    )
     _wants_strangers: bool = False
     rounds: int = 0
     _hurry: Event = attrs.field(factory=Event)
@@ -244,6 +256,12 @@
             return News(False, (), 0)
         return known.copy.news_since(version)
 
+    def give_permits(
+        self, asker: str, wanted: list[PermitsWanted]
+    ) -> list[PermitsGiven]:
+        """Give a daemon permits to send to limited targets."""
+        return self.permits(asker, wanted)
+
     def rows_from(self, first: int) -> list[LogRow]:
         """Give rows of the log held here."""
         return self.records.rows_from(first)
--- a/packages/entry/src/cairnferry/entry/targets/__init__.py
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -10,8 +10,10 @@
 )
 from cairnferry.entry.targets._endings import Endings, LostRun
 from cairnferry.entry.targets._exchange_result import lost
+from cairnferry.entry.targets._limit_notes import limit_board
 from cairnferry.entry.targets._limit_words import LimitFault, read_limit
 from cairnferry.entry.targets._limiter import Limiter
+from cairnferry.entry.targets._permits import PermitAsking, PermitGiving
 from cairnferry.entry.targets._probing import Probing
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._services import Services
@@ -27,12 +29,15 @@
     "OutboundRequest",
     "OwnCallers",
     "OwnTargets",
+    "PermitAsking",
+    "PermitGiving",
     "Probing",
     "ServiceRuntime",
     "Services",
     "StatusChecks",
     "TargetConvention",
     "Upstreams",
+    "limit_board",
     "lost",
     "read_limit",
 ]
--- a/packages/entry/src/cairnferry/entry/targets/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -123,9 +123,7 @@
         now = time.monotonic()
         target = check.target
         if self.limiter is not None:
-            self.limiter.note_check(
-                target.identity, target.name, result.limit, check.started
-            )
+            self.limiter.note_check(target.identity, result.limit, check.started)
         self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
         runtime.policy.note_check(target.identity, result.report, result.well, now)
         if result.misplaced:
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/targets/_limit_notes.py
@@ -0,0 +1,59 @@
+"""What daemons tell each other of limits that targets name."""
+
+import math
+from collections.abc import Callable
+
+from cairnferry.coordination import Note, NoteBoard
+from cairnferry.policy import NO_LIMIT, NamedLimit
+
+# Seconds for which a note is believed. Its age tells when the target spoke, and what is
+# older is of use to nobody: the target has been asked since, or is gone.
+LIMIT_NOTE_S = 3600.0
+# Notes kept, and told in one message: a service of 300 targets that all name limits at
+# once is told in some 20 messages, and no message grows by more than 2 KB.
+MAX_KEPT = 4096
+MAX_TOLD = 16
+# Seconds for which a note is passed on: many times what it takes to reach 312 daemons.
+TELL_S = 3.0
+_NAMES = "limit"
+_LIFTS = "no limit"
+
+
+def limit_board(hear: Callable[[str, str, float], None]) -> NoteBoard:
+    """Give the board of such notes.
+
+    Parameters
+    ----------
+    hear : callable
+        Called with subject, source and end of each note that is new.
+    """
+    return NoteBoard(hear, LIMIT_NOTE_S, MAX_KEPT, MAX_TOLD, TELL_S)
+
+
+def note_of(target: str, limit: NamedLimit, now: float) -> Note:
+    """Turn a limit into a note, of which the time left tells the age."""
+    source = _LIFTS if limit.per_s == NO_LIMIT else f"{_NAMES} {limit.per_s!r}"
+    return Note(target, source, LIMIT_NOTE_S - (now - limit.at))
+
+
+def read_note(source: str, until: float) -> NamedLimit | None:
+    """Read a note; None if it is of a later release.
+
+    Parameters
+    ----------
+    source : str
+        Of the note.
+    until : float
+        Monotonic time in seconds to which it holds.
+    """
+    at = until - LIMIT_NOTE_S
+    if source == _LIFTS:
+        return NamedLimit(NO_LIMIT, at)
+    word, _, text = source.partition(" ")
+    try:
+        per_s = float(text)
+    except ValueError:
+        return None
+    if word != _NAMES or not math.isfinite(per_s) or per_s < 0:
+        return None
+    return NamedLimit(per_s, at)
--- a/packages/entry/src/cairnferry/entry/targets/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limiter.py
@@ -1,20 +1,24 @@
-"""Taking in the limits that targets name."""
+"""Taking in the limits that targets name, and telling them to the other daemons."""
 
 import logging
 import time
+from collections.abc import Callable
 
 import attrs
+from gevent.event import Event
 
+from cairnferry.coordination import Note
+from cairnferry.entry.targets._limit_notes import note_of, read_note
 from cairnferry.entry.targets._limit_words import LimitFault
 from cairnferry.entry.telemetry import Metrics, RateLimit
-from cairnferry.policy import NO_LIMIT, Attempt, TargetLimits
+from cairnferry.policy import NO_LIMIT, Attempt, NamedLimit, TargetLimits
 
 log = logging.getLogger(__name__)
 
 
 @attrs.define
 class Limiter:
-    """Brings the limits that answers name to the decisions.
+    """Brings the limits that are named here and elsewhere to the decisions.
 
     Parameters
     ----------
@@ -22,56 +26,108 @@
         What is known of limits.
     metrics : Metrics
         Counts limits that were named, changed and lifted, and faulty ones.
+    tell : callable
+        Spreads a note to all daemons; the second argument says whether it was told
+        before and is to go round once more.
+
+    Attributes
+    ----------
+    is_needed : Event
+        Set while any target names a limit.
     """
 
     limits: TargetLimits
     metrics: Metrics
+    tell: Callable[[Note, bool], None] = lambda note, again: None
+    is_needed: Event = attrs.field(factory=Event)
     _log_limit: RateLimit = attrs.field(factory=RateLimit)
 
+    # -- what targets say --------------------------------------------------------
+
     def note_answer(self, attempt: Attempt, word: float | LimitFault | None) -> None:
         """Take in what an answer to a request says."""
-        target = attempt.target
-        self._note(target.identity, target.name, word, attempt.started)
+        if word is not None:
+            self._note(attempt.target.identity, word, attempt.started)
 
     def note_check(
-        self, identity: str, name: str, word: float | LimitFault | None, sent: float
+        self, identity: str, word: float | LimitFault | None, sent: float
     ) -> None:
         """Take in what an answer to a status check says.
 
         Parameters
         ----------
-        identity, name : str
-            Names of the target's start and of its record.
+        identity : str
+            Name of the target's start.
         word : float, LimitFault or None
             The limit as it was read.
         sent : float
             Monotonic time in seconds at which the check began.
         """
-        self._note(identity, name, word, sent)
+        if word is not None:
+            self._note(identity, word, sent)
 
-    def _note(self, identity, name, word, sent):
+    def _note(self, identity, word, sent):
         match word:
-            case None:
-                pass
             case LimitFault(text):
                 self.metrics.limits["faulty"] += 1
-                self._log("limit cannot be read", name, text=text)
+                self._log("limit cannot be read", identity, text=text)
             case per_s:
-                self._take(identity, name, per_s, sent)
+                self._take(identity, per_s, sent)
 
-    def _take(self, identity, name, per_s, sent):
+    def _take(self, identity, per_s, sent):
         book = self.limits.book
+        now = time.monotonic()
         before = book.get(identity).per_s
-        if book.note_answer(identity, per_s, sent, time.monotonic()):
-            self._note_change(identity, name, before, by="answer")
-
-    def _note_change(self, identity, name, before, by):
+        if book.note_answer(identity, per_s, sent, now):
+            self._change(identity, before, by="answer")
+            self.tell(note_of(identity, book.get(identity), now), False)
+
+    # -- what other daemons say ----------------------------------------------------
+
+    def hear(self, subject: str, source: str, until: float) -> None:
+        """Take in a note of another daemon, or one of this daemon's own."""
+        told = read_note(source, until)
+        if told is None:
+            log.info("limit of another release", extra={"source": source})
+            return
+        self.learn(subject, told, by="others")
+
+    def learn(self, identity: str, told: NamedLimit, by: str) -> None:
+        """Take in what another daemon knows of a limit."""
+        before = self.limits.book.get(identity).per_s
+        if self.limits.book.hear(identity, told):
+            self._change(identity, before, by)
+
+    def remind(self, identity: str) -> None:
+        """Tell all once more: some may have joined, or been cut off, since."""
+        limit = self.limits.book.get(identity)
+        self.tell(note_of(identity, limit, time.monotonic()), True)
+
+    # -- what follows --------------------------------------------------------------
+
+    def _change(self, identity, before, by):
         per_s = self.limits.book.get(identity).per_s
+        if per_s < before or per_s == NO_LIMIT:
+            # What may be used under a higher limit is too much under this one.
+            self.limits.void(identity)
         event = _event(before, per_s)
         self.metrics.limits[event] += 1
-        self._log(
-            f"limit {event}", name, per_s=_told(per_s), before=_told(before), by=by
-        )
+        told = {"per_s": _told(per_s), "before": _told(before)}
+        self._log(f"limit {event}", identity, **told, by=by)
+        if self.limits:
+            self.is_needed.set()
+        else:
+            self.is_needed.clear()
+
+    def forget_unlisted(self, listed: set[str]) -> None:
+        """Drop what is known of targets that are gone."""
+        for identity in self.limits.book.forget_unlisted(listed, time.monotonic()):
+            self.limits.void(identity)
+            self.limits.sent.pop(identity, None)
+            self.metrics.limits["forgotten"] += 1
+            self._log("limit forgotten", identity)
+        if not self.limits:
+            self.is_needed.clear()
 
     def _log(self, message, target, **facts):
         if self._log_limit.allows():
--- a/packages/peers/peer.thrift
+++ b/packages/peers/peer.thrift
@@ -56,6 +56,34 @@
   7: optional list<TableState> tables,
   // Notes on requests under which targets ended; left out if there are none.
   8: optional list<Note> suspicions,
+  // Notes on limits that targets name; left out if there are none.
+  9: optional list<Note> limits,
+}
+
+// What a target said last of its limit.
+struct LimitState {
+  1: required string target,
+  // Requests a second from all daemons together; -1: it names no limit.
+  2: required double per_s,
+  // Milliseconds since then.
+  3: required i32 age_ms,
+}
+
+struct PermitsWanted {
+  1: required LimitState limit,
+  // Availability zone of the target, which decides who gives permits.
+  2: required string zone,
+  3: required i32 count,
+  // Permits that were given before and not used.
+  4: required i32 returned,
+}
+
+struct PermitsGiven {
+  1: required LimitState limit,
+  // Milliseconds from now after which each permit may be used.
+  2: required list<i32> delays_ms,
+  // Milliseconds after which to ask again.
+  3: required i32 retry_ms,
 }
 
 struct LogRow {
@@ -73,4 +101,6 @@
   binary snapshot(),
   // What a copy of a table lacks that has the version; as much as fits a frame.
   TableNews news_since(1: string table, 2: i64 version),
+  // Asks the daemon that gives permits for some limited targets.
+  list<PermitsGiven> ask_permits(1: string asker, 2: list<PermitsWanted> wanted),
 }
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -2,7 +2,13 @@
 
 from cairnferry.peers._client import PeerCallFailed, PeerLink, PeerLinks
 from cairnferry.peers._keys import MIN_KEY_BYTES, KeyFileFault, KeyRing, SharedKey
-from cairnferry.peers._messages import Heartbeat, TableState
+from cairnferry.peers._messages import (
+    Heartbeat,
+    LimitState,
+    PermitsGiven,
+    PermitsWanted,
+    TableState,
+)
 from cairnferry.peers._server import PeerHandler, PeerServer
 from cairnferry.peers._transport import ByteMeter
 
@@ -12,11 +18,14 @@
     "Heartbeat",
     "KeyFileFault",
     "KeyRing",
+    "LimitState",
     "PeerCallFailed",
     "PeerHandler",
     "PeerLink",
     "PeerLinks",
     "PeerServer",
+    "PermitsGiven",
+    "PermitsWanted",
     "SharedKey",
     "TableState",
 ]
--- a/packages/peers/src/cairnferry/peers/_client.py
+++ b/packages/peers/src/cairnferry/peers/_client.py
@@ -14,10 +14,14 @@
 from cairnferry.peers._keys import KeyFileFault, KeyRing
 from cairnferry.peers._messages import (
     Heartbeat,
+    PermitsGiven,
+    PermitsWanted,
     from_wire,
+    given_from_wire,
     news_from_wire,
     row_from_wire,
     to_wire,
+    wanted_to_wire,
 )
 from cairnferry.peers._transport import ByteMeter, SocketTransport, framed
 from cairnferry.wire import set_no_delay
@@ -115,6 +119,24 @@
             lambda client: news_from_wire(client.news_since(table, version)),
         )
 
+    def ask_permits(
+        self, asker: str, wanted: tuple[PermitsWanted, ...]
+    ) -> list[PermitsGiven]:
+        """Ask for permits to send to limited targets.
+
+        Raises
+        ------
+        PeerCallFailed
+            If no answer came; the connection is closed then.
+        """
+        messages = [wanted_to_wire(each) for each in wanted]
+        return self._call(
+            "permits",
+            lambda client: [
+                given_from_wire(given) for given in client.ask_permits(asker, messages)
+            ],
+        )
+
     def _call(self, kind, operation):
         # An answer that comes after its call was given up would be taken for
         # the answer to the next one. So each failure closes the connection.
--- a/packages/peers/src/cairnferry/peers/_generated/peer/Peer.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/Peer.py
@@ -47,6 +47,15 @@
         """
         pass
 
+    def ask_permits(self, asker, wanted):
+        """
+        Parameters:
+         - asker
+         - wanted
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -179,6 +188,40 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "news_since failed: unknown result")
 
+    def ask_permits(self, asker, wanted):
+        """
+        Parameters:
+         - asker
+         - wanted
+
+        """
+        self.send_ask_permits(asker, wanted)
+        return self.recv_ask_permits()
+
+    def send_ask_permits(self, asker, wanted):
+        self._oprot.writeMessageBegin('ask_permits', TMessageType.CALL, self._seqid)
+        args = ask_permits_args()
+        args.asker = asker
+        args.wanted = wanted
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_ask_permits(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = ask_permits_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "ask_permits failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -188,6 +231,7 @@
         self._processMap["pull"] = Processor.process_pull
         self._processMap["snapshot"] = Processor.process_snapshot
         self._processMap["news_since"] = Processor.process_news_since
+        self._processMap["ask_permits"] = Processor.process_ask_permits
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -302,6 +346,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_ask_permits(self, seqid, iprot, oprot):
+        args = ask_permits_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = ask_permits_result()
+        try:
+            result.success = self._handler.ask_permits(args.asker, args.wanted)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("ask_permits", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -515,11 +582,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = LogRow()
-                        _elem40.read(iprot)
-                        self.success.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = LogRow()
+                        _elem54.read(iprot)
+                        self.success.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -536,8 +603,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter41 in self.success:
-                iter41.write(oprot)
+            for iter55 in self.success:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -800,5 +867,158 @@
 news_since_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [TableNews, None], None, ),  # 0
 )
+
+
+class ask_permits_args(object):
+    """
+    Attributes:
+     - asker
+     - wanted
+
+    """
+
+
+    def __init__(self, asker=None, wanted=None,):
+        self.asker = asker
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.asker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = PermitsWanted()
+                        _elem61.read(iprot)
+                        self.wanted.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_permits_args')
+        if self.asker is not None:
+            oprot.writeFieldBegin('asker', TType.STRING, 1)
+            oprot.writeString(self.asker.encode('utf-8') if sys.version_info[0] == 2 else self.asker)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.wanted))
+            for iter62 in self.wanted:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_permits_args)
+ask_permits_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'asker', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'wanted', (TType.STRUCT, [PermitsWanted, None], False), None, ),  # 2
+)
+
+
+class ask_permits_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = PermitsGiven()
+                        _elem68.read(iprot)
+                        self.success.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_permits_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter69 in self.success:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_permits_result)
+ask_permits_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [PermitsGiven, None], False), None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
@@ -498,11 +498,12 @@
      - notes
      - tables
      - suspicions
+     - limits
 
     """
 
 
-    def __init__(self, sender=None, revision=None, confirmed_age_ms=None, spare=None, news=None, notes=None, tables=None, suspicions=None,):
+    def __init__(self, sender=None, revision=None, confirmed_age_ms=None, spare=None, news=None, notes=None, tables=None, suspicions=None, limits=None,):
         self.sender = sender
         self.revision = revision
         self.confirmed_age_ms = confirmed_age_ms
@@ -511,6 +512,7 @@
         self.notes = notes
         self.tables = tables
         self.suspicions = suspicions
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -586,6 +588,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = Note()
+                        _elem36.read(iprot)
+                        self.limits.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -615,29 +628,36 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter31 in self.news:
-                iter31.write(oprot)
+            for iter37 in self.news:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter32 in self.notes:
-                iter32.write(oprot)
+            for iter38 in self.notes:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter33 in self.tables:
-                iter33.write(oprot)
+            for iter39 in self.tables:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter34 in self.suspicions:
-                iter34.write(oprot)
+            for iter40 in self.suspicions:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter41 in self.limits:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -670,6 +690,284 @@
         return not (self == other)
 
 
+class LimitState(object):
+    """
+    Attributes:
+     - target
+     - per_s
+     - age_ms
+
+    """
+
+
+    def __init__(self, target=None, per_s=None, age_ms=None,):
+        self.target = target
+        self.per_s = per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitState')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.per_s is None:
+            raise TProtocolException(message='Required field per_s is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitsWanted(object):
+    """
+    Attributes:
+     - limit
+     - zone
+     - count
+     - returned
+
+    """
+
+
+    def __init__(self, limit=None, zone=None, count=None, returned=None,):
+        self.limit = limit
+        self.zone = zone
+        self.count = count
+        self.returned = returned
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.limit = LimitState()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.returned = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitsWanted')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 1)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 2)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I32, 4)
+            oprot.writeI32(self.returned)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.limit is None:
+            raise TProtocolException(message='Required field limit is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        if self.returned is None:
+            raise TProtocolException(message='Required field returned is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitsGiven(object):
+    """
+    Attributes:
+     - limit
+     - delays_ms
+     - retry_ms
+
+    """
+
+
+    def __init__(self, limit=None, delays_ms=None, retry_ms=None,):
+        self.limit = limit
+        self.delays_ms = delays_ms
+        self.retry_ms = retry_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.limit = LimitState()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.delays_ms = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.delays_ms.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitsGiven')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 1)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.delays_ms is not None:
+            oprot.writeFieldBegin('delays_ms', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.delays_ms))
+            for iter48 in self.delays_ms:
+                oprot.writeI32(iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.retry_ms is not None:
+            oprot.writeFieldBegin('retry_ms', TType.I32, 3)
+            oprot.writeI32(self.retry_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.limit is None:
+            raise TProtocolException(message='Required field limit is unset!')
+        if self.delays_ms is None:
+            raise TProtocolException(message='Required field delays_ms is unset!')
+        if self.retry_ms is None:
+            raise TProtocolException(message='Required field retry_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LogRow(object):
     """
     Attributes:
@@ -789,6 +1087,29 @@
     (6, TType.LIST, 'notes', (TType.STRUCT, [Note, None], False), None, ),  # 6
     (7, TType.LIST, 'tables', (TType.STRUCT, [TableState, None], False), None, ),  # 7
     (8, TType.LIST, 'suspicions', (TType.STRUCT, [Note, None], False), None, ),  # 8
+    (9, TType.LIST, 'limits', (TType.STRUCT, [Note, None], False), None, ),  # 9
+)
+all_structs.append(LimitState)
+LimitState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(PermitsWanted)
+PermitsWanted.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'limit', [LimitState, None], None, ),  # 1
+    (2, TType.STRING, 'zone', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.I32, 'returned', None, None, ),  # 4
+)
+all_structs.append(PermitsGiven)
+PermitsGiven.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'limit', [LimitState, None], None, ),  # 1
+    (2, TType.LIST, 'delays_ms', (TType.I32, None, False), None, ),  # 2
+    (3, TType.I32, 'retry_ms', None, None, ),  # 3
 )
 all_structs.append(LogRow)
 LogRow.thrift_spec = (
--- a/packages/peers/src/cairnferry/peers/_messages.py
+++ b/packages/peers/src/cairnferry/peers/_messages.py
@@ -1,11 +1,14 @@
 """Messages of the protocol in the project's own types."""
 
+import math
+
 import attrs
 
 from cairnferry.coordination import LogRow, Member, MemberState, News, Note, Row
 from cairnferry.peers._generated.peer import ttypes
 
 NEVER_CONFIRMED = -1
+NO_LIMIT_ON_WIRE = -1.0
 MS_PER_S = 1000
 MAX_AGE_MS = 2**31 - 1
 
@@ -52,6 +55,8 @@
         Copies of tables that daemons tell each other.
     suspicions : tuple of Note
         Notes on requests under which targets ended.
+    limits : tuple of Note
+        Notes on limits that targets name.
     """
 
     sender: Member
@@ -62,6 +67,65 @@
     notes: tuple[Note, ...] = ()
     tables: tuple[TableState, ...] = ()
     suspicions: tuple[Note, ...] = ()
+    limits: tuple[Note, ...] = ()
+
+
+@attrs.frozen
+class LimitState:
+    """What a target said last of its limit.
+
+    Attributes
+    ----------
+    target : str
+        Name of the target's start.
+    per_s : float
+        Requests a second from all daemons together; infinite if it names no limit.
+    age : float
+        Seconds since then.
+    """
+
+    target: str
+    per_s: float
+    age: float
+
+
+@attrs.frozen
+class PermitsWanted:
+    """What a daemon asks for, for one limited target.
+
+    Attributes
+    ----------
+    limit : LimitState
+        What it knows of the limit.
+    zone : str
+        Availability zone of the target.
+    count, returned : int
+        Permits that it asks for, and gives back unused.
+    """
+
+    limit: LimitState
+    zone: str
+    count: int
+    returned: int = 0
+
+
+@attrs.frozen
+class PermitsGiven:
+    """What it gets.
+
+    Attributes
+    ----------
+    limit : LimitState
+        What the one that gives permits knows of the limit.
+    delays : tuple of float
+        Seconds after which each permit may be used.
+    retry_s : float
+        Seconds after which to ask again.
+    """
+
+    limit: LimitState
+    delays: tuple[float, ...]
+    retry_s: float
 
 
 def to_wire(heartbeat: Heartbeat) -> ttypes.Heartbeat:
@@ -76,6 +140,7 @@
         # Left out if there are none, as by daemons of earlier releases.
         tables=[_state_to_wire(state) for state in heartbeat.tables] or None,
         suspicions=[_note_to_wire(note) for note in heartbeat.suspicions] or None,
+        limits=[_note_to_wire(note) for note in heartbeat.limits] or None,
     )
 
 
@@ -96,6 +161,7 @@
         notes=tuple(_note_from_wire(note) for note in message.notes),
         tables=tuple(_state_from_wire(state) for state in message.tables or ()),
         suspicions=tuple(_note_from_wire(note) for note in message.suspicions or ()),
+        limits=tuple(_note_from_wire(note) for note in message.limits or ()),
     )
 
 
@@ -127,6 +193,52 @@
     return News(message.whole, rows, message.version)
 
 
+def wanted_to_wire(wanted: PermitsWanted) -> ttypes.PermitsWanted:
+    """Turn what is asked for into the generated type."""
+    limit = _limit_to_wire(wanted.limit)
+    return ttypes.PermitsWanted(limit, wanted.zone, wanted.count, wanted.returned)
+
+
+def wanted_from_wire(message: ttypes.PermitsWanted) -> PermitsWanted:
+    """Turn what is asked for into the project's type."""
+    limit = _limit_from_wire(message.limit)
+    return PermitsWanted(limit, message.zone, message.count, message.returned)
+
+
+def given_to_wire(given: PermitsGiven) -> ttypes.PermitsGiven:
+    """Turn what is given into the generated type."""
+    delays = [int(delay * MS_PER_S) for delay in given.delays]
+    retry_ms = int(given.retry_s * MS_PER_S)
+    return ttypes.PermitsGiven(_limit_to_wire(given.limit), delays, retry_ms)
+
+
+def given_from_wire(message: ttypes.PermitsGiven) -> PermitsGiven:
+    """Turn what is given into the project's type."""
+    delays = tuple(delay / MS_PER_S for delay in message.delays_ms)
+    limit = _limit_from_wire(message.limit)
+    return PermitsGiven(limit, delays, message.retry_ms / MS_PER_S)
+
+
+def _limit_to_wire(state):
+    per_s = NO_LIMIT_ON_WIRE if math.isinf(state.per_s) else state.per_s
+    age_ms = int(min(state.age * MS_PER_S, MAX_AGE_MS))
+    return ttypes.LimitState(state.target, per_s, age_ms)
+
+
+def _limit_from_wire(message):
+    """Read a limit.
+
+    Raises
+    ------
+    ValueError
+        If it is no number of requests; it would compare with nothing.
+    """
+    if math.isnan(message.per_s):
+        raise ValueError("limit")
+    per_s = math.inf if message.per_s < 0 else message.per_s
+    return LimitState(message.target, per_s, message.age_ms / MS_PER_S)
+
+
 def _state_to_wire(state):
     return ttypes.TableState(state.table, state.version, int(state.grace_s * MS_PER_S))
 
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -14,10 +14,14 @@
 from cairnferry.peers._keys import KeyFileFault, KeyRing
 from cairnferry.peers._messages import (
     Heartbeat,
+    PermitsGiven,
+    PermitsWanted,
     from_wire,
+    given_to_wire,
     news_to_wire,
     row_to_wire,
     to_wire,
+    wanted_from_wire,
 )
 from cairnferry.peers._transport import (
     MAX_FRAME,
@@ -51,6 +55,11 @@
     def news_since(self, table: str, version: int) -> News:
         """Give what a copy of a table lacks that has the version."""
 
+    def give_permits(
+        self, asker: str, wanted: list[PermitsWanted]
+    ) -> list[PermitsGiven]:
+        """Give a daemon permits to send to limited targets."""
+
 
 class _Adapter:
     """Implements the generated interface on top of a handler."""
@@ -78,6 +87,11 @@
     def news_since(self, table, version):
         return news_to_wire(self._handler.news_since(table, version))
 
+    def ask_permits(self, asker, wanted):
+        asked = [wanted_from_wire(each) for each in wanted]
+        given = self._handler.give_permits(asker, asked)
+        return [given_to_wire(each) for each in given]
+
 
 class PeerServer:
     """Serves peers on one address.
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -40,7 +40,7 @@
     TargetRefused,
 )
 from cairnferry.policy._identity import RequestIdentity
-from cairnferry.policy._limits import NO_LIMIT, LimitBook, NamedLimit, TargetLimits
+from cairnferry.policy._limits import NO_LIMIT, LimitBook, NamedLimit
 from cairnferry.policy._model import (
     Abandoned,
     Ask,
@@ -56,6 +56,7 @@
     Send,
     Wait,
 )
+from cairnferry.policy._permits import Grant, PermitSchedule
 from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
 from cairnferry.policy._quarantine import (
     ALONE_RETRY_S,
@@ -67,6 +68,7 @@
 from cairnferry.policy._service import ServicePolicy
 from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
 from cairnferry.policy._target import DrainSource
+from cairnferry.policy._target_limits import Permit, TargetLimits, Wanted
 
 __all__ = [
     "ALONE_RETRY_S",
@@ -93,6 +95,7 @@
     "End",
     "Free",
     "GiveUp",
+    "Grant",
     "LeastInFlight",
     "LimitBook",
     "LoadAware",
@@ -100,6 +103,8 @@
     "Lost",
     "NamedLimit",
     "NotRun",
+    "Permit",
+    "PermitSchedule",
     "PolicySettings",
     "ProbePlan",
     "ProbeShare",
@@ -119,6 +124,7 @@
     "TargetRefused",
     "TwoChoices",
     "Wait",
+    "Wanted",
     "probe_share",
     "settings_for",
 ]
--- a/packages/policy/src/cairnferry/policy/_limits.py
+++ b/packages/policy/src/cairnferry/policy/_limits.py
@@ -1,6 +1,8 @@
 """Limits that targets name: what holds, and what of it this daemon may use.
 
 A target in need names the requests a second that it takes from all daemons together.
+No daemon can keep that by what it knows itself: each would send as before, or an equal
+part, which for 2.6 a second at 300 daemons is no whole request for anybody.
 
 All times are monotonic seconds of one clock.
 """
@@ -125,24 +127,3 @@
 
 
 _NOTHING_SAID = NamedLimit(NO_LIMIT, -math.inf)
-
-
-@attrs.define
-class TargetLimits:
-    """Limits in force, and what this daemon sends under them.
-
-    Attributes
-    ----------
-    book : LimitBook
-        Limits.
-    sent : dict of str to int
-        Requests sent to each target while it had a limit, by the names of their starts.
-    """
-
-    book: LimitBook = attrs.field(factory=LimitBook)
-    sent: dict[str, int] = attrs.field(factory=dict)
-
-    def note_sent(self, identity: str) -> None:
-        """Count a request that is sent, if its target names a limit."""
-        if self.book.rate(identity) is not None:
-            self.sent[identity] = self.sent.get(identity, 0) + 1
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -22,6 +22,7 @@
     TARGET_LOST = "target-lost"
     CALLER_GONE = "caller-gone"
     ENDS_TARGETS = "ends-targets"
+    TARGET_LIMIT = "target-limit"
 
 
 class AttemptKind(enum.StrEnum):
--- a/packages/policy/src/cairnferry/policy/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/_searcher.py
@@ -69,7 +69,8 @@
             case Ask() as ask:
                 return ask
             case None:
-                return NothingFound(Cause.NO_TARGET)
+                limited = self.targets.is_kept_by_limits(call, now)
+                return NothingFound(Cause.TARGET_LIMIT if limited else Cause.NO_TARGET)
             case target:
                 return self._judge(call, target, now)
 
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -4,6 +4,7 @@
 
 from cairnferry.policy._admission import Admission
 from cairnferry.policy._budget import budget_of
+from cairnferry.policy._demand import Demand
 from cairnferry.policy._events import TargetEvent
 from cairnferry.policy._evidence import (
     Answered,
@@ -14,7 +15,6 @@
     TargetRefused,
     follow,
 )
-from cairnferry.policy._limits import TargetLimits
 from cairnferry.policy._model import (
     Abandoned,
     Ask,
@@ -36,6 +36,7 @@
 from cairnferry.policy._searcher import Found, NothingFound, Searcher
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import DrainSource
+from cairnferry.policy._target_limits import TargetLimits, Wanted
 from cairnferry.policy._targetset import TargetSet
 from cairnferry.policy._work import WorkEstimates
 from cairnferry.records import Service, Target
@@ -74,7 +75,8 @@
         self.limits = TargetLimits() if limits is None else limits
         self._rng = rng
         self._work = WorkEstimates()
-        self._targets = TargetSet(zone, rng, self.settings)
+        self._demand = Demand()
+        self._targets = TargetSet(zone, rng, self.settings, self.limits)
         self._searcher = Searcher(self.settings.seek, self._targets, self._work)
         self._room = Room(self.settings)
         self._instances = 1
@@ -148,6 +150,10 @@
         """
         self._targets.note_check(identity, report, well, now)
 
+    def permits_wanted(self, now: float) -> list[Wanted]:
+        """Give the permits for limited targets that the next requests may use."""
+        return self._targets.permits_wanted(self._demand.expected(now), now)
+
     # -- requests --------------------------------------------------------------
 
     def arrive(self, call: Call, now: float) -> Decision:
@@ -158,6 +164,8 @@
             return self._refuse(Cause.NO_TARGET)
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank)
+        if self.limits:
+            self._demand.note(now)
         if self.settings.seek is not None:
             return self._search(call, AttemptKind.FIRST, now)
         if not self._waiting.ahead_of(call.priority):
@@ -206,12 +214,15 @@
             case Ask():
                 return found
 
-    def _return_after(self, call, now):
+    def _return_after(self, call, cause, now):
         """Give the seconds after which a request that found no room may come back.
 
         Early enough to make its objective if room is found then, and spread, so that
         those that were refused together do not come back together.
         """
+        permitted = self.limits.next_start(now) if self.limits else None
+        if cause is Cause.TARGET_LIMIT and permitted is not None:
+            return max(self.settings.min_retry_after_s, permitted - now)
         if call.objective is None:
             return self.settings.retry_after_s
         earliest, latest = self.settings.return_shares
@@ -399,7 +410,8 @@
         attempt = Attempt(call, target, kind, now, trial)
         call.attempts.append(attempt)
         target.note_sent(now)
-        self.limits.note_sent(target.identity)
+        if self.limits:
+            self.limits.spend(target.identity, now)
         self._room.take(call.priority)
         self.attempts[kind] += 1
         return attempt
@@ -412,7 +424,7 @@
     def _settle(self, call, cause, now):
         """Give the request up, with what the evidence of all attempts allows."""
         self.given_up[cause] += 1
-        retry_after = self._return_after(call, now)
+        retry_after = self._return_after(call, cause, now)
         if call.possibly_run:
             return GiveUp(cause, retry_after)
         return Refuse(cause, retry_after)
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -15,6 +15,7 @@
 )
 from cairnferry.policy._latency import LatencyEstimate
 from cairnferry.policy._model import Ask, Attempt, Call, LoadReport
+from cairnferry.policy._permits import PERMIT_S
 from cairnferry.policy._seeking import Seeker, SeekSettings
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import (
@@ -23,6 +24,7 @@
     ReportTrust,
     TargetState,
 )
+from cairnferry.policy._target_limits import TargetLimits, Wanted
 from cairnferry.policy._usable import UsableTargets
 from cairnferry.records import Priority, Target
 
@@ -31,6 +33,10 @@
 # Seconds for which the word of a check holds; the next check comes sooner.
 UNWELL_S = 0.5
 MAX_REFUSAL_DOUBLINGS = 6
+# Limited targets of the own zone, and of others, for which a daemon asks for permits:
+# the ones that it would choose from anyway, and some of zones that may have no daemon.
+NEAR_REACH = 8
+FAR_REACH = 2
 
 
 class TargetSet:
@@ -44,6 +50,8 @@
         Source of randomness.
     settings : PolicySettings
         Constants.
+    limits : TargetLimits
+        Limits that targets name, and the permits to send to these.
 
     Attributes
     ----------
@@ -55,8 +63,15 @@
         Changes in what is believed.
     """
 
-    def __init__(self, zone: str, rng: random.Random, settings: PolicySettings):
+    def __init__(
+        self,
+        zone: str,
+        rng: random.Random,
+        settings: PolicySettings,
+        limits: TargetLimits,
+    ):
         self.settings = settings
+        self.limits = limits
         self.latency = LatencyEstimate(settings.high_quantile)
         self.reported_load = 0.0
         self.events = EventLog()
@@ -111,14 +126,18 @@
 
     def choose(self, call: Call, now: float) -> TargetState | None:
         """Choose a target; None if each that may be used is full."""
-        near, far = self._usable.lists(self._states, now)
-        if call.attempts:
-            near = [target for target in near if not call.tried(target)]
-            far = [target for target in far if not call.tried(target)]
+        near, far = self._open_to(call, now)
         max_load = self.settings.full_load
         if call.priority is Priority.BACKGROUND:
             max_load = self.settings.background_load
-        return self._chooser.choose(near, far, now, self.latency.usual, max_load)
+        usual = self.latency.usual
+        if self.limits:
+            # Its load is low by its limit, and the choice by load draws only some.
+            permitted = [t for t in near if self.limits.is_limited(t.identity)]
+            found = self._chooser.choose(permitted, [], now, usual, max_load)
+            if found is not None:
+                return found
+        return self._chooser.choose(near, far, now, usual, max_load)
 
     def seek(self, call: Call, work: float, now: float) -> TargetState | Ask | None:
         """Choose a target by what some say of themselves, or say which to ask."""
@@ -132,21 +151,78 @@
 
     def _candidates(self, call, now):
         """List the targets that may be used, those not heard of only if need be."""
-        near, far = self._usable.lists(self._states, now)
-        if call.attempts:
-            near = [target for target in near if not call.tried(target)]
-            far = [target for target in far if not call.tried(target)]
+        near, far = self._open_to(call, now)
         heard_near = [target for target in near if target.mute_until <= now]
         heard_far = [target for target in far if target.mute_until <= now]
         if heard_near or heard_far:
             return heard_near, heard_far
         return near, far
 
+    def _open_to(self, call, now):
+        """List the usable targets to which a request may go now."""
+        near, far = self._usable.lists(self._states, now)
+        if call.attempts:
+            near = [target for target in near if not call.tried(target)]
+            far = [target for target in far if not call.tried(target)]
+        if not self.limits:
+            return near, far
+        return self._permitted(near, now), self._permitted(far, now)
+
+    def _permitted(self, targets, now):
+        """Leave out limited targets without a permit; those with one go first.
+
+        All daemons together send a limited target what it takes and no more. What it
+        does take would be lost if it were not looked at before the others.
+        """
+        limited, free = [], []
+        for target in targets:
+            if not self.limits.is_limited(target.identity):
+                free.append(target)
+            elif self.limits.has_permit(target.identity, now):
+                limited.append(target)
+        return limited + free
+
+    def is_kept_by_limits(self, call: Call, now: float) -> bool:
+        """Tell whether a request would have a target if there were no limits."""
+        if not self.limits:
+            return False
+        near, far = self._usable.lists(self._states, now)
+        return any(not call.tried(target) for target in (*near, *far))
+
+    def permits_wanted(self, expected: int, now: float) -> list[Wanted]:
+        """Give the permits that are worth asking for.
+
+        Parameters
+        ----------
+        expected : int
+            Requests to expect while a permit holds.
+        now : float
+            Time in seconds.
+        """
+        near, far = self._usable.lists(self._states, now)
+        reach = [*self._limited(near)[:NEAR_REACH], *self._limited(far)[:FAR_REACH]]
+        wanted = []
+        for target in reach:
+            if expected <= 0:
+                break
+            most = max(1, math.ceil(self.limits.book.rate(target.identity) * PERMIT_S))
+            held = self.limits.held(target.identity)
+            count = min(expected, most) - held
+            expected -= max(held, held + count)
+            if count > 0:
+                wanted.append(Wanted(target.record, count))
+        return wanted
+
+    def _limited(self, targets):
+        return [t for t in targets if self.limits.is_limited(t.identity)]
+
     def choose_for_trial(self, call: Call, now: float) -> TargetState | None:
         """Choose an ejected target for which it is time to be tested."""
         if not self._usable.ejected or not call.idempotent or call.attempts:
             return None
         for target in self._usable.ejected:
+            if not self.limits.admits(target.identity, now):
+                continue
             if self._ejector.wants_trial(target, now):
                 target.trial_started = now
                 return target
