Permits are asked for where they are used: some at each target, far ones if need be

The model of many daemons got targets in need. It showed two faults of the permits as they were, both of whom they go to.

- A daemon asked for all that its requests may use at the first limited target of its ring.
- Daemons of other zones took permits that they did not use, as targets of their own zone served them.
Far ones are asked for only after a request looked for a target there.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -7,6 +7,7 @@
 
 from bench.model._fleet import Fleet
 from bench.model._loads import LOADS, SITES, Load, Site
+from bench.model._need import Need, NeedyTarget
 from bench.model._result import Outcome, Result
 from bench.model._storm import Storm
 from bench.model._world import World, play
@@ -16,6 +17,8 @@
     "LOADS",
     "SITES",
     "Load",
+    "Need",
+    "NeedyTarget",
     "Outcome",
     "Result",
     "Site",
--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -25,11 +25,26 @@
     TableCopy,
 )
 from cairnferry.entry.callers import Guard, suspicion_board
-from cairnferry.entry.members import Cluster, Gossip, WatchDuty
+from cairnferry.entry.members import Cluster, Gossip, PermitGivers, WatchDuty
+from cairnferry.entry.members._cluster import Listed
 from cairnferry.entry.members._duty import SETTLE_S
+from cairnferry.entry.targets import (
+    Limiter,
+    PermitAsking,
+    PermitGiving,
+    Services,
+    limit_board,
+)
+from cairnferry.entry.targets._permits import ROUND_S as PERMIT_ROUND_S
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.peers import PeerCallFailed
-from cairnferry.peers._messages import news_to_wire, to_wire
+from cairnferry.peers._messages import (
+    given_to_wire,
+    news_to_wire,
+    to_wire,
+    wanted_to_wire,
+)
+from cairnferry.policy import settings_for
 
 ROUND_S = 0.5
 FANOUT = 2
@@ -93,8 +108,12 @@
     duty: WatchDuty
     table: SharedCopy
     guard: Guard
+    services: Services
+    limiter: Limiter
+    permits: PermitAsking
     is_up: bool = True
     is_cut: bool = False
+    side: int = 0
     refused: bool = False
     called_at: float = 0.0
 
@@ -129,6 +148,7 @@
         for daemon in self.daemons.values():
             self.after(self.rng.random() * ROUND_S, self._round, daemon)
             self.after(self.rng.random() * LOOK_S, self._look, daemon)
+            self.after(self.rng.random() * LOOK_S, self._ask_permits, daemon)
 
     def _clock(self):
         return mock.patch("time.monotonic", lambda: self.now)
@@ -146,14 +166,28 @@
         duty.is_ready = True
         guard = Guard(Metrics(), partial(_accuse, cluster, gossip))
         cluster.suspicions = suspicion_board(guard.hear)
-        return Daemon(name, zone, cluster, gossip, duty, table, guard)
+        services = Services(zone, self.rng, _ignore_policy, settings_for("ask-first"))
+        tell = partial(_tell_limit, cluster, gossip)
+        limiter = Limiter(services.limits, Metrics(), tell)
+        cluster.limits = limit_board(limiter.hear)
+        givers = PermitGivers(cluster)
+        giving = PermitGiving(limiter, givers, self.rng)
+        gossip.permits = giving.give
+        permits = PermitAsking(name, services, limiter, givers, giving, self)
+        return Daemon(
+            name, zone, cluster, gossip, duty, table, guard, services, limiter, permits
+        )
 
     def _introduce(self):
         """Tell each the addresses of all, as the registry does; none is known yet."""
         zones = {f"{d.name}:1": d.zone for d in self.daemons.values()}
+        listed = {
+            d.name: Listed(d.zone, False, f"{d.name}:1") for d in self.daemons.values()
+        }
         for daemon in self.daemons.values():
             mine = f"{daemon.name}:1"
             daemon.gossip.strangers = {a: z for a, z in zones.items() if a != mine}
+            daemon.cluster.listed = listed
             # The first ones asked the store themselves, as seeds do.
             if int(daemon.name.partition("-")[2]) >= 3:
                 daemon.duty.told_at = 0.0
@@ -189,6 +223,12 @@
         daemon.gossip._hurry.clear()
         self.after(0.02 if hurries else ROUND_S, self._round, daemon)
 
+    def _ask_permits(self, daemon):
+        if daemon.is_up and daemon.limiter.is_needed.is_set():
+            daemon.permits.one_round()
+            daemon.permits._calls.join()
+        self.after(PERMIT_ROUND_S, self._ask_permits, daemon)
+
     def _look(self, daemon):
         """Watch the store, if that is this daemon's duty."""
         self.after(LOOK_S * (0.5 + self.rng.random()), self._look, daemon)
@@ -271,9 +311,20 @@
         self.fleet.carry("news", self.daemon, self.is_far, None, news_to_wire(news))
         return news
 
+    def ask_permits(self, asker, wanted):
+        """Ask for permits to send to limited targets."""
+        self._reach(asker)
+        given = self.daemon.gossip.give_permits(asker, list(wanted))
+        for message in map(wanted_to_wire, wanted):
+            self.fleet.carry("permits", self.daemon, self.is_far, message, None)
+        for message in map(given_to_wire, given):
+            self.fleet.carry("permits", self.daemon, self.is_far, None, message)
+        return given
+
     def _reach(self, caller):
         fleet = self.fleet
         cut = self.daemon.is_cut or (caller and fleet.daemons[caller].is_cut)
+        cut = cut or (caller and fleet.daemons[caller].side != self.daemon.side)
         if not self.daemon.is_up or cut or fleet.rng.random() < fleet.loss:
             raise PeerCallFailed(self.daemon.name, "model")
 
@@ -290,5 +341,15 @@
         gossip.hurry()
 
 
+def _tell_limit(cluster, gossip, note, again):
+    """Spread a note on a limit, as the daemon's core does."""
+    if cluster.tell_limit(note, again) or again:
+        gossip.hurry()
+
+
 def _ignore(subject, source, until):
     """Take no notice of a note."""
+
+
+def _ignore_policy(policy):
+    """Tell a new policy nothing."""
--- /dev/null
+++ b/bench/model/_need.py
@@ -0,0 +1,122 @@
+"""Targets in need that name limits, at many daemons in simulated time."""
+
+import attrs
+
+from bench.model._fleet import Daemon, Fleet
+from cairnferry.policy import (
+    NO_LIMIT,
+    Answered,
+    Ask,
+    Call,
+    LoadReport,
+    Send,
+)
+from cairnferry.records import Lifecycle, Priority, Route, Service, Target
+
+SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
+ROUTE = Route("r", "/", "s", frozenset(["GET"]), 1000, Priority.INTERACTIVE)
+SLOTS = 6
+# Seconds for which a target runs a request.
+RUN_S = 0.05
+
+
+@attrs.define
+class NeedyTarget:
+    """A target that may name a limit, and what it got.
+
+    Attributes
+    ----------
+    record : Target
+        Its record.
+    limit : float
+        What it names; `NO_LIMIT` for none.
+    arrivals : list of float
+        Times in seconds at which requests came.
+    in_use : int
+        Requests that it runs.
+    """
+
+    record: Target
+    limit: float = NO_LIMIT
+    arrivals: list[float] = attrs.field(factory=list)
+    in_use: int = 0
+
+    def between(self, first: float, last: float) -> int:
+        """Count what came in a span of time."""
+        return sum(first <= at < last for at in self.arrivals)
+
+
+@attrs.define
+class Need:
+    """Requests at all daemons of a fleet, for targets of which some name limits.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The daemons.
+    targets : dict of str to NeedyTarget
+        By name.
+    """
+
+    fleet: Fleet
+    targets: dict[str, NeedyTarget]
+    served: int = 0
+    refused: list[Call] = attrs.field(factory=list)
+
+    @classmethod
+    def begin(
+        cls, fleet: Fleet, zones: int, count: int, per_s: float, seconds: float
+    ) -> "Need":
+        """Let requests come, so many a second at each daemon."""
+        records = [_record(number, zones) for number in range(count)]
+        need = cls(fleet, {record.name: NeedyTarget(record) for record in records})
+        with fleet._clock():
+            for daemon in fleet.daemons.values():
+                daemon.services.install_rules(1, [SERVICE], [ROUTE])
+                daemon.services.install_targets(records)
+                daemon.services.runtime("s")
+        for daemon in fleet.daemons.values():
+            for _ in range(round(per_s * seconds)):
+                fleet.after(fleet.rng.random() * seconds, need.arrive, daemon)
+        return need
+
+    def arrive(self, daemon: Daemon) -> None:
+        """Let a request come to a daemon."""
+        if not daemon.is_up:
+            return
+        now = self.fleet.now
+        call = Call(now, now + 1.0, True, objective=now + 0.4, route="r")
+        policy = daemon.services.runtime("s").policy
+        decision = policy.arrive(call, now)
+        while isinstance(decision, Ask):
+            for record in decision.targets:
+                report = LoadReport(self.targets[record.name].in_use)
+                policy.note_check(record.identity, report, True, now)
+            decision = policy.asked(call, now)
+        if isinstance(decision, Send):
+            self._run(daemon, decision.attempt)
+        else:
+            self.refused.append(call)
+
+    def _run(self, daemon, attempt):
+        target = self.targets[attempt.target.name]
+        target.arrivals.append(self.fleet.now)
+        target.in_use += 1
+        self.fleet.after(RUN_S, self._end, daemon, attempt, target)
+
+    def _end(self, daemon, attempt, target):
+        target.in_use -= 1
+        if not daemon.is_up:
+            return
+        daemon.limiter.note_answer(attempt, target.limit)
+        policy = daemon.services.runtime("s").policy
+        policy.finished(
+            attempt, Answered(report=LoadReport(target.in_use)), self.fleet.now
+        )
+        self.served += 1
+
+
+def _record(number, zones):
+    zone = f"z{number % zones}"
+    name = f"i-{number}"
+    return Target(name, "s", zone, "10.0.0.1", 80, SLOTS, Lifecycle.ACTIVE, "/h", None)
--- a/packages/entry/src/cairnferry/entry/targets/_permits.py
+++ b/packages/entry/src/cairnferry/entry/targets/_permits.py
@@ -170,11 +170,9 @@
                 self._calls.spawn(self._ask, giver, wanted)
 
     def _wanted(self, now) -> Iterable[Wanted]:
+        barred = self._not_before.keys() | self._asking
         for runtime in self.services.active().values():
-            for wanted in runtime.policy.permits_wanted(now):
-                identity = wanted.target.identity
-                if identity not in self._not_before and identity not in self._asking:
-                    yield wanted
+            yield from runtime.policy.permits_wanted(barred, now)
 
     def _by_giver(self, wanted) -> dict[Giver, list[Wanted]]:
         grouped = defaultdict(list)
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -1,6 +1,7 @@
 """Policy of one service at one daemon."""
 
 import random
+from collections.abc import Container
 
 from cairnferry.policy._admission import Admission
 from cairnferry.policy._budget import budget_of
@@ -150,9 +151,18 @@
         """
         self._targets.note_check(identity, report, well, now)
 
-    def permits_wanted(self, now: float) -> list[Wanted]:
-        """Give the permits for limited targets that the next requests may use."""
-        return self._targets.permits_wanted(self._demand.expected(now), now)
+    def permits_wanted(self, barred: Container[str], now: float) -> list[Wanted]:
+        """Give the permits for limited targets that the next requests may use.
+
+        Parameters
+        ----------
+        barred : container of str
+            Targets that are not to be asked about now.
+        now : float
+            Time in seconds.
+        """
+        expected = self._demand.expected(now)
+        return self._targets.permits_wanted(expected, barred, now)
 
     # -- requests --------------------------------------------------------------
 
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Container
 
 from cairnferry.policy._choice import Chooser
 from cairnferry.policy._ejection import Ejector
@@ -15,7 +16,6 @@
 )
 from cairnferry.policy._latency import LatencyEstimate
 from cairnferry.policy._model import Ask, Attempt, Call, LoadReport
-from cairnferry.policy._permits import PERMIT_S
 from cairnferry.policy._seeking import Seeker, SeekSettings
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import (
@@ -34,9 +34,12 @@
 UNWELL_S = 0.5
 MAX_REFUSAL_DOUBLINGS = 6
 # Limited targets of the own zone, and of others, for which a daemon asks for permits:
-# the ones that it would choose from anyway, and some of zones that may have no daemon.
+# the ones that it would choose from anyway.
 NEAR_REACH = 8
-FAR_REACH = 2
+FAR_REACH = 8
+# Seconds for which permits for targets of other zones are asked for, after a request
+# that looked for one there. They would else be held and not used.
+FAR_WANTED_S = 1.0
 
 
 class TargetSet:
@@ -73,6 +76,7 @@
         self.settings = settings
         self.limits = limits
         self.latency = LatencyEstimate(settings.high_quantile)
+        self._far_wanted_until = -math.inf
         self.reported_load = 0.0
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
@@ -137,12 +141,29 @@
             found = self._chooser.choose(permitted, [], now, usual, max_load)
             if found is not None:
                 return found
+            if not near:
+                self._far_wanted_until = now + FAR_WANTED_S
         return self._chooser.choose(near, far, now, usual, max_load)
 
     def seek(self, call: Call, work: float, now: float) -> TargetState | Ask | None:
         """Choose a target by what some say of themselves, or say which to ask."""
         near, far = self._candidates(call, now)
-        return self.seeker.seek(call, near, far, work, now)
+        found = self.seeker.seek(call, near, far, work, now)
+        if self.limits:
+            self._note_if_far(found, now)
+        return found
+
+    def _note_if_far(self, found, now):
+        """Take in that near targets do not suffice: permits for far ones are of use."""
+        match found:
+            case Ask(targets):
+                is_far = targets[0].zone != self._usable.zone
+            case None:
+                is_far = True
+            case _:
+                is_far = False
+        if is_far:
+            self._far_wanted_until = now + FAR_WANTED_S
 
     def best_known(self, call: Call, now: float) -> TargetState | None:
         """Choose a target without asking any."""
@@ -189,28 +210,39 @@
         near, far = self._usable.lists(self._states, now)
         return any(not call.tried(target) for target in (*near, *far))
 
-    def permits_wanted(self, expected: int, now: float) -> list[Wanted]:
+    def permits_wanted(
+        self, expected: int, barred: Container[str], now: float
+    ) -> list[Wanted]:
         """Give the permits that are worth asking for.
 
+        No more than there are requests to use them, as what is held here and not used
+        serves nobody; some at each target, as what one daemon takes of the first ones
+        on its ring the others there lack.
+
         Parameters
         ----------
         expected : int
             Requests to expect while a permit holds.
+        barred : container of str
+            Targets that are not to be asked about now.
         now : float
             Time in seconds.
         """
         near, far = self._usable.lists(self._states, now)
-        reach = [*self._limited(near)[:NEAR_REACH], *self._limited(far)[:FAR_REACH]]
+        reach = self._limited(near)[:NEAR_REACH]
+        if now < self._far_wanted_until:
+            reach += self._limited(far)[:FAR_REACH]
+        share = math.ceil(expected / max(1, len(reach)))
         wanted = []
         for target in reach:
-            if expected <= 0:
-                break
-            most = max(1, math.ceil(self.limits.book.rate(target.identity) * PERMIT_S))
             held = self.limits.held(target.identity)
-            count = min(expected, most) - held
-            expected -= max(held, held + count)
+            expected -= held
+            if target.identity in barred:
+                continue
+            count = min(share - held, expected)
             if count > 0:
                 wanted.append(Wanted(target.record, count))
+                expected -= count
         return wanted
 
     def _limited(self, targets):
