Daemons that got no permit come again spread, and tests of limits on both interfaces

300 daemons that all asked for the same permit were told to come again after 2 s, 281 of them in the same instant: the spread over the time of all was cut off at the longest wait. They are spread over the time up to it now.

--- a/packages/policy/src/cairnferry/policy/_permits.py
+++ b/packages/policy/src/cairnferry/policy/_permits.py
@@ -99,9 +99,9 @@
 
     def _retry_after(self, askers, rate, now):
         """Bring back as many as there are permits, spread over the time of all."""
-        first = max(0.0, self.next_at - AHEAD_S - now)
-        turn = first + self.rng.random() * (askers - 1) / rate
-        return min(MAX_RETRY_S, max(MIN_RETRY_S, turn))
+        first = max(MIN_RETRY_S, self.next_at - AHEAD_S - now)
+        spread = min(MAX_RETRY_S - first, (askers - 1) / rate)
+        return min(MAX_RETRY_S, first + self.rng.random() * max(0.0, spread))
 
     def give_back(self, count: int, rate: float) -> None:
         """Take back permits that were not used, for the next that ask."""
--- a/packages/standins/src/cairnferry/standins/_target.py
+++ b/packages/standins/src/cairnferry/standins/_target.py
@@ -18,6 +18,7 @@
 ID_HEADER = "x-request-id"
 REFUSAL_HEADER = "X-Refused"
 REPORT_HEADER = "endpoint-load-metrics"
+LIMIT_HEADER = "Server-Limit"
 # Colon, space and line end of a header field.
 FIELD_BYTES = 4
 # A probe's request and answer, as they stand on the wire.
@@ -81,6 +82,8 @@
         Part of a path: a request that has it ends the target as it begins to run.
     down_s : float
         Seconds after which a target that ended so is back.
+    limit : str
+        Requests a second that its answers say it takes; empty for none.
     answer_delay_ms : float
         Time between the end of the run and the answer, in milliseconds.
     """
@@ -106,6 +109,7 @@
     answer_delay_ms: float = 0.0
     ends_on: str = ""
     down_s: float = 1.0
+    limit: str = ""
 
 
 class TargetStandin:
@@ -299,12 +303,13 @@
         return True
 
     def _report(self):
+        named = [(LIMIT_HEADER, self.behaviour.limit)] if self.behaviour.limit else []
         if not self.behaviour.reports:
-            return []
+            return named
         value = self._reported_load() * self.behaviour.report_error
         text = f"TEXT named_metrics.in_use={value:g}"
         self.measuring_bytes += len(REPORT_HEADER) + len(text) + FIELD_BYTES
-        return [(REPORT_HEADER, text)]
+        return [*named, (REPORT_HEADER, text)]
 
     def _reported_load(self):
         if not self.behaviour.report_lag_ms:
--- a/tests/bench/test_limits.py
+++ b/tests/bench/test_limits.py
@@ -1,7 +1,7 @@
 """Many daemons and targets that name limits, in simulated time.
 
-A target that named 2.6 requests a second got 26 in 4 s from 18 daemons, each of which knew
-of the limit only what its own answers said, and sent as before.
+A target that named 2.6 requests a second got 26 in 4 s from 18 daemons, each of which
+knew of the limit only what its own answers said, and sent as before.
 """
 
 import pytest
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -14,9 +14,12 @@
     Heartbeat,
     KeyFileFault,
     KeyRing,
+    LimitState,
     PeerCallFailed,
     PeerLink,
     PeerServer,
+    PermitsGiven,
+    PermitsWanted,
 )
 from cairnferry.peers._handshake import greet
 from cairnferry.standins import wait_for
@@ -47,6 +50,10 @@
     def snapshot(self):
         return b"\x00\xff" * 10
 
+    def give_permits(self, asker, wanted):
+        self.heard.append((asker, wanted))
+        return [PermitsGiven(each.limit, (0.0, 0.25), 0.1) for each in wanted]
+
 
 @pytest.fixture
 def keys(tmp_path):
@@ -84,6 +91,30 @@
     assert answer == attrs.evolve(HEARTBEAT, revision=1)
 
 
+def test_heartbeats_carry_notes_on_limits(server, keys):
+    notes = (Note("i-1", "limit 2.6", 3599.5),)
+    link = link_to(server, keys("client", OLD))
+    assert link.heartbeat(attrs.evolve(HEARTBEAT, limits=notes)).limits == notes
+
+
+def test_permits_are_asked_for_and_given(server, handler, keys):
+    limited = PermitsWanted(LimitState("i-1", 2.6, 0.5), "z", 3, 1)
+    lifted = PermitsWanted(LimitState("i-2", float("inf"), 0.0), "z", 1)
+    link = link_to(server, keys("client", OLD))
+    given = link.ask_permits("a", (limited, lifted))
+    assert handler.heard == [("a", [limited, lifted])]
+    assert [each.limit for each in given] == [limited.limit, lifted.limit]
+    assert given[0].delays == (0.0, 0.25)
+
+
+def test_a_limit_that_is_no_number_ends_the_call(server, handler, keys):
+    odd = PermitsWanted(LimitState("i-1", float("nan"), 0.0), "z", 1)
+    link = link_to(server, keys("client", OLD))
+    with pytest.raises(PeerCallFailed):
+        link.ask_permits("a", (odd,))
+    assert handler.heard == []
+
+
 def test_an_age_that_is_unknown_stays_so(server, keys):
     link = link_to(server, keys("client", OLD))
     answer = link.heartbeat(attrs.evolve(HEARTBEAT, confirmed_age=float("inf")))
--- /dev/null
+++ b/tests/policy/test_limited_targets.py
@@ -0,0 +1,181 @@
+"""Requests and targets that name a limit: which go there, and what the others get."""
+
+import pytest
+
+from cairnferry.policy import (
+    Answered,
+    Ask,
+    AttemptKind,
+    Cause,
+    LoadReport,
+    NamedLimit,
+    Permit,
+    Refuse,
+    Send,
+    TargetRefused,
+    Wait,
+)
+
+from ._asking import call, far, learned, near, policy_of, settle
+from ._helpers import make_call, make_policy
+
+
+def limit(policy, *names, per_s=2.0):
+    for name in names:
+        policy.limits.book.hear(name, NamedLimit(per_s, 0.0))
+
+
+def permit(policy, name, start=0.0, end=100.0, count=1):
+    policy.limits.add(name, [Permit(start, end)] * count)
+
+
+def test_a_limited_target_without_a_permit_is_neither_asked_nor_sent_anything():
+    policy = policy_of(*near(3))
+    limit(policy, "n0", "n1")
+    for number in range(20):
+        now = 1.0 + number
+        decision, rounds = settle(policy, call(now=now), now=now)
+        assert decision.attempt.target_name == "n2"
+        assert rounds in ([["n2"]], [])
+        policy.finished(decision.attempt, Answered(), now + 0.05)
+
+
+def test_a_permit_is_used_before_targets_without_a_limit_and_once():
+    """Else what a limit allows would be lost where others have room."""
+    policy = policy_of(*near(12))
+    limit(policy, "n7")
+    permit(policy, "n7")
+    decision, rounds = settle(policy, call())
+    assert rounds[0][0] == "n7"
+    assert decision.attempt.target_name == "n7"
+    decision, _ = settle(policy, call(now=1.5), now=1.5)
+    assert decision.attempt.target_name != "n7"
+
+
+def test_a_permit_is_kept_if_its_target_is_much_the_slower_one():
+    policy = policy_of(*near(3))
+    limit(policy, "n0")
+    permit(policy, "n0")
+    decision, _ = settle(policy, call(), n0=LoadReport(0, 4.0))
+    assert decision.attempt.target_name != "n0"
+    assert policy.limits.held("n0") == 1
+
+
+def test_where_all_have_limits_a_request_is_refused_at_once_and_told_when():
+    policy = policy_of(*near(2), *far(1))
+    limit(policy, "n0", "n1", "f0")
+    permit(policy, "n1", start=1.4)
+    decision, rounds = settle(policy, call(objective=1.9))
+    assert rounds == []
+    assert decision.cause is Cause.TARGET_LIMIT
+    assert decision.retry_after == pytest.approx(0.4)
+    decision, _ = settle(policy, call(now=1.4, objective=1.9), now=1.4)
+    assert isinstance(decision, Send)
+
+
+def test_a_repeat_needs_a_permit_of_its_own():
+    policy = policy_of(*near(2))
+    limit(policy, "n0", "n1")
+    permit(policy, "n0")
+    decision, _ = settle(policy, call())
+    decision = policy.finished(decision.attempt, TargetRefused(), 1.1)
+    assert decision == Refuse(Cause.OVERLOAD, decision.retry_after)
+    assert policy.limits.sent == {"n0": 1}
+
+
+def test_a_hedge_needs_a_permit_of_its_own():
+    policy = policy_of(*near(2))
+    learned(policy, "r", 0.1)
+    limit(policy, "n0", "n1")
+    permit(policy, "n0")
+    decision, _ = settle(policy, call(now=2.0, route="r"), now=2.0)
+    attempt = decision.attempt
+    assert isinstance(policy.hedge(attempt.call, 2.2), Ask)
+    policy.note_check(attempt.target_name, None, False, 2.21)
+    assert policy.hedge(attempt.call, 2.23) is None
+    permit(policy, "n1")
+    second = policy.hedge(attempt.call, 2.26)
+    assert second.attempt.kind is AttemptKind.HEDGE
+    assert policy.limits.held("n1") == 0
+
+
+def test_no_part_of_its_standing_is_lost_while_a_target_is_spared():
+    """It is well: neither ejected nor silent, and back to its share at once."""
+    policy = policy_of(*near(2))
+    limit(policy, "n0")
+    for number in range(50):
+        now = 1.0 + number * 0.1
+        decision, _ = settle(policy, call(now=now), now=now)
+        policy.finished(decision.attempt, Answered(), now + 0.05)
+    policy.limits.book.hear("n0", NamedLimit(float("inf"), 7.0))
+    chosen = set()
+    for number in range(10):
+        now = 10.0 + number
+        decision, _ = settle(policy, call(now=now), now=now)
+        chosen.add(decision.attempt.target_name)
+    assert "n0" in chosen
+    assert policy.take_events() == []
+
+
+def arrive(policy, count, now=1.0):
+    for _ in range(count):
+        policy.arrive(call(now=now), now)
+
+
+def wanted(policy, now=1.0, barred=()):
+    found = policy.permits_wanted(barred, now)
+    return {each.target.name: each.count for each in found}
+
+
+def test_permits_are_wanted_for_as_many_requests_as_come_and_spread():
+    policy = policy_of(*near(4))
+    limit(policy, "n0", "n1", "n2")
+    assert wanted(policy) == {}
+    arrive(policy, 6)
+    assert wanted(policy) == {"n0": 2, "n1": 2, "n2": 2}
+    permit(policy, "n1")
+    assert wanted(policy)["n1"] == 1
+    # Demand of more than a second ago says nothing of the next one.
+    assert wanted(policy, now=2.5) == {}
+
+
+def test_with_few_requests_the_next_target_is_asked_about_if_one_has_none():
+    policy = policy_of(*near(4))
+    limit(policy, "n0", "n1", "n2")
+    arrive(policy, 1)
+    first = wanted(policy)
+    assert sum(first.values()) == 1
+    second = wanted(policy, barred=set(first))
+    assert sum(second.values()) == 1
+    assert first.keys() != second.keys()
+
+
+def test_permits_for_other_zones_are_wanted_only_if_near_targets_do_not_do():
+    policy = policy_of(*near(2), *far(2))
+    limit(policy, "f0", "f1")
+    arrive(policy, 3)
+    assert wanted(policy) == {}
+    limit(policy, "n0", "n1")
+    decision, _ = settle(policy, call())
+    assert decision.cause is Cause.TARGET_LIMIT
+    assert {"f0", "f1"} <= wanted(policy).keys()
+
+
+def test_where_targets_are_not_asked_a_request_waits_for_a_permit():
+    policy = make_policy(2)
+    limit(policy, "t0", "t1")
+    req = make_call()
+    assert isinstance(policy.arrive(req, 0.0), Wait)
+    assert policy.release(0.1) == []
+    permit(policy, "t1", start=0.2)
+    ((_, decision),) = policy.release(0.25)
+    assert decision.attempt.target_name == "t1"
+    assert policy.limits.held("t1") == 0
+
+
+def test_where_targets_are_not_asked_a_permit_is_used_first():
+    policy = make_policy(6)
+    limit(policy, "t4")
+    permit(policy, "t4")
+    decision = policy.arrive(make_call(), 0.0)
+    assert decision.attempt.target_name == "t4"
