Where all targets name limits, urgent requests have the first choice of permits

Which request used a permit was decided by which came first. Where all targets of a service name limits, a permit is now left to requests of the most urgent kind for 0.1 s; what none of them uses then, and one permit of three from the start, is for any request, so that no kind gets nothing. Where any target has no limit nobody stands back. Tests replay both.

--- a/packages/entry/src/cairnferry/entry/targets/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limiter.py
@@ -121,9 +121,10 @@
 
     def forget_unlisted(self, listed: set[str]) -> None:
         """Drop what is known of targets that are gone."""
+        sent = self.limits.sent
+        self.limits.sent = {t: count for t, count in sent.items() if t in listed}
         for identity in self.limits.book.forget_unlisted(listed, time.monotonic()):
             self.limits.void(identity)
-            self.limits.sent.pop(identity, None)
             self.metrics.limits["forgotten"] += 1
             self._log("limit forgotten", identity)
         if not self.limits:
--- a/packages/entry/src/cairnferry/entry/targets/_permits.py
+++ b/packages/entry/src/cairnferry/entry/targets/_permits.py
@@ -20,7 +20,7 @@
     PermitsGiven,
     PermitsWanted,
 )
-from cairnferry.policy import NamedLimit, Permit, PermitSchedule, Wanted
+from cairnferry.policy import NamedLimit, PermitSchedule, Wanted
 
 # Seconds between two rounds of asking, while any target names a limit: a part of the
 # time for which permits are given ahead.
@@ -216,8 +216,7 @@
             told = NamedLimit(each.limit.per_s, now - each.limit.age)
             self.limiter.learn(target, told, by="the one that gives permits")
             if each.limit.per_s == limits.book.get(target).per_s:
-                starts = [now + delay for delay in each.delays]
-                limits.add(target, [Permit.starting(start) for start in starts])
+                limits.take_in(target, [now + delay for delay in each.delays])
             self._not_before[target] = now + each.retry_s
         for runtime in self.services.active().values():
             runtime.settle_waiting()
--- a/packages/policy/src/cairnferry/policy/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/_searcher.py
@@ -65,19 +65,19 @@
 
     def go_on(self, call: Call, now: float) -> Found | Ask | NothingFound:
         """Go on once the targets to ask have been asked."""
-        match self.targets.seek(call, self.work.seconds(call.route), now):
+        work = self.work.seconds(call.route)
+        urgent = self.work.is_urgent(call.rank)
+        match self.targets.seek(call, work, urgent, now):
             case Ask() as ask:
                 return ask
             case None:
                 limited = self.targets.is_kept_by_limits(call, now)
                 return NothingFound(Cause.TARGET_LIMIT if limited else Cause.NO_TARGET)
             case target:
-                return self._judge(call, target, now)
+                return self._judge(call, target, work, urgent, now)
 
-    def _judge(self, call, target, now):
+    def _judge(self, call, target, work, urgent, now):
         seeker = self.targets.seeker
-        work = self.work.seconds(call.route)
-        urgent = self.work.is_urgent(call.rank)
         if not seeker.is_worth_sending(call, target, work, urgent, now):
             return NothingFound(Cause.OVERLOAD)
         return Found(target, seeker.cost(target, now))
--- a/packages/policy/src/cairnferry/policy/_target_limits.py
+++ b/packages/policy/src/cairnferry/policy/_target_limits.py
@@ -3,6 +3,7 @@
 All times are monotonic seconds of one clock.
 """
 
+import math
 from collections import deque
 
 import attrs
@@ -11,18 +12,48 @@
 from cairnferry.policy._permits import PERMIT_S
 from cairnferry.records import Target
 
+# Seconds for which a permit is left to urgent requests, where all targets have limits:
+# a daemon gets some 10 requests a second. What none of them uses is then for any.
+URGENT_FIRST_S = 0.1
+# Of so many permits one is for any request from the start, so that no kind of request
+# gets nothing while more urgent ones want all that there is.
+OPEN_OF = 3
+
 
 @attrs.frozen
 class Permit:
-    """May be used for one request, between two times in seconds."""
+    """May be used for one request.
+
+    Attributes
+    ----------
+    start, end : float
+        Times in seconds between which it may be used.
+    open_at : float
+        Time in seconds from which less urgent requests may use it.
+    """
 
     start: float
     end: float
+    open_at: float = -math.inf
 
     @classmethod
-    def starting(cls, start: float) -> "Permit":
-        """Give a permit that may be used from a time on."""
-        return cls(start, start + PERMIT_S)
+    def starting(cls, start: float, is_open: bool) -> "Permit":
+        """Give a permit that may be used from a time on.
+
+        Parameters
+        ----------
+        start : float
+            Time in seconds.
+        is_open : bool
+            Whether any request may use it from then on, however urgent.
+        """
+        open_at = start if is_open else start + URGENT_FIRST_S
+        return cls(start, start + PERMIT_S, open_at)
+
+    def fits(self, urgent: bool, now: float) -> bool:
+        """Tell whether a request may use it now."""
+        first = self.start if urgent else max(self.start, self.open_at)
+        return first <= now < self.end
 
 
 @attrs.frozen
@@ -56,6 +87,7 @@
     book: LimitBook = attrs.field(factory=LimitBook)
     sent: dict[str, int] = attrs.field(factory=dict)
     _permits: dict[str, deque[Permit]] = attrs.field(factory=dict)
+    _given: int = 0
 
     def __bool__(self):
         """Tell whether any target names a limit."""
@@ -69,25 +101,30 @@
         """Tell whether a request may be sent to a target now."""
         return not self.is_limited(identity) or self.has_permit(identity, now)
 
-    def has_permit(self, identity: str, now: float) -> bool:
-        """Tell whether a permit is there that may be used now."""
+    def has_permit(self, identity: str, now: float, urgent: bool = True) -> bool:
+        """Tell whether a permit is there that a request may use now."""
         held = self._permits.get(identity, ())
-        return any(permit.start <= now < permit.end for permit in held)
+        return any(permit.fits(urgent, now) for permit in held)
 
     def spend(self, identity: str, now: float) -> None:
-        """Use a permit, as a request is sent; nothing where there is no limit."""
+        """Use a permit, as a request is sent; nothing where there is no limit.
+
+        The one that is open to any request goes first: an urgent one may still come.
+        """
         if not self.is_limited(identity):
             return
         self.sent[identity] = self.sent.get(identity, 0) + 1
         held = self._permits.get(identity, ())
-        for permit in held:
-            if permit.start <= now < permit.end:
-                held.remove(permit)
-                return
-
-    def add(self, identity: str, permits: list[Permit]) -> None:
-        """Take in permits that were given."""
-        self._permits.setdefault(identity, deque()).extend(permits)
+        usable = [permit for permit in held if permit.fits(True, now)]
+        if usable:
+            held.remove(min(usable, key=lambda permit: permit.open_at))
+
+    def take_in(self, identity: str, starts: list[float]) -> None:
+        """Take in permits that were given, by the times from which they hold."""
+        held = self._permits.setdefault(identity, deque())
+        for start in starts:
+            self._given += 1
+            held.append(Permit.starting(start, self._given % OPEN_OF == 0))
 
     def held(self, identity: str) -> int:
         """Count the permits that are held, those for later too."""
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -145,9 +145,23 @@
                 self._far_wanted_until = now + FAR_WANTED_S
         return self._chooser.choose(near, far, now, usual, max_load)
 
-    def seek(self, call: Call, work: float, now: float) -> TargetState | Ask | None:
-        """Choose a target by what some say of themselves, or say which to ask."""
-        near, far = self._candidates(call, now)
+    def seek(
+        self, call: Call, work: float, urgent: bool, now: float
+    ) -> TargetState | Ask | None:
+        """Choose a target by what some say of themselves, or say which to ask.
+
+        Parameters
+        ----------
+        call : Call
+            The request; its search is moved on.
+        work : float
+            Seconds that such a request takes at an idle target; 0 if unknown.
+        urgent : bool
+            Whether no other requests of the service are more urgent.
+        now : float
+            Time in seconds.
+        """
+        near, far = self._candidates(call, now, urgent)
         found = self.seeker.seek(call, near, far, work, now)
         if self.limits:
             self._note_if_far(found, now)
@@ -170,16 +184,16 @@
         near, far = self._candidates(call, now)
         return self.seeker.best_known(near, far, now)
 
-    def _candidates(self, call, now):
+    def _candidates(self, call, now, urgent=True):
         """List the targets that may be used, those not heard of only if need be."""
-        near, far = self._open_to(call, now)
+        near, far = self._open_to(call, now, urgent)
         heard_near = [target for target in near if target.mute_until <= now]
         heard_far = [target for target in far if target.mute_until <= now]
         if heard_near or heard_far:
             return heard_near, heard_far
         return near, far
 
-    def _open_to(self, call, now):
+    def _open_to(self, call, now, urgent=True):
         """List the usable targets to which a request may go now."""
         near, far = self._usable.lists(self._states, now)
         if call.attempts:
@@ -187,21 +201,24 @@
             far = [target for target in far if not call.tried(target)]
         if not self.limits:
             return near, far
-        return self._permitted(near, now), self._permitted(far, now)
+        free_near, free_far = self._free(near), self._free(far)
+        # Where others have no limit nobody has to stand back.
+        urgent = urgent or bool(free_near or free_far)
+        # A limited target with a permit goes first: what it takes would else be lost.
+        return (
+            self._permitted(near, urgent, now) + free_near,
+            self._permitted(far, urgent, now) + free_far,
+        )
 
-    def _permitted(self, targets, now):
-        """Leave out limited targets without a permit; those with one go first.
+    def _free(self, targets):
+        return [t for t in targets if not self.limits.is_limited(t.identity)]
 
-        All daemons together send a limited target what it takes and no more. What it
-        does take would be lost if it were not looked at before the others.
-        """
-        limited, free = [], []
-        for target in targets:
-            if not self.limits.is_limited(target.identity):
-                free.append(target)
-            elif self.limits.has_permit(target.identity, now):
-                limited.append(target)
-        return limited + free
+    def _permitted(self, targets, urgent, now):
+        return [
+            target
+            for target in self._limited(targets)
+            if self.limits.has_permit(target.identity, now, urgent)
+        ]
 
     def is_kept_by_limits(self, call: Call, now: float) -> bool:
         """Tell whether a request would have a target if there were no limits."""
--- a/tests/entry/targets/test_limiter.py
+++ b/tests/entry/targets/test_limiter.py
@@ -9,7 +9,7 @@
 from cairnferry.entry.targets import Limiter, LimitFault, limit_board
 from cairnferry.entry.targets._limit_notes import LIMIT_NOTE_S, note_of, read_note
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.policy import NO_LIMIT, NamedLimit, Permit, TargetLimits
+from cairnferry.policy import NO_LIMIT, NamedLimit, TargetLimits
 
 
 @attrs.define
@@ -61,7 +61,7 @@
 def test_permits_of_a_higher_limit_are_void(clock):
     limiter, _ = make()
     limiter.note_check("i-1", 100.0, 99.0)
-    limiter.limits.add("i-1", [Permit(100.0, 102.0)] * 50)
+    limiter.limits.take_in("i-1", [100.0] * 50)
     clock.now = 101.0
     limiter.note_check("i-1", 1.0, 100.5)
     assert limiter.limits.held("i-1") == 0
--- a/tests/policy/test_limited_targets.py
+++ b/tests/policy/test_limited_targets.py
@@ -1,5 +1,7 @@
 """Requests and targets that name a limit: which go there, and what the others get."""
 
+from collections import deque
+
 import pytest
 
 from cairnferry.policy import (
@@ -26,7 +28,8 @@
 
 
 def permit(policy, name, start=0.0, end=100.0, count=1):
-    policy.limits.add(name, [Permit(start, end)] * count)
+    held = policy.limits._permits.setdefault(name, deque())
+    held.extend([Permit(start, end)] * count)
 
 
 def test_a_limited_target_without_a_permit_is_neither_asked_nor_sent_anything():
@@ -179,3 +182,56 @@
     permit(policy, "t4")
     decision = policy.arrive(make_call(), 0.0)
     assert decision.attempt.target_name == "t4"
+
+
+def urgent_and_other(policy):
+    """Let the policy see that requests of two ranks come."""
+    policy._work.note_arrival("orders", 1)
+    policy._work.note_arrival("lookups", 2)
+
+
+def test_where_all_have_limits_urgent_requests_have_the_first_choice():
+    """Symptom: orders are refused while lookups, which came first, are served."""
+    policy = policy_of(*near(1))
+    urgent_and_other(policy)
+    limit(policy, "n0")
+    policy.limits.take_in("n0", [1.0])
+    lookup, _ = settle(policy, call(now=1.02, route="lookups", rank=2), now=1.02)
+    assert lookup.cause is Cause.TARGET_LIMIT
+    order, _ = settle(policy, call(now=1.05, route="orders", rank=1), now=1.05)
+    assert isinstance(order, Send)
+
+
+def test_a_permit_that_no_urgent_request_uses_is_for_any():
+    policy = policy_of(*near(1))
+    urgent_and_other(policy)
+    limit(policy, "n0")
+    policy.limits.take_in("n0", [1.0])
+    lookup, _ = settle(policy, call(now=1.2, route="lookups", rank=2), now=1.2)
+    assert isinstance(lookup, Send)
+
+
+def test_less_urgent_requests_get_a_part_although_urgent_ones_want_it_all():
+    policy = policy_of(*near(1))
+    urgent_and_other(policy)
+    limit(policy, "n0", per_s=10.0)
+    served = 0
+    for number in range(30):
+        now = 1.0 + 0.1 * number
+        policy.limits.take_in("n0", [now])
+        lookup, _ = settle(policy, call(now=now, route="lookups", rank=2), now=now)
+        order, _ = settle(policy, call(now=now, route="orders", rank=1), now=now)
+        served += isinstance(lookup, Send)
+        for decision in (lookup, order):
+            if isinstance(decision, Send):
+                policy.finished(decision.attempt, Answered(), now + 0.05)
+    assert served == 10
+
+
+def test_where_others_have_no_limit_no_request_stands_back():
+    policy = policy_of(*near(2))
+    urgent_and_other(policy)
+    limit(policy, "n0")
+    policy.limits.take_in("n0", [1.0])
+    lookup, _ = settle(policy, call(now=1.0, route="lookups", rank=2), now=1.0)
+    assert lookup.attempt.target_name == "n0"
--- a/tests/policy/test_permits.py
+++ b/tests/policy/test_permits.py
@@ -9,7 +9,6 @@
 from cairnferry.policy import (
     LimitBook,
     NamedLimit,
-    Permit,
     PermitSchedule,
     TargetLimits,
 )
@@ -121,7 +120,7 @@
     limits = limits_of()
     assert not limits.admits("i-1", 5.0)
     assert limits.admits("i-2", 5.0)
-    limits.add("i-1", [Permit(5.5, 6.5)])
+    limits.take_in("i-1", [5.5])
     assert not limits.admits("i-1", 5.0)
     assert limits.next_start(5.0) == 5.5
     assert limits.admits("i-1", 5.5)
@@ -132,7 +131,7 @@
 
 def test_a_permit_that_was_not_used_is_counted_once_to_be_given_back():
     limits = limits_of()
-    limits.add("i-1", [Permit(5.0, 6.0), Permit(5.5, 6.5)])
+    limits.take_in("i-1", [5.0, 5.5])
     assert limits.take_lapsed(6.2) == {"i-1": 1}
     assert limits.take_lapsed(6.3) == {}
     assert limits.held("i-1") == 1
