--- a/bench/model/_need.py
+++ b/bench/model/_need.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bench.model._fleet import Daemon, Fleet
+from cairnferry.entry.targets import OwnTargets
 from cairnferry.policy import (
     NO_LIMIT,
     Answered,
@@ -12,6 +13,7 @@
     Send,
 )
 from cairnferry.records import Lifecycle, Priority, Route, Service, Target
+from cairnferry.wire import Reply
 
 SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
 ROUTE = Route("r", "/", "s", frozenset(["GET"]), 1000, Priority.INTERACTIVE)
@@ -108,7 +110,9 @@
         target.in_use -= 1
         if not daemon.is_up:
             return
-        daemon.limiter.note_answer(attempt, target.limit)
+        named = target.limit
+        headers = [] if named == NO_LIMIT else [("Server-Limit", f"{named:g}")]
+        daemon.limiter.note_outcome(attempt, Reply(200, headers, b""), OwnTargets())
         policy = daemon.services.runtime("s").policy
         policy.finished(
             attempt, Answered(report=LoadReport(target.in_use)), self.fleet.now
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -33,6 +33,10 @@
     "request let through again",
     "target ended under requests",
 )
+# Lines on limits that targets name. A limit holds until another line ends it.
+LIMITS = ("limit named", "limit changed", "limit lifted", "limit forgotten")
+# Cause of a request for which all targets were kept back by their limits.
+KEPT_BY_LIMITS = "target-limit"
 # Names of targets in a belief's line.
 TARGET_FIELDS = ("target", "came", "went", "lifecycle", "keys")
 
@@ -145,6 +149,7 @@
     instances = {line.instance for line in own}
     contents = set().union(*(line.contents() for line in own))
     targets = set().union(*(_targets_of(line) for line in own))
+    kept_by_limits = any(line.facts.get("cause") == KEPT_BY_LIMITS for line in own)
     begin = min(_arrived(line) for line in own) - timedelta(seconds=before_s)
     end = max(line.time for line in own)
 
@@ -154,6 +159,10 @@
             return line.time <= end and bool(line.contents() & contents)
         if line.request_id is not None or line.instance not in instances:
             return line.request_id == request_id
+        if line.message in LIMITS and line.time <= end:
+            # However long ago it was named. Of a request that all limits kept back,
+            # no line says which targets it might have had.
+            return kept_by_limits or bool(line.names() & targets)
         if line.message not in BELIEFS or not begin <= line.time <= end:
             return False
         names = line.names()
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -163,7 +163,7 @@
         result = self.upstreams.classify(outcome, attempt)
         reply = outcome if isinstance(outcome, Reply) else None
         if self.limiter is not None:
-            self.limiter.note_answer(attempt, self.upstreams.limit_of(outcome))
+            self.limiter.note_outcome(attempt, outcome, self.upstreams.convention)
         if self.guard is None:
             return runtime.finished(attempt, result), reply
         try:
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -45,7 +45,7 @@
     heard : bool
         Whether there was an answer at all.
     limit : float, LimitFault or None
-        Limit that it names; None if it says nothing of that.
+        Limit that it names.
     """
 
     report: LoadReport | None
@@ -100,7 +100,14 @@
         """Give what an exchange proves."""
 
     def limit_of(self, outcome: Outcome) -> float | LimitFault | None:
-        """Read the limit that an answer names; None if it says nothing of that."""
+        """Read the limit that an answer names; None if it names none."""
+
+    def denies_limit(self, outcome: Outcome) -> bool:
+        """Tell whether an answer that names no limit says that there is none.
+
+        Not each does: one that was made before the target looked at its need, such as
+        a refusal, tells nothing of it.
+        """
 
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the answer to a status check."""
@@ -149,17 +156,21 @@
         return classify(outcome, attempt.refusal)
 
     def limit_of(self, outcome: Outcome) -> float | LimitFault | None:
-        """Read the limit; an answer that is no refusal and names none lifts it."""
+        """Read the limit that an answer names."""
         if not isinstance(outcome, Reply):
             return None
-        return read_limit(outcome.headers, LIMIT_HEADERS, outcome.status == HTTP_OK)
+        return read_limit(outcome.headers, LIMIT_HEADERS)
+
+    def denies_limit(self, outcome: Outcome) -> bool:
+        """Believe answers that are no refusals."""
+        return isinstance(outcome, Reply) and outcome.status == HTTP_OK
 
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the load that comes with a health answer."""
         match outcome:
             case Reply() as reply:
                 report = read_report(reply.header(REPORT_HEADER))
-                limit = read_limit(reply.headers, LIMIT_HEADERS, may_lift=False)
+                limit = read_limit(reply.headers, LIMIT_HEADERS)
                 return CheckResult(report, reply.status == HTTP_OK, limit=limit)
             case _:
                 return CheckResult(None, False)
--- a/packages/entry/src/cairnferry/entry/targets/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limiter.py
@@ -8,10 +8,12 @@
 from gevent.event import Event
 
 from cairnferry.coordination import Note
+from cairnferry.entry.targets._conventions import TargetConvention
 from cairnferry.entry.targets._limit_notes import note_of, read_note
 from cairnferry.entry.targets._limit_words import LimitFault
 from cairnferry.entry.telemetry import Metrics, RateLimit
 from cairnferry.policy import NO_LIMIT, Attempt, NamedLimit, TargetLimits
+from cairnferry.wire import Outcome
 
 log = logging.getLogger(__name__)
 
@@ -44,10 +46,26 @@
 
     # -- what targets say --------------------------------------------------------
 
-    def note_answer(self, attempt: Attempt, word: float | LimitFault | None) -> None:
-        """Take in what an answer to a request says."""
+    def note_outcome(
+        self, attempt: Attempt, outcome: Outcome, convention: TargetConvention
+    ) -> None:
+        """Take in what the answer to a request says.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt that ended.
+        outcome : Outcome
+            What came of it.
+        convention : TargetConvention
+            How targets speak.
+        """
+        identity = attempt.target.identity
+        word = convention.limit_of(outcome)
+        if word is None and self.limits.is_limited(identity):
+            word = NO_LIMIT if convention.denies_limit(outcome) else None
         if word is not None:
-            self._note(attempt.target.identity, word, attempt.started)
+            self._note(identity, word, attempt.started)
 
     def note_check(
         self, identity: str, word: float | LimitFault | None, sent: float
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -13,7 +13,6 @@
     OwnTargets,
     TargetConvention,
 )
-from cairnferry.entry.targets._limit_words import LimitFault
 from cairnferry.policy import Attempt, AttemptResult
 from cairnferry.records import Target
 from cairnferry.wire import (
@@ -111,10 +110,6 @@
         """Give what an exchange proves."""
         return self.convention.classify(outcome, attempt)
 
-    def limit_of(self, outcome: Outcome) -> float | LimitFault | None:
-        """Read the limit that an answer names; None if it says nothing of that."""
-        return self.convention.limit_of(outcome)
-
     def check(self, target: Target, timeout: float) -> CheckResult:
         """Ask a target for its load.
 
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -110,6 +110,30 @@
     assert log.unreadable == 4
 
 
+def test_a_request_that_limits_kept_back_is_told_with_all_limits_of_its_instance():
+    """It was sent nowhere and asked nobody: no line names the targets."""
+    facts = GIVEN_UP | {"attempts": [], "asked": [], "cause": "target-limit"}
+    texts = [
+        line(1.0, "limit named", target="t1", per_s=2.6),
+        line(1.1, "limit named", target="t2", per_s=3.0),
+        line(1.2, "limit named", instance="front-2", target="t3", per_s=3.0),
+        line(9.5, "request given up", **facts),
+        line(9.8, "limit lifted", target="t1"),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [each.facts.get("target") for each in lines] == ["t1", "t2", None]
+
+
+def test_a_request_is_told_with_the_limits_of_the_targets_that_it_tried():
+    texts = [
+        line(1.0, "limit named", target="t1", per_s=2.6),
+        line(1.1, "limit named", target="t9", per_s=3.0),
+        line(9.5, "request given up", **GIVEN_UP),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [each.facts.get("target") for each in lines] == ["t1", None]
+
+
 def test_lines_of_the_request_are_marked():
     texts = list(told(explain(read_log(TEXTS), ID, before_s=2.0)))
     assert [text[0] for text in texts] == [" ", " ", "*"]
--- a/tests/entry/targets/test_limit_words.py
+++ b/tests/entry/targets/test_limit_words.py
@@ -1,9 +1,13 @@
 """What is read as a limit in a target's answer, and what is not."""
 
+import time
+from types import SimpleNamespace
+
 import pytest
 
-from cairnferry.entry.targets import LimitFault, OwnTargets, read_limit
-from cairnferry.policy import NO_LIMIT
+from cairnferry.entry.targets import Limiter, LimitFault, OwnTargets, read_limit
+from cairnferry.entry.telemetry import Metrics
+from cairnferry.policy import TargetLimits
 from cairnferry.wire import Failure, Incomplete, Reply
 from hosting._targets import HostedTargets
 
@@ -12,8 +16,8 @@
 LIMIT = ("Cairnferry-Server-Limit", "2.6")
 
 
-def read(*values, may_lift=True):
-    return read_limit([("Server-Limit", value) for value in values], NAMES, may_lift)
+def read(*values):
+    return read_limit([("Server-Limit", value) for value in values], NAMES)
 
 
 @pytest.mark.parametrize(
@@ -39,38 +43,55 @@
     assert isinstance(read("2.6", text), LimitFault)
 
 
-def test_an_answer_without_the_header_lifts_a_limit_if_it_may():
-    assert read(may_lift=True) == NO_LIMIT
-    assert read(may_lift=False) is None
-
-
 @pytest.mark.parametrize(
-    ("status", "headers", "found"),
+    ("status", "headers", "named", "denies"),
     [
-        (200, [PROOF, LIMIT], 2.6),
-        (200, [PROOF, ("Server-Limit", "3")], 3.0),
-        (200, [PROOF], NO_LIMIT),
-        (500, [PROOF], NO_LIMIT),
+        (200, [PROOF, LIMIT], 2.6, True),
+        (200, [PROOF, ("Server-Limit", "3")], 3.0, True),
+        (200, [PROOF], None, True),
+        (500, [PROOF], None, True),
         # A refusal is made before the request is looked at, and need not tell.
-        (503, [("Cairnferry-Not-Executed", "1")], None),
-        (503, [("Cairnferry-Not-Executed", "1"), LIMIT], 2.6),
+        (503, [("Cairnferry-Not-Executed", "1")], None, False),
+        (503, [("Cairnferry-Not-Executed", "1"), LIMIT], 2.6, False),
         # Not signed: not its own answer, or one that came from somewhere before it.
-        (502, [], None),
+        (502, [], None, False),
         # Another target's answer.
-        (421, [LIMIT], None),
+        (421, [LIMIT], None, False),
     ],
 )
-def test_whose_answers_name_and_lift_limits(status, headers, found):
-    assert HostedTargets().limit_of(Reply(status, headers, b"")) == found
+def test_whose_answers_name_limits_and_whose_deny_them(status, headers, named, denies):
+    reply = Reply(status, headers, b"")
+    assert HostedTargets().limit_of(reply) == named
+    assert HostedTargets().denies_limit(reply) == denies
 
 
-def test_no_answer_says_nothing():
-    assert HostedTargets().limit_of(Incomplete(Failure.RESET)) is None
-    assert OwnTargets().limit_of(Incomplete(Failure.RESET)) is None
+@pytest.mark.parametrize("convention", [HostedTargets(), OwnTargets()])
+def test_no_answer_says_nothing(convention):
+    assert convention.limit_of(Incomplete(Failure.RESET)) is None
+    assert not convention.denies_limit(Incomplete(Failure.RESET))
 
 
-def test_on_the_own_interface_a_refusal_names_limits_and_lifts_none():
+def test_on_the_own_interface_a_refusal_names_limits_and_denies_none():
     convention = OwnTargets()
     assert convention.limit_of(Reply(200, [("Server-Limit", "4")], b"")) == 4.0
-    assert convention.limit_of(Reply(200, [], b"")) == NO_LIMIT
-    assert convention.limit_of(Reply(503, [], b"")) is None
+    assert convention.denies_limit(Reply(200, [], b""))
+    assert not convention.denies_limit(Reply(503, [], b""))
+
+
+@pytest.mark.parametrize(
+    ("reply", "rate"),
+    [
+        (Reply(200, [PROOF], b""), None),
+        (Reply(200, [PROOF, LIMIT], b""), 2.6),
+        (Reply(200, [PROOF, ("Server-Limit", "many")], b""), 4.0),
+        (Reply(503, [("Cairnferry-Not-Executed", "1")], b""), 4.0),
+        (Incomplete(Failure.RESET), 4.0),
+    ],
+)
+def test_only_an_answer_that_denies_a_limit_lifts_it(reply, rate):
+    limiter = Limiter(TargetLimits(), Metrics())
+    limiter.note_check("i-1", 4.0, time.monotonic())
+    target = SimpleNamespace(identity="i-1", name="i-1")
+    attempt = SimpleNamespace(target=target, started=time.monotonic())
+    limiter.note_outcome(attempt, reply, HostedTargets())
+    assert limiter.limits.book.rate("i-1") == rate
