--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -204,14 +204,12 @@
             self.metrics.quarantine["not-told"] += 1
 
     def _blame(self, content, is_own):
-        found = self.quarantine.blame(content, time.monotonic())
-        if found is None:
-            return
-        ref, block = found
-        self._note_block(ref, block, by="ends" if is_own else "ends told by others")
-        self._spread(BlockTold(ref, block))
-        if is_own:
-            gevent.spawn(self.table.add, ref, block)
+        by = "ends" if is_own else "ends told by others"
+        for ref, block in self.quarantine.blame(content, time.monotonic()):
+            self._note_block(ref, block, by)
+            self._spread(BlockTold(ref, block))
+            if is_own:
+                gevent.spawn(self.table.add, ref, block)
 
     def note_answer(self, call: Call) -> None:
         """Take in that a target ran a request and answered."""
--- a/packages/policy/src/cairnferry/policy/_blocks.py
+++ b/packages/policy/src/cairnferry/policy/_blocks.py
@@ -3,7 +3,7 @@
 All times are monotonic seconds of one clock.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -146,3 +146,30 @@
         if not runs or end.started >= runs[-1].ended:
             runs.append(end)
     return runs
+
+
+def runs_of_several(ends: Collection[End]) -> list[End]:
+    """Give three runs in turn, of two callers or more; none if there are none.
+
+    Of all such the ones that begin last. Any three will do, not those in the chain of
+    `runs_in_turn`: which ones these are depends on ends that are heard of later, and
+    daemons that hear in another order would not come to the same end.
+    """
+    found = [_around(middle, ends) for middle in ends]
+    proofs = [runs for runs in found if runs]
+    return max(proofs, key=lambda runs: runs[0].started, default=[])
+
+
+def _around(middle, ends):
+    """Give a run before and one after a run, so that not all three are one caller's."""
+    before = [end for end in ends if end.ended <= middle.started]
+    after = [end for end in ends if end.started >= middle.ended]
+    last = max(
+        after, key=lambda end: (end.caller != middle.caller, end.ended), default=None
+    )
+    if last is None:
+        return []
+    if last.caller == middle.caller:
+        before = [end for end in before if end.caller != middle.caller]
+    first = max(before, key=lambda end: end.started, default=None)
+    return [first, middle, last] if first is not None else []
--- a/packages/policy/src/cairnferry/policy/_quarantine.py
+++ b/packages/policy/src/cairnferry/policy/_quarantine.py
@@ -24,6 +24,7 @@
     Suspect,
     Verdict,
     runs_in_turn,
+    runs_of_several,
 )
 from cairnferry.policy._identity import RequestIdentity, head_of
 
@@ -67,12 +68,22 @@
         """Give the runs, one after the other, that speak against a scope."""
         if scope != EVERYBODY:
             return runs_in_turn(end for end in self.ends if end.caller == scope)
-        last = self.answered_at(EVERYBODY)
-        ends = [end for end in self.ends if end.started >= last]
+        ends = self._ends_of_all()
         if len({end.caller for end in ends}) < CALLERS_TO_BLOCK_ALL:
             return []
         return runs_in_turn(ends)
 
+    def proof(self, scope):
+        """Give the runs that prove enough against a scope; none if there are none."""
+        if scope == EVERYBODY:
+            return runs_of_several(self._ends_of_all())
+        runs = self.runs(scope)[-ENDS_TO_BLOCK:]
+        return runs if len(runs) == ENDS_TO_BLOCK else []
+
+    def _ends_of_all(self):
+        last = self.answered_at(EVERYBODY)
+        return [end for end in self.ends if end.started >= last]
+
     def block_for(self, caller):
         """Give the scope and the block that holds for a caller, if there is one."""
         for scope in (EVERYBODY, caller):
@@ -168,20 +179,26 @@
         self._cases.move_to_end(content)
         return True
 
-    def blame(self, content: str, now: float) -> tuple[BlockRef, Block] | None:
-        """Set a block if the ends of a request prove enough; give it if it is new."""
+    def blame(self, content: str, now: float) -> list[tuple[BlockRef, Block]]:
+        """Set the blocks that the ends of a request prove; give those that are new.
+
+        All of them at once: one that waited for the next end would be missing at a
+        daemon that hears of no further one.
+        """
         case = self._cases.get(content)
         if case is None or EVERYBODY in case.blocks:
-            return None
+            return []
         case.drop_lapsed(now)
         callers = {end.caller for end in case.ends} - case.blocks.keys()
+        found = []
         for scope in (EVERYBODY, *sorted(callers)):
-            runs = case.runs(scope)[-ENDS_TO_BLOCK:]
-            if len(runs) == ENDS_TO_BLOCK:
-                block = Block(runs[-1].ended, runs[0].started)
-                self.take_block(content, scope, block)
-                return BlockRef(content, scope), block
-        return None
+            runs = case.proof(scope)
+            block = runs and Block(runs[-1].ended, runs[0].started)
+            if block and self.take_block(content, scope, block):
+                found.append((BlockRef(content, scope), block))
+            if EVERYBODY in case.blocks:
+                break
+        return found
 
     def is_held(self, identity: RequestIdentity) -> bool:
         """Tell whether anything is held against a request."""
@@ -217,7 +234,7 @@
             if end.started >= at or caller not in (EVERYBODY, end.caller)
         ]
         scopes = list(case.blocks) if caller == EVERYBODY else [EVERYBODY, caller]
-        lifted = [s for s in scopes if s in case.blocks and case.blocks[s].since <= at]
+        lifted = [s for s in scopes if s in case.blocks and case.blocks[s].since < at]
         for scope in lifted:
             del case.blocks[scope]
         return [BlockRef(content, scope) for scope in lifted]
@@ -228,7 +245,8 @@
         Of two the one with more trials goes: who made the last trial knows best.
         """
         case = self._cases.get(content) or self._open(content)
-        if case.answered_at(scope) >= block.since:
+        # A run that began as the answer came is later than it, here as in `runs`.
+        if case.answered_at(scope) > block.since:
             return False
         known = case.blocks.get(scope)
         if known is not None and known.trials >= block.trials:
@@ -248,7 +266,7 @@
         """Tell whether a block has run out, or was lifted."""
         case = self._cases.get(ref.content)
         answered = case.answered_at(ref.scope) if case else -math.inf
-        return answered >= block.since or not block.holds(now)
+        return answered > block.since or not block.holds(now)
 
     def blocks(self, now: float) -> dict[BlockRef, Block]:
         """Give all blocks that are in force."""
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -47,7 +47,8 @@
         found = None
         for number, at in enumerate(times, first):
             self.quarantine.note_end(req.content, end(number, at, req), at)
-            found = self.quarantine.blame(req.content, at) or found
+            blamed = self.quarantine.blame(req.content, at)
+            found = blamed[-1] if blamed else found
         return found
 
     def answer(self, req, at):
@@ -168,7 +169,7 @@
         at = 1.0 + 5.0 * number
         daemon.quarantine.note_end(req.content, end("a", at, req), at)
         found = daemon.quarantine.blame(req.content, at)
-    assert found is not None
+    assert found
 
 
 def test_ends_far_apart_count_together_and_are_forgotten_at_last(daemon):
@@ -328,3 +329,44 @@
             [isinstance(daemon.judge(request(caller=c), 41.0), Barred) for c in "ab"]
         )
     assert verdicts[0] == verdicts[1]
+
+
+def test_a_run_that_begins_as_another_one_is_answered_counts_as_later_everywhere():
+    """Symptom: of two daemons that hear the same one blocks a request, one does not.
+
+    Events: runs of two callers end targets in turn, and one gets an answer at the
+    moment at which its second run begins. For the runs that was later, for the
+    block that they prove it was not: no block was set, also none for the other caller,
+    whose three runs no answer speaks against.
+    """
+    a, b = request(caller="a"), request(caller="b")
+    told = [(b, 0.0), (a, 0.1), (b, 0.2), (b, 0.4)]
+    assert verdicts_around_an_answer(a, b, told, 0.0) == [[True, True], [True, True]]
+
+
+def test_a_block_for_all_is_proved_by_runs_of_two_callers_and_not_beside_them():
+    """Symptom: a daemon refuses a request to all, and another one to one caller alone.
+
+    Events: one run of a caller, which gets an answer later than that run began, and
+    three runs of another one. The three proved the block, and the one before made two
+    callers of it; heard of after the answer it does not count, and there is one.
+    """
+    a, b = request(caller="a"), request(caller="b")
+    told = [(a, 0.0), (b, 0.2), (b, 0.4), (b, 0.6)]
+    assert verdicts_around_an_answer(a, b, told, 0.0) == [[False, True], [False, True]]
+
+
+def verdicts_around_an_answer(a, b, told, at):
+    """Tell who is barred if an answer to `a` is heard before the ends, and after."""
+    verdicts = []
+    for answered_first in (True, False):
+        daemon = Daemon()
+        if answered_first:
+            daemon.answer(a, at)
+        for number, (req, ended) in enumerate(told):
+            daemon.quarantine.note_end(req.content, end(number, ended, req), 41.0)
+            daemon.quarantine.blame(req.content, 41.0)
+        if not answered_first:
+            daemon.answer(a, at)
+        verdicts.append([isinstance(daemon.judge(r, 41.0), Barred) for r in (a, b)])
+    return verdicts
