A request waits up to 0.1 s for a permit that its daemon holds for a moment later

Where all targets of a service name limits, permits come one after the other, and a request that came 30 ms before the next one was told to come back over another connection. It now waits for it, three times 0.1 s at most, as others that wait may take it first, and not beyond its objective; who is refused is told the time of the next permit.

--- a/bench/model/_need.py
+++ b/bench/model/_need.py
@@ -10,6 +10,7 @@
     Ask,
     Call,
     LoadReport,
+    Pause,
     Send,
 )
 from cairnferry.records import Lifecycle, Priority, Route, Service, Target
@@ -89,16 +90,29 @@
         now = self.fleet.now
         call = Call(now, now + 1.0, True, objective=now + 0.4, route="r")
         policy = daemon.services.runtime("s").policy
-        decision = policy.arrive(call, now)
+        self._act_on(daemon, call, policy.arrive(call, now))
+
+    def _go_on(self, daemon, call):
+        """Go on with a request that was let wait."""
+        if daemon.is_up:
+            policy = daemon.services.runtime("s").policy
+            self._act_on(daemon, call, policy.asked(call, self.fleet.now))
+
+    def _act_on(self, daemon, call, decision):
+        now = self.fleet.now
+        policy = daemon.services.runtime("s").policy
         while isinstance(decision, Ask):
             for record in decision.targets:
                 report = LoadReport(self.targets[record.name].in_use)
                 policy.note_check(record.identity, report, True, now)
             decision = policy.asked(call, now)
-        if isinstance(decision, Send):
-            self._run(daemon, decision.attempt)
-        else:
-            self.refused.append(call)
+        match decision:
+            case Send(attempt):
+                self._run(daemon, attempt)
+            case Pause(seconds):
+                self.fleet.after(seconds, self._go_on, daemon, call)
+            case _:
+                self.refused.append(call)
 
     def _run(self, daemon, attempt):
         target = self.targets[attempt.target.name]
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -26,6 +26,7 @@
     Decision,
     GiveUp,
     Lost,
+    Pause,
     Refuse,
     Relay,
     Send,
@@ -107,6 +108,9 @@
                     case Ask(targets):
                         self.checks.ask(targets, runtime)
                         decision = runtime.asked(call)
+                    case Pause(seconds):
+                        gevent.sleep(seconds)
+                        decision = runtime.asked(call)
                     case Wait():
                         decision = runtime.wait(call)
                     case Relay():
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -129,12 +129,15 @@
         Names of the targets that were asked.
     may_relay : bool
         Whether an answer is there already, to be relayed if no target is found.
+    pauses : int
+        How often it was let wait for a permit.
     """
 
     kind: AttemptKind = AttemptKind.FIRST
     rounds: int = 0
     asked: set[str] = attrs.field(factory=set)
     may_relay: bool = False
+    pauses: int = 0
 
 
 @attrs.define(eq=False)
@@ -216,6 +219,19 @@
     until: float
 
 
+@attrs.frozen
+class Pause:
+    """Wait so long, then call `asked`.
+
+    Attributes
+    ----------
+    seconds : float
+        Time to wait.
+    """
+
+    seconds: float
+
+
 @attrs.frozen
 class Relay:
     """Pass the target's answer on to the caller."""
@@ -250,4 +266,4 @@
     retry_after: float
 
 
-Decision = Send | Ask | Wait | Relay | Abandoned | Refuse | GiveUp
+Decision = Send | Ask | Wait | Pause | Relay | Abandoned | Refuse | GiveUp
--- a/packages/policy/src/cairnferry/policy/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/_searcher.py
@@ -1,13 +1,22 @@
 """The search for a target by asking: its rounds, its end, and a second target."""
 
+import math
+
 import attrs
 
-from cairnferry.policy._model import Ask, AttemptKind, Call, Cause, Search
+from cairnferry.policy._model import Ask, AttemptKind, Call, Cause, Pause, Search
 from cairnferry.policy._seeking import SeekSettings
 from cairnferry.policy._target import TargetState
 from cairnferry.policy._targetset import TargetSet
 from cairnferry.policy._work import WorkEstimates
 
+# Longest and least seconds for which a request waits for a permit that is held already,
+# and how often: others that wait may take it first. A caller that is refused opens
+# another connection, and is back later than that.
+MAX_PAUSE_S = 0.1
+MIN_PAUSE_S = 0.005
+MAX_PAUSES = 3
+
 
 @attrs.frozen
 class Found:
@@ -30,9 +39,18 @@
 
 @attrs.frozen
 class NothingFound:
-    """No target may get the request, and why."""
+    """No target may get the request, and why.
+
+    Attributes
+    ----------
+    cause : Cause
+        Why.
+    room_at : float
+        Time in seconds at which there will be room again; infinite if unknown.
+    """
 
     cause: Cause
+    room_at: float = math.inf
 
 
 @attrs.define
@@ -55,7 +73,7 @@
 
     def begin(
         self, call: Call, kind: AttemptKind, now: float
-    ) -> Found | Ask | NothingFound:
+    ) -> Found | Ask | Pause | NothingFound:
         """Begin the search for an attempt."""
         call.search = Search(kind)
         trial = self.targets.choose_for_trial(call, now)
@@ -63,7 +81,7 @@
             return Found(trial, 1.0, trial=True)
         return self.go_on(call, now)
 
-    def go_on(self, call: Call, now: float) -> Found | Ask | NothingFound:
+    def go_on(self, call: Call, now: float) -> Found | Ask | Pause | NothingFound:
         """Go on once the targets to ask have been asked."""
         work = self.work.seconds(call.route)
         urgent = self.work.is_urgent(call.rank)
@@ -71,11 +89,22 @@
             case Ask() as ask:
                 return ask
             case None:
-                limited = self.targets.is_kept_by_limits(call, now)
-                return NothingFound(Cause.TARGET_LIMIT if limited else Cause.NO_TARGET)
+                return self._without_target(call, urgent, now)
             case target:
                 return self._judge(call, target, work, urgent, now)
 
+    def _without_target(self, call, urgent, now):
+        permitted_at = self.targets.next_permit(call, urgent, now)
+        if permitted_at is None:
+            return NothingFound(Cause.NO_TARGET)
+        wait = permitted_at - now
+        may_pause = call.search.pauses < MAX_PAUSES and wait <= MAX_PAUSE_S
+        if may_pause and permitted_at < _latest_start(call, self.work):
+            # Refused, it would come back later than the permit does.
+            call.search.pauses += 1
+            return Pause(max(wait, MIN_PAUSE_S))
+        return NothingFound(Cause.TARGET_LIMIT, permitted_at)
+
     def _judge(self, call, target, work, urgent, now):
         seeker = self.targets.seeker
         if not seeker.is_worth_sending(call, target, work, urgent, now):
@@ -103,3 +132,9 @@
             return Ask((first.record,)) if wants_check else None
         other = self.targets.best_known(call, now)
         return other and Found(other, self.targets.seeker.cost(other, now))
+
+
+def _latest_start(call, work):
+    """Give the time by which a request has to be sent to make its objective."""
+    due = call.deadline if call.objective is None else call.objective
+    return due - work.seconds(call.route)
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -1,5 +1,6 @@
 """Policy of one service at one daemon."""
 
+import math
 import random
 from collections.abc import Container
 
@@ -26,6 +27,7 @@
     Decision,
     GiveUp,
     LoadReport,
+    Pause,
     Refuse,
     Relay,
     Search,
@@ -219,20 +221,19 @@
                 attempt = self._start(call, target, call.search.kind, now, trial)
                 attempt.cost = cost
                 return Send(attempt)
-            case NothingFound(cause):
-                return self._settle(call, cause, now)
-            case Ask():
+            case NothingFound(cause, room_at):
+                return self._settle(call, cause, now, room_at)
+            case Ask() | Pause():
                 return found
 
-    def _return_after(self, call, cause, now):
+    def _return_after(self, call, now, room_at):
         """Give the seconds after which a request that found no room may come back.
 
         Early enough to make its objective if room is found then, and spread, so that
         those that were refused together do not come back together.
         """
-        permitted = self.limits.next_start(now) if self.limits else None
-        if cause is Cause.TARGET_LIMIT and permitted is not None:
-            return max(self.settings.min_retry_after_s, permitted - now)
+        if room_at < math.inf:
+            return max(self.settings.min_retry_after_s, room_at - now)
         if call.objective is None:
             return self.settings.retry_after_s
         earliest, latest = self.settings.return_shares
@@ -431,10 +432,10 @@
         attempt.target.note_ended(attempt.started)
         self._room.give_back(attempt.call.priority)
 
-    def _settle(self, call, cause, now):
+    def _settle(self, call, cause, now, room_at=math.inf):
         """Give the request up, with what the evidence of all attempts allows."""
         self.given_up[cause] += 1
-        retry_after = self._return_after(call, cause, now)
+        retry_after = self._return_after(call, now, room_at)
         if call.possibly_run:
             return GiveUp(cause, retry_after)
         return Refuse(cause, retry_after)
--- a/packages/policy/src/cairnferry/policy/_target_limits.py
+++ b/packages/policy/src/cairnferry/policy/_target_limits.py
@@ -50,10 +50,14 @@
         open_at = start if is_open else start + URGENT_FIRST_S
         return cls(start, start + PERMIT_S, open_at)
 
+    def first_use(self, urgent: bool, now: float) -> float:
+        """Give the time from which a request may use it; infinite if it is over."""
+        first = self.start if urgent else max(self.start, self.open_at)
+        return max(first, now) if now < self.end else math.inf
+
     def fits(self, urgent: bool, now: float) -> bool:
         """Tell whether a request may use it now."""
-        first = self.start if urgent else max(self.start, self.open_at)
-        return first <= now < self.end
+        return self.first_use(urgent, now) <= now
 
 
 @attrs.frozen
@@ -130,15 +134,10 @@
         """Count the permits that are held, those for later too."""
         return len(self._permits.get(identity, ()))
 
-    def next_start(self, now: float) -> float | None:
-        """Give the time of the next permit that is held for later, if there is one."""
-        starts = [
-            permit.start
-            for held in self._permits.values()
-            for permit in held
-            if permit.start > now
-        ]
-        return min(starts, default=None)
+    def next_start(self, identity: str, urgent: bool, now: float) -> float:
+        """Give the time from which a request may use a permit; infinite without."""
+        held = self._permits.get(identity, ())
+        return min((permit.first_use(urgent, now) for permit in held), default=math.inf)
 
     def void(self, identity: str) -> None:
         """Drop the permits for a target, as they were given under another limit."""
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -220,12 +220,22 @@
             if self.limits.has_permit(target.identity, now, urgent)
         ]
 
-    def is_kept_by_limits(self, call: Call, now: float) -> bool:
-        """Tell whether a request would have a target if there were no limits."""
+    def next_permit(self, call: Call, urgent: bool, now: float) -> float | None:
+        """Give the time from which a request may go to a limited target.
+
+        Returns
+        -------
+        float or None
+            Infinite if no permit for one is held; None if limits are not what keeps
+            the request from a target.
+        """
         if not self.limits:
-            return False
+            return None
         near, far = self._usable.lists(self._states, now)
-        return any(not call.tried(target) for target in (*near, *far))
+        left = [target for target in (*near, *far) if not call.tried(target)]
+        if not left or self._free(left):
+            return None
+        return min(self.limits.next_start(t.identity, urgent, now) for t in left)
 
     def permits_wanted(
         self, expected: int, barred: Container[str], now: float
