A limited target that was ejected is tried again

What callers would have seen: a target in need that failed for a moment is never used again. An ejected target is no candidate, so that no permit for it was asked for; its trial needs one; and as it is sent nothing, the end of its limit is never heard either. Found reading the change. Permits are now asked for up to two ejected targets, one each. The test fails before.

--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -37,6 +37,8 @@
 # the ones that it would choose from anyway.
 NEAR_REACH = 8
 FAR_REACH = 8
+# Of those that are out of use, so many at a time: each needs one for its trial.
+EJECTED_REACH = 2
 # Seconds for which permits for targets of other zones are asked for, after a request
 # that looked for one there. They would else be held and not used.
 FAR_WANTED_S = 1.0
@@ -256,7 +258,9 @@
             Time in seconds.
         """
         near, far = self._usable.lists(self._states, now)
-        reach = self._limited(near)[:NEAR_REACH]
+        # One that is out of use comes back by a trial, which needs a permit as well.
+        reach = self._limited(self._usable.ejected)[:EJECTED_REACH]
+        reach += self._limited(near)[:NEAR_REACH]
         if now < self._far_wanted_until:
             reach += self._limited(far)[:FAR_REACH]
         share = math.ceil(expected / max(1, len(reach)))
@@ -266,7 +270,8 @@
             expected -= held
             if target.identity in barred:
                 continue
-            count = min(share - held, expected)
+            most = 1 if target.ejected_until else share
+            count = min(most - held, expected)
             if count > 0:
                 wanted.append(Wanted(target.record, count))
                 expected -= count
--- a/tests/policy/test_limited_targets.py
+++ b/tests/policy/test_limited_targets.py
@@ -276,3 +276,43 @@
     policy.limits.take_in("n0", [1.0])
     lookup, _ = settle(policy, call(now=1.0, route="lookups", rank=2), now=1.0)
     assert lookup.attempt.target_name == "n0"
+
+
+def test_a_limited_target_that_was_ejected_comes_back():
+    """Symptom: a target in need that failed for a moment is never used again.
+
+    It was no candidate, so that no permit for it was asked for, and a trial needs one.
+    """
+    policy = policy_of(*near(4))
+    bad = None
+    for number in range(40):
+        now = 1.0 + 0.1 * number
+        decision, _ = settle(policy, call(now=now), now=now)
+        bad = bad or decision.attempt.target_name
+        failed = decision.attempt.target_name == bad
+        policy.finished(decision.attempt, Answered(failed=failed), now + 0.01)
+    assert [event.target for event in policy.take_events()][:1] == [bad]
+    limit(policy, bad)
+    arrive(policy, 3, now=20.0)
+    assert wanted(policy, now=20.0) == {bad: 1}
+    policy.limits.take_in(bad, [20.0])
+    decision, _ = settle(policy, call(now=20.1), now=20.1)
+    assert decision.attempt.target_name == bad
+    assert decision.attempt.trial
+    policy.finished(decision.attempt, Answered(), 20.2)
+    policy.limits.take_in(bad, [20.2])
+    decision, _ = settle(policy, call(now=20.3), now=20.3)
+    assert decision.attempt.target_name == bad
+    assert not decision.attempt.trial
+
+
+def test_urgent_requests_leave_the_open_permit_to_others():
+    policy = policy_of(*near(1))
+    urgent_and_other(policy)
+    limit(policy, "n0")
+    policy.limits.take_in("n0", [1.0, 1.0, 1.0])
+    for _ in range(2):
+        order, _ = settle(policy, call(route="orders", rank=1))
+        assert isinstance(order, Send)
+    lookup, _ = settle(policy, call(route="lookups", rank=2))
+    assert isinstance(lookup, Send)
