Urgent requests leave the permits that are open to any to the others

Of permits that are there at once an urgent request took the open one first, and a less urgent one that came next waited for 0.1 s beside two that were kept from it.

Limits of targets that are gone are looked for only if there are any, and permits to be given back are forgotten with the limit.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -259,7 +259,7 @@
         self.instances = self.cluster.count_instances()
         targets = self.services.targets()
         self.checks.share_with(self.instances, len(targets))
-        self.limiter.forget_unlisted({target.identity for target in targets})
+        self.limiter.forget_unlisted(targets)
         for runtime in self.services.active().values():
             runtime.policy.share_with(self.instances, self._place())
 
--- a/packages/entry/src/cairnferry/entry/targets/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limiter.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from gevent.event import Event
@@ -13,6 +13,7 @@
 from cairnferry.entry.targets._limit_words import LimitFault
 from cairnferry.entry.telemetry import Metrics, RateLimit
 from cairnferry.policy import NO_LIMIT, Attempt, NamedLimit, TargetLimits
+from cairnferry.records import Target
 from cairnferry.wire import Outcome
 
 log = logging.getLogger(__name__)
@@ -137,8 +138,11 @@
         else:
             self.is_needed.clear()
 
-    def forget_unlisted(self, listed: set[str]) -> None:
-        """Drop what is known of targets that are gone."""
+    def forget_unlisted(self, targets: Iterable[Target]) -> None:
+        """Drop what is known of targets that are gone, by those that are listed."""
+        if self.limits.book.is_empty:
+            return
+        listed = {target.identity for target in targets}
         sent = self.limits.sent
         self.limits.sent = {t: count for t, count in sent.items() if t in listed}
         for identity in self.limits.book.forget_unlisted(listed, time.monotonic()):
--- a/packages/entry/src/cairnferry/entry/targets/_permits.py
+++ b/packages/entry/src/cairnferry/entry/targets/_permits.py
@@ -159,7 +159,13 @@
         """Ask once for all that is wanted."""
         now = time.monotonic()
         self.giving.drop_unused(now)
-        for target, count in self.limiter.limits.take_lapsed(now).items():
+        limits = self.limiter.limits
+        self._returned = {
+            target: count
+            for target, count in self._returned.items()
+            if limits.is_limited(target)
+        }
+        for target, count in limits.take_lapsed(now).items():
             self._returned[target] = self._returned.get(target, 0) + count
         self._not_before = {t: at for t, at in self._not_before.items() if at > now}
         for giver, wanted in self._by_giver(self._wanted(now)).items():
--- a/packages/policy/src/cairnferry/policy/_limits.py
+++ b/packages/policy/src/cairnferry/policy/_limits.py
@@ -55,6 +55,11 @@
         """Give the number of limits in force."""
         return len(self._in_force)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has said anything of a limit."""
+        return not self._known
+
     def note_answer(
         self, identity: str, per_s: float, sent: float, heard: float
     ) -> bool:
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -422,7 +422,8 @@
         call.attempts.append(attempt)
         target.note_sent(now)
         if self.limits:
-            self.limits.spend(target.identity, now)
+            urgent = self._work.is_urgent(call.rank)
+            self.limits.spend(target.identity, urgent, now)
         self._room.take(call.priority)
         self.attempts[kind] += 1
         return attempt
--- a/packages/policy/src/cairnferry/policy/_target_limits.py
+++ b/packages/policy/src/cairnferry/policy/_target_limits.py
@@ -110,10 +110,11 @@
         held = self._permits.get(identity, ())
         return any(permit.fits(urgent, now) for permit in held)
 
-    def spend(self, identity: str, now: float) -> None:
+    def spend(self, identity: str, urgent: bool, now: float) -> None:
         """Use a permit, as a request is sent; nothing where there is no limit.
 
-        The one that is open to any request goes first: an urgent one may still come.
+        Urgent requests leave those that are open to any to the others, as long as there
+        are some that are not.
         """
         if not self.is_limited(identity):
             return
@@ -121,7 +122,8 @@
         held = self._permits.get(identity, ())
         usable = [permit for permit in held if permit.fits(True, now)]
         if usable:
-            held.remove(min(usable, key=lambda permit: permit.open_at))
+            choose = max if urgent else min
+            held.remove(choose(usable, key=lambda permit: permit.open_at))
 
     def take_in(self, identity: str, starts: list[float]) -> None:
         """Take in permits that were given, by the times from which they hold."""
--- a/tests/policy/test_permits.py
+++ b/tests/policy/test_permits.py
@@ -126,7 +126,7 @@
     assert limits.next_start("i-1", True, 5.0) == 5.5
     assert limits.next_start("i-2", True, 5.0) == math.inf
     assert limits.admits("i-1", 5.5)
-    limits.spend("i-1", 5.5)
+    limits.spend("i-1", True, 5.5)
     assert not limits.admits("i-1", 5.6)
     assert limits.sent == {"i-1": 1}
 
@@ -142,5 +142,5 @@
 def test_without_a_limit_nothing_is_held_or_counted():
     limits = TargetLimits(LimitBook())
     assert not limits
-    limits.spend("i-1", 1.0)
+    limits.spend("i-1", True, 1.0)
     assert limits.sent == {}
