A store that comes back from a copy of itself is followed into its new era

What callers would see after a drill: requests served by old rules and targets for good, by daemons that take themselves for up to date; requests at targets that had left before; blocks of requests that end targets lifted; daemons that start then refused by all others.

Cause: versions were compared by number alone. A feed that waits from version 500 while the store comes back at 480 gets no 410 once others have written past 500, and 481 to 500 of the new history are never heard; a write under a row's version may hit another row that was given the same one; rows that the store lost look as if somebody had removed them.

Now the adapter reads the era in each answer and stamps each version with it, in one number that orders as era and version do: all that compares versions (feeds, copies, what daemons tell each other, what newcomers are handed) is right without knowing of it. A position or a condition of an earlier era is none; an answer of an earlier era changes nothing. Lost rows of instances and blocks and the key of the daemons are written again.

Ruled out: a separate field for the era in each message and record. It would have to be compared at each place, and older daemons would pass over it; a stamp they compare rightly.

--- a/packages/coordination/src/cairnferry/coordination/__init__.py
+++ b/packages/coordination/src/cairnferry/coordination/__init__.py
@@ -19,6 +19,7 @@
     OutcomeUnknown,
 )
 from cairnferry.coordination._confirmation import HeadConfirmation
+from cairnferry.coordination._eras import MAX_ERA, era_of, stamp, version_of
 from cairnferry.coordination._groupcommit import GroupCommit, Pending
 from cairnferry.coordination._membership import (
     Member,
@@ -53,6 +54,7 @@
     "Item",
     "LogRow",
     "LogTooLarge",
+    "MAX_ERA",
     "Member",
     "MemberState",
     "Membership",
@@ -70,6 +72,9 @@
     "TokenBucket",
     "Write",
     "WriteUnknown",
+    "era_of",
     "lowest_ranked",
     "rank",
+    "stamp",
+    "version_of",
 ]
--- a/packages/coordination/src/cairnferry/coordination/_tablecopy.py
+++ b/packages/coordination/src/cairnferry/coordination/_tablecopy.py
@@ -1,8 +1,9 @@
 """Copies of a table whose rows carry versions, and what one copy tells another.
 
-All versions come from one counter of the table's store. So copies can be compared by a
-number, wherever each got its rows from: no copy goes back to an older state, and the
-newer of two can tell the other just what it lacks.
+All versions come from one counter of the table's store, stamped with the store's era
+(`stamp`). So copies can be compared by a number, wherever each got its rows from: no
+copy goes back to an older state, and the newer of two can tell the other just what it
+lacks.
 """
 
 import attrs
@@ -117,6 +118,11 @@
             oldest = next(iter(self._removals))
             self._told_from = self._removals.pop(oldest).version
 
+    @property
+    def removed(self) -> frozenset[str]:
+        """Names of rows that were removed and are kept in mind."""
+        return frozenset(self._removals)
+
     def news_since(self, version: int) -> News:
         """Give what a copy of an older version lacks."""
         if version < self._told_from or not version:
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -21,6 +21,8 @@
     "feed lost",
     "feed is back",
     "history lost",
+    "era of the store",
+    "the store came back from a copy",
     "serving",
     "leaving",
     "log lines dropped",
@@ -38,7 +40,16 @@
 # Cause of a request for which all targets were kept back by their limits.
 KEPT_BY_LIMITS = "target-limit"
 # Names of targets in a belief's line.
-TARGET_FIELDS = ("target", "came", "went", "lifecycle", "keys")
+TARGET_FIELDS = (
+    "target",
+    "came",
+    "went",
+    "lifecycle",
+    "keys",
+    "lost",
+    "older",
+    "back",
+)
 
 
 @attrs.frozen
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -244,6 +244,9 @@
     ) -> Result[None, FeedFault | KeyExists]:
         """Write this instance's row and the daemons' key, if there is no key yet."""
 
+    def restore_key(self, key: bytes) -> Result[None, FeedFault]:
+        """Write the daemons' key again if it is known to be missing."""
+
     def write_all(self, entries: Collection[EntryRow]) -> Result[None, FeedFault]:
         """Write the rows of instances that joined by this one, in few calls."""
 
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -4,7 +4,7 @@
 sockets: a program patches these first.
 """
 
-from cairnferry.coordination import Batch, Row
+from cairnferry.coordination import MAX_ERA, Batch, Row, era_of, stamp, version_of
 from cairnferry.entry._ports import (
     CallerLimits,
     ChangeFeed,
@@ -63,6 +63,7 @@
     "INSTANCES",
     "INSTANCES_COALESCE_S",
     "JOIN_PATH",
+    "MAX_ERA",
     "Batch",
     "BodyLimits",
     "CallerConvention",
@@ -101,7 +102,10 @@
     "TargetConvention",
     "configure_logs",
     "disposable_instance",
+    "era_of",
     "lost",
     "read_limit",
     "read_request_head",
+    "stamp",
+    "version_of",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_block_table.py
+++ b/packages/entry/src/cairnferry/entry/callers/_block_table.py
@@ -7,7 +7,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from cairnferry.coordination import Row
+from cairnferry.coordination import Row, era_of
 from cairnferry.entry._ports import BlockRows, DecodeFault
 from cairnferry.policy import Block, BlockRef
 
@@ -46,8 +46,17 @@
     rows: BlockRows | None = None
     _stored: dict[BlockRef, Row] = attrs.field(factory=dict)
 
-    def take(self, rows: dict[str, Row]) -> TableNews:
-        """Take in all rows by name; those that cannot be read are passed over."""
+    def take(self, rows: dict[str, Row], era: int = 0) -> TableNews:
+        """Take in all rows by name; those that cannot be read are passed over.
+
+        Parameters
+        ----------
+        rows : dict of str to Row
+            All rows.
+        era : int, optional
+            Era of the store that they are of. A row of an earlier one that is missing
+            was not removed: the store lost it, and it is to be written again.
+        """
         before = self._stored
         self._stored = {read_name(name): row for name, row in rows.items()}
         written = {}
@@ -60,7 +69,12 @@
             else:
                 facts = {"row": name_of(ref), "why": str(block.error)}
                 log.warning("block row", extra=facts)
-        return TableNews(written, before.keys() - self._stored.keys())
+        removed = {
+            ref
+            for ref, row in before.items()
+            if ref not in self._stored and era_of(row.version) >= era
+        }
+        return TableNews(written, removed)
 
     def lacks(self, ref: BlockRef) -> bool:
         """Tell whether there is no row of a block."""
--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -271,10 +271,10 @@
 
     # -- rows of blocks --------------------------------------------------------------
 
-    def take_rows(self, rows: dict[str, Row]) -> None:
-        """Take in all rows of blocks by name."""
+    def take_rows(self, rows: dict[str, Row], era: int = 0) -> None:
+        """Take in all rows of blocks by name, of an era of the store."""
         now = time.monotonic()
-        news = self.table.take(rows)
+        news = self.table.take(rows, era)
         for ref, block in news.written.items():
             held = block.holds(now)
             if held and self.quarantine.take_block(ref.content, ref.scope, block):
--- a/packages/entry/src/cairnferry/entry/daemon/_listing.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_listing.py
@@ -51,6 +51,10 @@
         """Refuse the key: there is one in a file."""
         return Error(KeyExists())
 
+    def restore_key(self, key: bytes) -> Result[None, FeedFault]:
+        """Do nothing: the daemons' key is in a file."""
+        return Ok(None)
+
     def write_all(self, entries: Collection[EntryRow]) -> Result[None, FeedFault]:
         """Do nothing: the platform lists these instances."""
         return Ok(None)
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -284,8 +284,13 @@
             return
         for name in gone:
             self.cluster.listed.pop(name, None)
+        is_first = bool(live) and live[0].name == self.me.name
+        if is_first and self.joiner is not None and self.keys.is_set:
+            # A store that came back from a copy may lack it: daemons that start then
+            # would make another one, and be refused by all others.
+            self.registry.restore_key(self.keys.own())
         left = gone - self._removed
-        if left and live[0].name == self.me.name and self._remove(left):
+        if left and is_first and self._remove(left):
             self._removed |= left
 
     def leave(self) -> None:
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -71,6 +71,7 @@
         "counter",
         _counted(metrics["store_calls"], "kind", "result"),
     )
+    yield "store_era", "gauge", [Sample(metrics["store_era"])]
     faulty = _counted(metrics["faulty_rows"], "table")
     yield "faulty_rows_total", "counter", faulty
     ends = _counted(metrics["target_ends"], "service")
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -81,6 +81,8 @@
         From a request's arrival to its answer, by service.
     waits : dict of str to Durations
         From a request's arrival to its first sending, by service.
+    store_era : int
+        Latest era of the platform's store; 0 if it named none.
     """
 
     requests: collections.Counter = attrs.field(factory=collections.Counter)
@@ -94,6 +96,7 @@
     limits: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=dict)
     waits: dict[str, Durations] = attrs.field(factory=dict)
+    store_era: int = 0
     started: float = attrs.field(factory=time.monotonic)
 
     def note_answer(self, service: str, outcome: str, seconds: float) -> None:
@@ -120,6 +123,10 @@
         """Count a call to the platform's store."""
         self.store_calls[kind, result] += 1
 
+    def note_era(self, era: int) -> None:
+        """Take in that the platform's store has come back from a copy of itself."""
+        self.store_era = era
+
     def snapshot(self) -> dict:
         """Give the state for a dump, as plain values."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -132,6 +139,7 @@
             "causes": dict(sorted(self.causes.items())),
             "probes": dict(sorted(self.probes.items())),
             "store_calls": _named(self.store_calls),
+            "store_era": self.store_era,
             "faulty_rows": dict(sorted(self.faulty_rows.items())),
             "target_ends": dict(sorted(self.target_ends.items())),
             "quarantine": dict(sorted(self.quarantine.items())),
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -29,12 +29,18 @@
     `faults` maps a path to the faults of its next calls: a status, or one of
     "lost" (done, the connection ends), "cut" (not done, the connection ends), "slow"
     (answered once `resume` is set) and "words" (an answer that is no JSON).
+
+    `copy` and `come_back` are a drill: the store comes back from a copy of itself, and
+    names its era in each answer from then on.
     """
 
+    ERA_HEADER = "Cairnferry-Store-Era"
+
     def __init__(self, port=0):
         self.rows = collections.defaultdict(dict)
         self.ver = 0
         self.floor = 0
+        self.era = None
         self.calls = collections.Counter()
         self.faults = collections.defaultdict(list)
         self.down = None
@@ -63,6 +69,22 @@
         """Drop the history: older versions can't be followed any more."""
         self.floor = self.ver
 
+    def copy(self):
+        """Give a copy of all that there is."""
+        rows = {
+            table: {key: attrs.evolve(row) for key, row in by_key.items()}
+            for table, by_key in self.rows.items()
+        }
+        return rows, self.ver
+
+    def come_back(self, copy):
+        """Come back from a copy: what was written since is gone, also its versions."""
+        rows, self.ver = copy
+        self.rows = collections.defaultdict(dict, rows)
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+        self._changed = Event()
+
     def _write(self, table, key, value):
         self.ver += 1
         self.rows[table][key] = Row(value, self.ver)
@@ -74,6 +96,7 @@
     def _app(self, environ, start_response):
         path = environ["PATH_INFO"]
         self.calls[path] += 1
+        era = self.era
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         body = environ["wsgi.input"].read()
         fault = self.down or (self.faults[path].pop(0) if self.faults[path] else None)
@@ -86,7 +109,8 @@
             start_response("200 OK", [("Content-Length", "5")])
             return [b"words"]
         status, document = self._answer(path, query, body)
-        if fault == "lost":
+        if fault == "lost" or era != self.era:
+            # Of a call that waits as the store goes away, nothing is heard.
             raise ConnectionAbortedError
         if fault == "slow":
             self.resume.wait()
@@ -95,6 +119,8 @@
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
         ]
+        if era is not None:
+            headers.append((self.ERA_HEADER, str(era)))
         start_response(f"{status} -", headers)
         return [data]
 
@@ -121,7 +147,7 @@
 
     def _feed(self, query):
         after = int(query["after"])
-        if after < self.floor:
+        if after < self.floor or after > self.ver:
             return 410, {}
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         table = query["table"]
--- a/tests/entry/members/test_enrolment.py
+++ b/tests/entry/members/test_enrolment.py
@@ -51,6 +51,10 @@
 
         return self._do(action)
 
+    def restore_key(self, key):
+        self.key = self.key or key
+        return Ok(None)
+
     def read(self):
         return self._do(lambda: Ok(Enrolled(self.key, tuple(self.rows.values()))))
 
