--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -23,6 +23,9 @@
     NoteBoard,
     Row,
     TableCopy,
+    era_of,
+    stamp,
+    version_of,
 )
 from cairnferry.entry.callers import Guard, suspicion_board
 from cairnferry.entry.members import Cluster, Gossip, PermitGivers, WatchDuty
@@ -59,20 +62,39 @@
 
 @attrs.define
 class Store:
-    """The platform's table: versions, and a count of calls."""
+    """The platform's table: versions, an era, and a count of calls."""
 
     rows: dict[str, Row] = attrs.field(factory=dict)
-    version: int = 0
+    number: int = 0
+    era: int = 0
     calls: int = 0
     is_up: bool = True
 
+    @property
+    def version(self) -> int:
+        """Stamp of the newest version."""
+        return stamp(self.era, self.number)
+
     def change(self, key: str, value: bytes | None) -> None:
         """Write or remove a row."""
-        self.version += 1
+        self.number += 1
         self.rows[key] = Row(key, value, self.version)
 
+    def copy(self) -> tuple[dict[str, Row], int]:
+        """Give a copy of all that there is."""
+        return dict(self.rows), self.number
+
+    def come_back(self, copy: tuple[dict[str, Row], int]) -> None:
+        """Come back from a copy: what was written since is gone."""
+        rows, self.number = copy
+        self.era += 1
+        self.rows = {
+            key: attrs.evolve(row, version=stamp(self.era, version_of(row.version)))
+            for key, row in rows.items()
+        }
+
     def since(self, version: int) -> Batch:
-        """Give what has changed."""
+        """Give what has changed; all there is, if the version is of an earlier era."""
         changed = [row for row in self.rows.values() if row.version > version]
         return Batch(tuple(sorted(changed, key=lambda r: r.version)), self.version)
 
@@ -247,7 +269,9 @@
             daemon.gossip.hurry()
             return
         daemon.cluster.confirmation.confirm(self.now)
-        if copy.take_changes(self.store.since(copy.version)):
+        batch = self.store.since(copy.version)
+        is_whole = era_of(copy.version) != self.store.era
+        if copy.take_listing(batch) if is_whole else copy.take_changes(batch):
             daemon.gossip.hurry()
 
     # -- calls between daemons ------------------------------------------------------
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -89,6 +89,32 @@
     assert time_to_spread(fleet) < 1.5
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(("size", "zones"), [(13, 3), (60, 5)])
+def test_a_store_that_comes_back_from_a_copy_is_listed_by_few(size, zones, seed):
+    """Symptom: at the end of a drill each daemon lists each table anew."""
+    fleet = started(size, zones, seed)
+    copy = fleet.store.copy()
+    for number in range(20):
+        fleet.store.change(f"i-{number}", b"lost")
+    fleet.run(3.0)
+    lost = fleet.store.version
+    fleet.store.come_back(copy)
+    forget_counts(fleet)
+    # Others write past the version that was known.
+    for number in range(30):
+        fleet.store.change(f"i-{number}", b"new")
+    version = fleet.store.version
+    assert version > lost
+    assert fleet.run(30.0, lambda: fleet.all_hold(version)) < 2.0
+    assert fleet.store.calls <= 4 * zones
+    for daemon in fleet.up():
+        rows = daemon.table.copy.rows
+        assert {key: row.value for key, row in rows.items()} == {
+            key: row.value for key, row in fleet.store.rows.items()
+        }
+
+
 def test_an_outage_is_watched_for_its_end_by_few():
     """Symptom: at the end of an outage each of hundreds of daemons calls the store."""
     fleet = started()
