--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -15,6 +15,7 @@
     TargetRefused,
 )
 from cairnferry.policy._latency import LatencyEstimate
+from cairnferry.policy._limited_targets import LimitedTargets, Usable
 from cairnferry.policy._model import Ask, Attempt, Call, LoadReport
 from cairnferry.policy._seeking import Seeker, SeekSettings
 from cairnferry.policy._settings import PolicySettings
@@ -33,15 +34,6 @@
 # Seconds for which the word of a check holds; the next check comes sooner.
 UNWELL_S = 0.5
 MAX_REFUSAL_DOUBLINGS = 6
-# Limited targets of the own zone, and of others, for which a daemon asks for permits:
-# the ones that it would choose from anyway.
-NEAR_REACH = 8
-FAR_REACH = 8
-# Of those that are out of use, so many at a time: each needs one for its trial.
-EJECTED_REACH = 2
-# Seconds for which permits for targets of other zones are asked for, after a request
-# that looked for one there. They would else be held and not used.
-FAR_WANTED_S = 1.0
 
 
 class TargetSet:
@@ -78,11 +70,11 @@
         self.settings = settings
         self.limits = limits
         self.latency = LatencyEstimate(settings.high_quantile)
-        self._far_wanted_until = -math.inf
         self.reported_load = 0.0
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
         self._usable = UsableTargets(zone, rng.random())
+        self._limited = LimitedTargets(limits, zone)
         self._chooser = Chooser(
             settings.strategy,
             rng,
@@ -132,20 +124,20 @@
 
     def choose(self, call: Call, now: float) -> TargetState | None:
         """Choose a target; None if each that may be used is full."""
-        near, far = self._open_to(call, now)
+        usable = self._open_to(call, now)
         max_load = self.settings.full_load
         if call.priority is Priority.BACKGROUND:
             max_load = self.settings.background_load
         usual = self.latency.usual
         if self.limits:
             # Its load is low by its limit, and the choice by load draws only some.
-            permitted = [t for t in near if self.limits.is_limited(t.identity)]
+            permitted = self._limited.limited(usable.near)
             found = self._chooser.choose(permitted, [], now, usual, max_load)
             if found is not None:
                 return found
-            if not near:
-                self._far_wanted_until = now + FAR_WANTED_S
-        return self._chooser.choose(near, far, now, usual, max_load)
+            if not usable.near:
+                self._limited.note_found(None, now)
+        return self._chooser.choose(usable.near, usable.far, now, usual, max_load)
 
     def seek(
         self, call: Call, work: float, urgent: bool, now: float
@@ -163,122 +155,56 @@
         now : float
             Time in seconds.
         """
-        near, far = self._candidates(call, now, urgent)
-        found = self.seeker.seek(call, near, far, work, now)
+        usable = self._candidates(call, now, urgent)
+        found = self.seeker.seek(call, usable.near, usable.far, work, now)
         if self.limits:
-            self._note_if_far(found, now)
+            self._limited.note_found(found, now)
         return found
 
-    def _note_if_far(self, found, now):
-        """Take in that near targets do not suffice: permits for far ones are of use."""
-        match found:
-            case Ask(targets):
-                is_far = targets[0].zone != self._usable.zone
-            case None:
-                is_far = True
-            case _:
-                is_far = False
-        if is_far:
-            self._far_wanted_until = now + FAR_WANTED_S
-
     def best_known(self, call: Call, now: float) -> TargetState | None:
         """Choose a target without asking any."""
-        near, far = self._candidates(call, now)
-        return self.seeker.best_known(near, far, now)
+        usable = self._candidates(call, now)
+        return self.seeker.best_known(usable.near, usable.far, now)
 
     def _candidates(self, call, now, urgent=True):
         """List the targets that may be used, those not heard of only if need be."""
-        near, far = self._open_to(call, now, urgent)
-        heard_near = [target for target in near if target.mute_until <= now]
-        heard_far = [target for target in far if target.mute_until <= now]
+        usable = self._open_to(call, now, urgent)
+        heard_near = [target for target in usable.near if target.mute_until <= now]
+        heard_far = [target for target in usable.far if target.mute_until <= now]
         if heard_near or heard_far:
-            return heard_near, heard_far
-        return near, far
+            return Usable(heard_near, heard_far)
+        return usable
 
     def _open_to(self, call, now, urgent=True):
         """List the usable targets to which a request may go now."""
+        left = self._left_for(call, now)
+        return self._limited.open_to(left, urgent, now) if self.limits else left
+
+    def _left_for(self, call, now):
+        """List the usable targets that a request has not tried."""
         near, far = self._usable.lists(self._states, now)
         if call.attempts:
             near = [target for target in near if not call.tried(target)]
             far = [target for target in far if not call.tried(target)]
-        if not self.limits:
-            return near, far
-        free_near, free_far = self._free(near), self._free(far)
-        # Where others have no limit nobody has to stand back.
-        urgent = urgent or bool(free_near or free_far)
-        # A limited target with a permit goes first: what it takes would else be lost.
-        return (
-            self._permitted(near, urgent, now) + free_near,
-            self._permitted(far, urgent, now) + free_far,
-        )
-
-    def _free(self, targets):
-        return [t for t in targets if not self.limits.is_limited(t.identity)]
-
-    def _permitted(self, targets, urgent, now):
-        return [
-            target
-            for target in self._limited(targets)
-            if self.limits.has_permit(target.identity, now, urgent)
-        ]
+        return Usable(near, far)
 
     def next_permit(self, call: Call, urgent: bool, now: float) -> float | None:
         """Give the time from which a request may go to a limited target.
 
-        Returns
-        -------
-        float or None
-            Infinite if no permit for one is held; None if limits are not what keeps
-            the request from a target.
+        As `LimitedTargets.next_permit`.
         """
-        if not self.limits:
-            return None
-        near, far = self._usable.lists(self._states, now)
-        left = [target for target in (*near, *far) if not call.tried(target)]
-        if not left or self._free(left):
-            return None
-        return min(self.limits.next_start(t.identity, urgent, now) for t in left)
+        return self._limited.next_permit(self._left_for(call, now), urgent, now)
 
     def permits_wanted(
         self, expected: int, barred: Container[str], now: float
     ) -> list[Wanted]:
         """Give the permits that are worth asking for.
 
-        No more than there are requests to use them, as what is held here and not used
-        serves nobody; some at each target, as what one daemon takes of the first ones
-        on its ring the others there lack.
-
-        Parameters
-        ----------
-        expected : int
-            Requests to expect while a permit holds.
-        barred : container of str
-            Targets that are not to be asked about now.
-        now : float
-            Time in seconds.
+        As `LimitedTargets.permits_wanted`.
         """
-        near, far = self._usable.lists(self._states, now)
-        # One that is out of use comes back by a trial, which needs a permit as well.
-        reach = self._limited(self._usable.ejected)[:EJECTED_REACH]
-        reach += self._limited(near)[:NEAR_REACH]
-        if now < self._far_wanted_until:
-            reach += self._limited(far)[:FAR_REACH]
-        share = math.ceil(expected / max(1, len(reach)))
-        wanted = []
-        for target in reach:
-            held = self.limits.held(target.identity)
-            expected -= held
-            if target.identity in barred:
-                continue
-            most = 1 if target.ejected_until else share
-            count = min(most - held, expected)
-            if count > 0:
-                wanted.append(Wanted(target.record, count))
-                expected -= count
-        return wanted
-
-    def _limited(self, targets):
-        return [t for t in targets if self.limits.is_limited(t.identity)]
+        usable = Usable(*self._usable.lists(self._states, now))
+        ejected = self._usable.ejected
+        return self._limited.permits_wanted(usable, ejected, expected, barred, now)
 
     def choose_for_trial(self, call: Call, now: float) -> TargetState | None:
         """Choose an ejected target for which it is time to be tested."""
