Tests that start many processes share how; a limit while daemons freeze and start again

Four daemons that are frozen in turn, and two killed and started anew, keep to the limit as well. The fleets of both wirings are started in one place each, no longer in two.

--- /dev/null
+++ b/tests/adapter/_processes.py
@@ -0,0 +1,102 @@
+"""Daemons of the adapter, each a process of its own, and callers of them."""
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+
+from cairnferry.standins import own_host, wait_for
+from cairnferry.wire import Client, Reply
+from hosting._settings import read_host_settings
+
+from .conftest import settings_text
+from .test_process import ROOT
+
+METRICS_PORT = 9464
+ROUNDS = "cairnferry_peer_rounds_total"
+ALIVE = 'cairnferry_members{state="alive"}'
+
+
+class Process:
+    """One daemon in a process, and a caller of it."""
+
+    def __init__(self, folder, host, text):
+        self.folder = folder
+        self.host = host
+        self.text = text
+        self.cfg = read_host_settings(text).ok
+        settings = folder / f"{self.cfg.name}.conf"
+        settings.write_text(text)
+        self.log = folder / f"{self.cfg.name}.log"
+        with open(self.log, "w") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "hosting"],
+                cwd=folder,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(ROOT / "platform"),
+                    "CAIRNFERRY_CONFIG": str(settings),
+                },
+            )
+
+    def call(self, path, method="GET", body=b"", request_id="r"):
+        headers = [
+            ("Cairnferry-Request-Id", request_id),
+            ("Cairnferry-Deadline-Ms", "4000"),
+        ]
+        client = Client(self.host, self.cfg.callers.port, host_name="shop.example")
+        try:
+            return client.call(method, path, timeout=10, headers=headers, body=body)
+        finally:
+            client.close()
+
+    def answers(self, path):
+        reply = self.call(path)
+        return isinstance(reply, Reply) and reply.status == 200
+
+    def metric(self, name):
+        reply = Client(self.host, METRICS_PORT).call("GET", "/metrics", timeout=10)
+        if not isinstance(reply, Reply):
+            return None
+        for line in reply.body.decode().splitlines():
+            if line.split(" ")[0] == name:
+                return float(line.split(" ")[1])
+        return None
+
+    def logged(self, message):
+        lines = self.log.read_text().splitlines()
+        found = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in found if line["message"] == message]
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+
+    def start_again(self):
+        """Start as after a loss of power: nothing is kept."""
+        return Process(self.folder, self.host, self.text)
+
+
+@contextlib.contextmanager
+def running_fleet(store_port, zones, folder):
+    """Start a daemon for each zone that is given; they know each other, and serve."""
+    started = []
+    seeds = []
+    try:
+        for number, zone in enumerate(zones):
+            host = own_host(number + 1)
+            text = settings_text(store_port, f"front-{number}", seeds, host)
+            process = Process(folder, host, text.replace("zone=hall", f"zone={zone}"))
+            seeds = seeds or [process.cfg.handover]
+            started.append(process)
+        for process in started:
+            wait_for(lambda each=process: each.answers("/a/first"))
+        for process in started:
+            wait_for(lambda each=process: each.metric(ALIVE) == len(zones))
+        yield started
+    finally:
+        for process in started:
+            process.end()
--- a/tests/adapter/test_limits_of_targets.py
+++ b/tests/adapter/test_limits_of_targets.py
@@ -6,15 +6,17 @@
 because it is spared, and nobody counted what all of them send it.
 """
 
+import signal
+import time
+
 import gevent
 import pytest
 
-from cairnferry.standins import own_host, wait_for
+from cairnferry.standins import wait_for
 
 from ._limited import CONTACT_S, WINDOW_S, LimitedTarget, allowed, fullest_window
+from ._processes import ALIVE, running_fleet
 from ._standins import configuration, rule
-from .conftest import settings_text
-from .test_requests_that_end_targets import ALIVE, Process
 
 DAEMONS = ("hall", "hall", "yard", "yard")
 TARGETS = 4
@@ -36,27 +38,14 @@
     """Give daemons of two zones that know each other, and callers of all of them."""
     rules = [rule(attempts=2), rule("r-2", "/orders/", kind="unsafe")]
     store.put("op", "config", configuration(rules=rules))
-    started = []
-    seeds = []
-    for number, zone in enumerate(DAEMONS):
-        host = own_host(number + 1)
-        text = settings_text(store.port, f"front-{number}", seeds, host)
-        process = Process(tmp_path, host, text.replace("zone=hall", f"zone={zone}"))
-        seeds = seeds or [process.cfg.handover]
-        started.append(process)
-    for process in started:
-        wait_for(lambda each=process: each.answers("/a/first"))
-    for process in started:
-        wait_for(lambda each=process: each.metric(ALIVE) == len(DAEMONS))
-    callers = [
-        gevent.spawn(call_for_ever, process)
-        for process in started
-        for _ in range(CALLERS_EACH)
-    ]
-    yield started
-    gevent.killall(callers)
-    for process in started:
-        process.end()
+    with running_fleet(store.port, DAEMONS, tmp_path) as started:
+        callers = [
+            gevent.spawn(call_for_ever, process)
+            for process in started
+            for _ in range(CALLERS_EACH)
+        ]
+        yield started
+        gevent.killall(callers)
 
 
 def call_for_ever(process):
@@ -91,3 +80,29 @@
 
     lifted = limited.name_limit(None)
     wait_for_arrivals(limited, 100, lifted)
+
+
+def test_a_limit_holds_while_daemons_freeze_die_and_start_again(fleet, targets):
+    """One of them gives the permits; whoever follows it must not give them twice."""
+    limited = targets[0]
+    wait_for_arrivals(limited, 20, 0.0)
+    named = limited.name_limit(LIMIT)
+    gevent.sleep(CONTACT_S)
+    for process in list(fleet):
+        process.process.send_signal(signal.SIGSTOP)
+        gevent.sleep(1.0)
+        process.process.send_signal(signal.SIGCONT)
+    for number in (0, 1):
+        fleet[number].end()
+        gevent.sleep(1.0)
+        fleet[number] = fleet[number].start_again()
+        wait_for(lambda each=fleet[number]: each.answers("/a/again"))
+    wait_for(lambda: fleet[0].metric(ALIVE) == len(DAEMONS))
+    # One that has started sends as before until it has heard of the limit.
+    since = time.monotonic()
+    gevent.sleep(WINDOW_S)
+    assert fullest_window(limited.arrivals_since(since)) <= allowed(LIMIT)
+    frozen = limited.arrivals_since(named + CONTACT_S)
+    first_start = named + CONTACT_S + len(DAEMONS) * 1.0 + 1.0
+    before = [at for at in frozen if at < first_start]
+    assert fullest_window(before) <= allowed(LIMIT)
--- a/tests/entry/daemon/test_limits_of_targets.py
+++ b/tests/entry/daemon/test_limits_of_targets.py
@@ -4,13 +4,12 @@
 counts what the others send.
 """
 
-import json
 import time
 
 import gevent
 import pytest
 
-from cairnferry.standins import route_v2, service_v2, target_v2, wait_for
+from cairnferry.standins import wait_for
 
 DAEMONS = {"e1": "zone-a", "e2": "zone-a", "e3": "zone-b"}
 TARGETS = ("a", "b", "c")
@@ -28,26 +27,9 @@
 
 
 @pytest.fixture
-def installed(system, tmp_path):
+def installed(install):
     """Give a system with one service, and callers of all its daemons."""
-    platform = system.start_platform()
-    wait_for(lambda: platform.read("http", "/_control"))
-    for name in TARGETS:
-        system.start_target(name, "zone-a", service_ms=10)
-    for name, zone in DAEMONS.items():
-        system.start_daemon(name, zone)
-    system.publish_instances()
-    system.await_serving()
-    system.await_members(len(DAEMONS))
-    records = [service_v2("s"), route_v2("r", "/s", "s")]
-    for name in TARGETS:
-        address = system.targets[name].addresses["http"]
-        records.append(target_v2(name, "s", "zone-a", address))
-    path = tmp_path / "records.json"
-    path.write_text(json.dumps(records))
-    done = system.tool("submit", str(path))
-    assert done.returncode == 0, done.stderr
-    system.await_revision(1)
+    system = install(TARGETS, DAEMONS, service_ms=10)
     callers = [
         gevent.spawn(call_for_ever, daemon)
         for daemon in system.daemons.values()
