Any number of the platform's settings and documents may have a fraction

Cause: that bound and the descriptors were read by int, the weights and counts of documents as whole numbers only. The platform's pages promise "whole numbers, fractions, or true or false".

Ruled out: rounding the file's text at one field alone; the same would have come with the next one.

Change: one reader of numbers for settings (read_number, read_count) and one for documents (number, count). Counts drop the fraction; slack, ratio and weights keep it. What is no number, negative or not finite is a fault that names field and value. The start of a target stays a whole number, as it is an identity.

Where no number has a fraction nothing is read otherwise.

--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -75,7 +75,7 @@
         Whether idempotent requests may be sent a second time early.
     queue_limit : int
         Requests that may wait for a target at one entry instance.
-    retry_slack : int
+    retry_slack : float
         Retries and hedges in one window beyond that share, over all instances.
     retry_window_s : float or None
         Length of the sliding window in seconds in which they are counted; None
@@ -89,7 +89,7 @@
     retry_ratio: float
     hedging: bool
     queue_limit: int
-    retry_slack: int = 0
+    retry_slack: float = 0
     retry_window_s: float | None = None
     health_path: str | None = None
 
@@ -168,12 +168,12 @@
     ----------
     service : str
         Name of the service.
-    weight : int
+    weight : float
         Its part, in proportion to the weights of the others.
     """
 
     service: str
-    weight: int
+    weight: float
 
 
 @attrs.frozen
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -8,7 +8,14 @@
 from hosting._configuration import ConfigurationDecoder
 from hosting._discovery import decode_target
 from hosting._settings import read_host_settings
-from hosting._units import read_milliseconds, read_seconds, read_version, write_seconds
+from hosting._units import (
+    read_count,
+    read_milliseconds,
+    read_number,
+    read_seconds,
+    read_version,
+    write_seconds,
+)
 
 from ._standins import configuration, rule, target_row
 from .conftest import settings_text
@@ -40,6 +47,28 @@
     assert read_seconds(write_seconds(1.0)) == 1.0
 
 
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        ("64", 64),
+        ("22.933333333333334", 22.933333333333334),
+        ("4e3", 4000),
+        ("+.5", 0.5),
+    ],
+)
+def test_numbers_are_read_as_decimals(text, number):
+    assert read_number(text) == number
+    assert read_count(text) == int(number)
+
+
+@pytest.mark.parametrize(
+    "text", ["", " 1", "1 ", "1_000", "x", "nan", "inf", "1e999", "-1", "0x10", 5, None]
+)
+def test_what_is_no_number_is_a_fault(text):
+    with pytest.raises(ValueError, match="is no number|is out of range"):
+        read_number(text)
+
+
 @pytest.mark.parametrize("text", ["12", "r", "r-1", "R1", "r1.5", 12, None])
 def test_what_is_no_version_is_a_fault(text):
     with pytest.raises(ValueError, match="is no version"):
@@ -69,6 +98,31 @@
     assert "soon" in str(faults[1])
 
 
+NUMBERS = {
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.retry_budget_slack": "64",
+    "bounds.probes_per_s": "60",
+    "limits.max_fds": "4100",
+}
+
+
+@pytest.mark.parametrize(("key", "value"), NUMBERS.items())
+@pytest.mark.parametrize("odd", ["22.933333333333334", "7.5e1", "+80.0", "99999999999"])
+def test_any_number_may_have_a_fraction(key, value, odd):
+    """Guards against a daemon that does not start by a bound such as 22.93."""
+    text = settings_text(1).replace(f"{key}={value}", f"{key}={odd}")
+    assert read_host_settings(text).is_ok()
+
+
+@pytest.mark.parametrize(("key", "value"), NUMBERS.items())
+@pytest.mark.parametrize("wrong", ["-1", "many", "nan", "1e999"])
+def test_a_number_that_is_none_is_named_with_its_value(key, value, wrong):
+    text = settings_text(1).replace(f"{key}={value}", f"{key}={wrong}")
+    (fault,) = read_host_settings(text).error
+    assert fault.key == key
+    assert repr(wrong) in str(fault)
+
+
 # -- configuration ------------------------------------------------------------------
 
 
@@ -164,3 +218,23 @@
 )
 def test_a_malformed_row_is_a_fault_that_names_the_target(data):
     assert "i-7" in str(decode_target("i-7", data).error)
+
+
+@pytest.mark.parametrize(("slots", "read"), [(2.0, 2), (2.5, 2), (0.5, 1), (1e3, 1000)])
+def test_slots_are_whole_whatever_form_the_number_has(slots, read):
+    row = target_row(8080, max_concurrency=slots)
+    assert decode_target("i-1", json.dumps(row).encode()).ok.slots == read
+
+
+@pytest.mark.parametrize("slots", [-1, float("inf"), float("nan"), "2", None, True])
+def test_slots_that_are_no_number_are_a_fault(slots):
+    row = target_row(8080, max_concurrency=slots)
+    fault = decode_target("i-1", json.dumps(row).encode()).error
+    assert "max_concurrency" in str(fault)
+
+
+def test_weights_may_have_a_fraction(decode):
+    parts = [{"service": "svc", "weight": 90.5}, {"service": "svc", "weight": 9.5}]
+    rules = [rule(backends=parts)]
+    (route,) = decode(configuration(5, rules=rules)).ok.routes
+    assert [part.weight for part in route.backends] == [90.5, 9.5]
