A request refused for a target's limit gets its answer

Callers saw a closed connection where all targets that a request may go to name limits and no permit is there: the refusal has the cause target-limit, which the table of Proxy-Status errors lacked, so that the answer ended in a KeyError.

--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -129,6 +129,7 @@
     Cause.TARGET_LOST: "destination_unavailable",
     Cause.CALLER_GONE: "http_request_error",
     Cause.ENDS_TARGETS: "http_request_denied",
+    Cause.TARGET_LIMIT: "connection_limit_reached",
 }
 
 _UNKNOWN_CAUSES = {
