Nothing is sent to the targets of an evacuated zone

It is told before targets at a start, and is in the handover of an outage. In the decisions an evacuated zone is one more line in the table of reasons for which a target is out of use, which took the place of a chain of ifs: first attempts, repeats, hedges, trials and permits all go by it, requests that wait go elsewhere. With all zones evacuated nobody is served: requests are refused at once, with a cause of their own.

The own interface has it as a record of kind zone, and the tool as evacuate and restore; status, dump, explain and a gauge show it. Earlier releases take a record of that kind for malformed and stay behind.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -28,7 +28,7 @@
 def submit(api: Api, paths, change_id, or_replace, as_json) -> None:
     """Submit new records, as one atomic change."""
     records = load_files(paths)
-    known = _known_revisions(api, as_json) if or_replace else {}
+    known = known_revisions(api, as_json) if or_replace else {}
     edits = []
     for record in records:
         revision = known.get((record.kind, record.name))
@@ -36,13 +36,13 @@
             edits.append({"op": "submit", "record": record.document})
         else:
             edits.append(_replace_edit(record, record.revision or revision))
-    _send(api, edits, change_id, as_json)
+    send_edits(api, edits, change_id, as_json)
 
 
 def replace(api: Api, paths, change_id, as_json) -> None:
     """Replace records, as one atomic change."""
     records = load_files(paths)
-    known = _known_revisions(api, as_json)
+    known = known_revisions(api, as_json)
     edits = []
     for record in records:
         revision = record.revision or known.get((record.kind, record.name))
@@ -54,12 +54,12 @@
             )
             sys.exit(ExitCode.CONFLICT)
         edits.append(_replace_edit(record, revision))
-    _send(api, edits, change_id, as_json)
+    send_edits(api, edits, change_id, as_json)
 
 
 def withdraw(api: Api, names, change_id, as_json) -> None:
     """Withdraw records named as kind/name, as one atomic change."""
-    known = _known_revisions(api, as_json)
+    known = known_revisions(api, as_json)
     edits = []
     for text in names:
         kind, _, name = text.partition("/")
@@ -69,7 +69,7 @@
             sys.exit(ExitCode.CONFLICT)
         edit = {"op": "withdraw", "kind": kind, "name": name}
         edits.append({**edit, "expected_revision": revision})
-    _send(api, edits, change_id, as_json)
+    send_edits(api, edits, change_id, as_json)
 
 
 def list_records(api: Api, kind, as_json) -> None:
@@ -198,7 +198,8 @@
     }
 
 
-def _known_revisions(api, as_json):
+def known_revisions(api: Api, as_json) -> dict[tuple[str, str], int]:
+    """Give the revisions of the records in force, by kind and name."""
     document = _get(api, "/v1/records", as_json)
     return {(r["kind"], r["name"]): r["revision"] for r in document["records"]}
 
@@ -210,7 +211,13 @@
     return result.ok
 
 
-def _send(api, edits, change_id, as_json):
+def records_in_force(api: Api, kind: str, as_json) -> list[dict]:
+    """List the records of a kind that are in force."""
+    return _get(api, f"/v1/records?kind={kind}", as_json)["records"]
+
+
+def send_edits(api: Api, edits, change_id, as_json) -> None:
+    """Send edits as one atomic change, and print what became of it."""
     change_id = change_id or uuid.uuid4().hex
     result = api.post("/v1/changes", {"change_id": change_id, "edits": edits})
     if result.is_error():
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -37,6 +37,9 @@
 )
 # Lines on limits that targets name. A limit holds until another line ends it.
 LIMITS = ("limit named", "limit changed", "limit lifted", "limit forgotten")
+# Lines on zones that operators took out of use or back: these say which targets it
+# could not have.
+ZONES = ("zone evacuated", "zone restored")
 # Cause of a request for which all targets were kept back by their limits.
 KEPT_BY_LIMITS = "target-limit"
 # Names of targets in a belief's line.
@@ -170,6 +173,8 @@
             return line.time <= end and bool(line.contents() & contents)
         if line.request_id is not None or line.instance not in instances:
             return line.request_id == request_id
+        if line.message in ZONES:
+            return line.time <= end
         if line.message in LIMITS and line.time <= end:
             # However long ago it was named. Of a request that all limits kept back,
             # no line says which targets it might have had.
--- a/packages/ctl/src/cairnferry/ctl/_tables.py
+++ b/packages/ctl/src/cairnferry/ctl/_tables.py
@@ -38,6 +38,8 @@
     age = document["confirmed_head_age_s"]
     shown = "never" if age is None else f"{age:.1f} s ago"
     print(f"seen by {document['instance']}; head confirmed {shown}")
+    if document.get("evacuated"):
+        print(f"evacuated zones: {', '.join(document['evacuated'])}")
     if document["behind"]:
         print(f"this instance is behind: {document['behind']}")
 
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -6,7 +6,7 @@
 import attrs
 import cappa
 
-from cairnferry.ctl import _commands
+from cairnferry.ctl import _commands, _zones
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode
 from cairnferry.settings import parse_address
@@ -67,7 +67,7 @@
     """Arguments of `list`."""
 
     kind: typing.Annotated[
-        str | None, cappa.Arg(long="--kind", help="service, target or route")
+        str | None, cappa.Arg(long="--kind", help="service, target, route or zone")
     ] = None
     json: _Json = False
 
@@ -161,6 +161,26 @@
     as_json: _Json = False
 
 
+@cappa.command(name="evacuate", help="Send nothing to the targets of a zone.")
+@attrs.define
+class Evacuate:
+    """Arguments of `evacuate`."""
+
+    zone: typing.Annotated[str, cappa.Arg(help="availability zone")]
+    change_id: _ChangeId = None
+    json: _Json = False
+
+
+@cappa.command(name="restore", help="Send to the targets of a zone again.")
+@attrs.define
+class Restore:
+    """Arguments of `restore`."""
+
+    zone: typing.Annotated[str, cappa.Arg(help="availability zone")]
+    change_id: _ChangeId = None
+    json: _Json = False
+
+
 @cappa.command(name="explain", help="Tell a request's life from log lines.")
 @attrs.define
 class Explain:
@@ -201,6 +221,8 @@
     | Drain
     | Blocked
     | Unblock
+    | Evacuate
+    | Restore
     | Explain
     | Report
 )
@@ -271,6 +293,10 @@
             _commands.list_blocked(api, as_json)
         case Unblock(content, as_json):
             _commands.unblock(api, content, as_json)
+        case Evacuate(zone, change_id, as_json):
+            _zones.evacuate(api, zone, change_id, as_json)
+        case Restore(zone, change_id, as_json):
+            _zones.restore(api, zone, change_id, as_json)
 
 
 def _api(args):
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -183,10 +183,14 @@
         From the bytes of the one document that holds all rules.
     target : callable
         From the name and the bytes of a target's row.
+    evacuated : callable
+        From the key of a row beside the rules: the availability zone that it evacuates,
+        or None.
     """
 
     rules: Callable[[bytes], Result[Rules, DecodeFault]]
     target: Callable[[str, bytes], Result[Target, DecodeFault]]
+    evacuated: Callable[[str], str | None]
 
 
 @attrs.frozen
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -316,6 +316,29 @@
 
     # -- what happens -----------------------------------------------------------
 
+    def evacuate(self, zones: frozenset[str], version: int) -> None:
+        """Send no more requests to the targets of some availability zones.
+
+        Parameters
+        ----------
+        zones : frozenset of str
+            All zones that are evacuated.
+        version : int
+            Version of the record or row that says so, for the log.
+        """
+        before = self.services.evacuated
+        if zones == before:
+            return
+        for zone in sorted(zones - before):
+            log.info("zone evacuated", extra={"evacuated": zone, "version": version})
+        for zone in sorted(before - zones):
+            log.info("zone restored", extra={"restored": zone, "version": version})
+        self.services.evacuate(zones)
+        known = {target.zone for target in self.services.targets()}
+        unknown = sorted(zones - known) if known else []
+        if unknown:
+            log.warning("no target in an evacuated zone", extra={"zones": unknown})
+
     def _note_draining(self, identity, source, until):
         if source == NO_STORE:
             # Of a daemon, not of a target; the duty to watch looks it up.
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -58,6 +58,7 @@
             "zone": me.zone,
             "state": me.state.name.lower(),
             "revision": cluster.configuration.revision,
+            "evacuated": sorted(self.services.evacuated),
             "behind": str(getattr(behind, "fault", behind)) if behind else None,
             **cluster.snapshot(),
         }
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -34,6 +34,7 @@
 from cairnferry.entry.telemetry import render_metrics
 from cairnferry.peers import KeyRing
 from cairnferry.policy import settings_for
+from cairnferry.records import Kind
 from cairnferry.settings import Settings
 from cairnferry.wire import Client
 
@@ -214,6 +215,9 @@
     def _install(self, records):
         services = self.core.services
         services.install(records)
+        zones = records.of_kind(Kind.ZONE)
+        evacuated = frozenset(zone.name for zone in zones if zone.evacuated)
+        self.core.evacuate(evacuated, records.revision)
         self.core.upstreams.keep_only(services.targets())
 
     def _pause(self, attempt):
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -12,6 +12,7 @@
 from cairnferry.coordination import Row
 from cairnferry.entry._ports import ChangeFeed, DecodeFault, RecordDecoders, Rules
 from cairnferry.entry.core import Core
+from cairnferry.entry.following._evacuations import EVACUATIONS, Evacuations
 from cairnferry.entry.following._following import Follower
 from cairnferry.entry.following._handover import Handover
 from cairnferry.entry.following._table import FollowedTable
@@ -46,7 +47,7 @@
     ----------
     rules_feed, targets_feed : ChangeFeed
         The tables. The second is also told from daemon to daemon; of the first, peers
-        give the rules in force.
+        give the rules in force, and tell the rows beside them.
     rules_key : str
         Row that holds all rules.
     decoders : RecordDecoders
@@ -87,8 +88,17 @@
             on_failure=self._tell_failure,
         )
         self._followers.append(self._rules_follower)
+        evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
+        # Told first: a daemon that starts learns whom to spare before it has targets.
+        beside = FollowedTable(EVACUATIONS, evacuations.take)
+        self.tables[EVACUATIONS] = beside
+        self._rules_follower.split(beside, lambda key: key == self.rules_key)
         self.share(TARGETS, self.targets_feed, self._take_targets, TARGETS_COALESCE_S)
 
+    def _evacuate(self, zones, version):
+        self.core.evacuate(zones, version)
+        self.core.gossip.hurry()
+
     def _is_on_duty(self):
         return self.core.duty.is_mine()
 
@@ -293,13 +303,17 @@
 
     def handover(self) -> Handover:
         """Give what is in force, for a daemon that starts in an outage."""
-        return Handover(self._document, self.tables[TARGETS].copy.news_since(0))
+        targets, evacuations = (
+            self.tables[name].copy.news_since(0) for name in (TARGETS, EVACUATIONS)
+        )
+        return Handover(self._document, targets, evacuations)
 
     def take_over(self, handover: Handover, source: str) -> bool:
         """Put in force what another daemon gave; tell whether that was done.
 
         What the store tells goes before it.
         """
+        self.tables[EVACUATIONS].take_news(handover.evacuations)
         if not self.apply(handover.rules):
             return False
         self.tables[TARGETS].take_news(handover.targets)
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -12,6 +12,7 @@
 from cairnferry.coordination import Row
 from cairnferry.entry._ports import ChangeFeed, FeedUnavailable, HistoryLost
 from cairnferry.entry.following import _table
+from cairnferry.entry.following._split_table import SplitTable
 from cairnferry.entry.following._table import FollowedTable
 
 # Pause in seconds after a failed call, doubled up to the longest, with jitter. All
@@ -82,7 +83,7 @@
 
     Attributes
     ----------
-    table : FollowedTable
+    table : FollowedTable or SplitTable
         What is held.
     confirmed_at : float or None
         Monotonic time in seconds up to which the copy is known to be complete.
@@ -98,7 +99,7 @@
     on_failure: Callable[[], None] = _do_nothing
     confirmed_at: float | None = None
     partners: list["Follower"] = attrs.field(factory=list)
-    table: FollowedTable = attrs.field(init=False)
+    table: FollowedTable | SplitTable = attrs.field(init=False)
     _task: gevent.Greenlet | None = None
     _asked_at: float = 0.0
     _is_asking: bool = False
@@ -113,6 +114,10 @@
     def __attrs_post_init__(self):
         self.table = FollowedTable(self.name, self.on_change)
 
+    def split(self, beside: FollowedTable, is_main: Callable[[str], bool]) -> None:
+        """Keep some rows of the feed in a copy of their own, as `SplitTable`."""
+        self.table = SplitTable(self.table, beside, is_main)
+
     def run(self) -> None:
         """Follow for ever."""
         self._task = gevent.getcurrent()
--- a/packages/entry/src/cairnferry/entry/following/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -40,22 +40,25 @@
     ----------
     rules : bytes
         The document that holds all rules.
-    targets : News
-        All rows of targets, and the version at which they are exact.
+    targets, evacuations : News
+        All rows of targets, and those that evacuate zones, and the versions at which
+        they are exact.
     """
 
     rules: bytes
     targets: News
+    evacuations: News = News(True, (), 0)
 
     def to_page(self) -> Page:
         """Write it as JSON."""
         if not self.rules:
             return Page.of("503 Service Unavailable", {"error": "no rules yet"})
-        rows = [[row.key, _encode(row.value), row.version] for row in self.targets.rows]
         document = {
             "rules": _encode(self.rules),
-            "targets": rows,
+            "targets": _write_rows(self.targets),
             "version": self.targets.version,
+            "evacuations": _write_rows(self.evacuations),
+            "evacuations_version": self.evacuations.version,
         }
         return Page.of("200 OK", document)
 
@@ -65,20 +68,38 @@
         try:
             document = json.loads(data)
             rules = base64.b64decode(document["rules"])
-            rows = tuple(
-                Row(str(key), base64.b64decode(value), int(version))
-                for key, value, version in document["targets"]
+            targets = _read_rows(document["targets"], document["version"])
+            # Daemons of earlier releases give none.
+            evacuations = _read_rows(
+                document.get("evacuations", ()), document.get("evacuations_version", 0)
             )
-            targets = News(True, rows, int(document["version"]))
-        except (ValueError, TypeError, LookupError, RecursionError) as exc:
+        except (
+            ValueError,
+            TypeError,
+            LookupError,
+            AttributeError,
+            RecursionError,
+        ) as exc:
             return Error(DecodeFault("handover", f"{type(exc).__name__}: {exc}"))
-        return Ok(cls(rules, targets))
+        return Ok(cls(rules, targets, evacuations))
 
 
 def _encode(data):
     return base64.b64encode(data).decode()
 
 
+def _write_rows(news):
+    return [[row.key, _encode(row.value), row.version] for row in news.rows]
+
+
+def _read_rows(entries, version):
+    rows = tuple(
+        Row(str(key), base64.b64decode(value), int(written))
+        for key, value, written in entries
+    )
+    return News(True, rows, int(version))
+
+
 @attrs.define
 class Newcomer:
     """Asks others for what is in force, until it is known.
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -130,6 +130,7 @@
     Cause.CALLER_GONE: "http_request_error",
     Cause.ENDS_TARGETS: "http_request_denied",
     Cause.TARGET_LIMIT: "connection_limit_reached",
+    Cause.EVACUATED: "destination_unavailable",
 }
 
 _UNKNOWN_CAUSES = {
--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -31,6 +31,11 @@
         Constants of the policies.
     limits : TargetLimits, optional
         Limits that targets name.
+
+    Attributes
+    ----------
+    evacuated : frozenset of str
+        Availability zones whose targets are sent nothing.
     """
 
     zone: str
@@ -39,6 +44,7 @@
     settings: PolicySettings = PolicySettings()
     limits: TargetLimits = attrs.field(factory=TargetLimits)
     revision: int = 0
+    evacuated: frozenset[str] = frozenset()
     _services: dict[str, Service] = attrs.field(factory=dict)
     _routes: dict[tuple[str | None, str], Route] = attrs.field(factory=dict)
     _shares: dict[str, WeightedTurns] = attrs.field(factory=dict)
@@ -87,6 +93,13 @@
             self._targets.setdefault(target.service, []).append(target)
         self._update_all()
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Send nothing to the targets of these availability zones, and of no others."""
+        self.evacuated = zones
+        for runtime in self._runtimes.values():
+            runtime.policy.evacuate(zones)
+            runtime.settle_waiting()
+
     def _update_all(self):
         for name in list(self._runtimes):
             self._update(name)
@@ -134,6 +147,7 @@
             policy = ServicePolicy(
                 service, self.zone, self.rng, self.settings, self.limits
             )
+            policy.evacuate(self.evacuated)
             runtime = ServiceRuntime(policy)
             self._runtimes[name] = runtime
             self._update(name)
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -83,6 +83,8 @@
     limits = document["limits"]
     yield "target_limit", "gauge", _by_target(limits, "per_s")
     yield "limited_requests_total", "counter", _by_target(limits, "sent")
+    zones = [Sample(1, {"zone": zone}) for zone in document["evacuated"]]
+    yield "zone_evacuated", "gauge", zones
     yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
     yield "wait_seconds", "histogram", _histograms(metrics["wait_s"])
     yield "attempts_total", "counter", _attempts(document["services"])
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/_model.py
@@ -23,6 +23,7 @@
     CALLER_GONE = "caller-gone"
     ENDS_TARGETS = "ends-targets"
     TARGET_LIMIT = "target-limit"
+    EVACUATED = "zones-evacuated"
 
 
 class AttemptKind(enum.StrEnum):
--- a/packages/policy/src/cairnferry/policy/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/_searcher.py
@@ -96,7 +96,7 @@
     def _without_target(self, call, urgent, now):
         permitted_at = self.targets.next_permit(call, urgent, now)
         if permitted_at is None:
-            return NothingFound(Cause.NO_TARGET)
+            return NothingFound(self.targets.cause_of_none)
         wait = permitted_at - now
         may_pause = call.search.pauses < MAX_PAUSES and wait <= MAX_PAUSE_S
         if may_pause and permitted_at < _latest_start(call, self.work):
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -113,6 +113,10 @@
         self._targets.update(targets, now)
         self._room.set_slots(sum(target.slots for target in targets), is_new)
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Send nothing to the targets of these availability zones, and of no others."""
+        self._targets.evacuate(zones)
+
     def note_draining(self, identity: str, source: DrainSource, until: float) -> None:
         """Take in that a source calls a target leaving.
 
@@ -172,8 +176,8 @@
         """Decide about a request that arrives."""
         if now >= call.deadline:
             return self._refuse(Cause.DEADLINE)
-        if not self._targets:
-            return self._refuse(Cause.NO_TARGET)
+        if not self._targets or self._targets.are_evacuated:
+            return self._refuse(self._targets.cause_of_none)
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank)
         if self.limits:
@@ -362,7 +366,7 @@
         if now >= self._admission.start_by(call):
             return self._settle(call, Cause.DEADLINE, now)
         if self._targets.none_left_for(call, now):
-            return self._settle(call, Cause.NO_TARGET, now)
+            return self._settle(call, self._targets.cause_of_none, now)
         kind = AttemptKind.RETRY if call.attempts else AttemptKind.FIRST
         attempt = self._place(call, kind, now)
         return Send(attempt) if attempt else None
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -16,7 +16,7 @@
 )
 from cairnferry.policy._latency import LatencyEstimate
 from cairnferry.policy._limited_targets import LimitedTargets, Usable
-from cairnferry.policy._model import Ask, Attempt, Call, LoadReport
+from cairnferry.policy._model import Ask, Attempt, Call, Cause, LoadReport
 from cairnferry.policy._seeking import Seeker, SeekSettings
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy._target import (
@@ -114,6 +114,11 @@
             self._states[target.identity] = state
         self._usable.forget()
 
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Leave out the targets of these availability zones, and of no others."""
+        self._usable.evacuated = zones
+        self._usable.forget()
+
     def begin_at(self, place: float) -> None:
         """Take in where on the ring of targets this daemon begins, 0 to 1."""
         if place != self._usable.place:
@@ -220,7 +225,19 @@
 
     def none_left_for(self, call: Call, now: float) -> bool:
         """Tell whether no target is left that could still take a request."""
-        return all(target.is_draining(now) or call.tried(target) for target in self)
+        left = (each for each in self if not self._usable.has_left(each, now))
+        return all(call.tried(target) for target in left)
+
+    @property
+    def are_evacuated(self) -> bool:
+        """Whether there are targets, and the zones of all of them are evacuated."""
+        zones = self._usable.evacuated
+        return bool(zones and self) and all(t.record.zone in zones for t in self)
+
+    @property
+    def cause_of_none(self) -> Cause:
+        """Why a request is given up for which no target is left."""
+        return Cause.EVACUATED if self.are_evacuated else Cause.NO_TARGET
 
     def most_are_sound(self, now: float) -> bool:
         """Tell whether more than half of the targets did well last time."""
@@ -364,6 +381,7 @@
             "latency_ms": round(target.latency * 1000, 3),
             "draining": target.is_draining(now),
             "ejected": bool(target.ejected_until),
+            "out_of_use": self._usable.reason_against(target, now),
             "failures": target.failures,
             "sent": target.sent,
         }
--- a/packages/policy/src/cairnferry/policy/_usable.py
+++ b/packages/policy/src/cairnferry/policy/_usable.py
@@ -6,12 +6,24 @@
 on to the next ones where those they begin at are busy.
 """
 
+import enum
 import math
 import zlib
+from collections.abc import Callable
 
 import attrs
 
 from cairnferry.policy._target import TargetState
+from cairnferry.records import Lifecycle
+
+
+class Reason(enum.StrEnum):
+    """Why a target is out of use."""
+
+    DRAINING = "draining"
+    EVACUATED = "evacuated"
+    EJECTED = "ejected"
+    PAUSED = "paused"
 
 
 @attrs.define
@@ -27,12 +39,15 @@
 
     Attributes
     ----------
+    evacuated : frozenset of str
+        Availability zones whose targets are sent nothing.
     ejected : list of TargetState
         Those out of use that are not draining.
     """
 
     zone: str
     place: float = 0.0
+    evacuated: frozenset[str] = frozenset()
     ejected: list[TargetState] = attrs.field(factory=list)
     _near: list[TargetState] = attrs.field(factory=list)
     _far: list[TargetState] = attrs.field(factory=list)
@@ -70,23 +85,62 @@
         return ring[first:] + ring[:first]
 
     def _sort_in(self, target, now):
-        if target.is_draining(now):
-            for until in target.draining_until.values():
+        for reason, until_of in _REASONS.items():
+            until = until_of(target, self)
+            if until > now:
                 self._change_at(until, now)
-        elif target.ejected_until:
-            self.ejected.append(target)
-        elif target.paused_until > now:
-            self._change_at(target.paused_until, now)
-        elif target.record.zone == self.zone:
+                if reason is Reason.EJECTED:
+                    self.ejected.append(target)
+                return
+        if target.record.zone == self.zone:
             self._near.append(target)
         else:
             self._far.append(target)
 
+    def has_left(self, target: TargetState, now: float) -> bool:
+        """Tell whether a target takes no request any more, however long one waits."""
+        return any(_REASONS[reason](target, self) > now for reason in _LASTING)
+
+    def reason_against(self, target: TargetState, now: float) -> str | None:
+        """Give the first reason for which a target is out of use; None if it is not."""
+        reasons = (r for r, until in _REASONS.items() if until(target, self) > now)
+        return next(reasons, None)
+
     def _change_at(self, time, now):
         if time > now:
             self._valid_until = min(self._valid_until, time)
 
 
+def _draining_until(target, _usable):
+    if target.record.lifecycle is Lifecycle.DRAINING:
+        return math.inf
+    return max(target.draining_until.values(), default=-math.inf)
+
+
+def _evacuated_until(target, usable):
+    return math.inf if target.record.zone in usable.evacuated else -math.inf
+
+
+def _ejected_until(target, _usable):
+    # It comes back by a trial, not by time.
+    return math.inf if target.ejected_until else -math.inf
+
+
+def _paused_until(target, _usable):
+    return target.paused_until
+
+
+# For each reason the time in seconds to which it holds.
+_REASONS: dict[Reason, Callable[[TargetState, UsableTargets], float]] = {
+    Reason.DRAINING: _draining_until,
+    Reason.EVACUATED: _evacuated_until,
+    Reason.EJECTED: _ejected_until,
+    Reason.PAUSED: _paused_until,
+}
+# Reasons that outlast any request that waits.
+_LASTING = (Reason.DRAINING, Reason.EVACUATED)
+
+
 def _on_ring(target):
     """Spread targets on the ring whatever their names, at each daemon alike."""
     return zlib.crc32(target.identity.encode())
--- a/packages/records/src/cairnferry/records/__init__.py
+++ b/packages/records/src/cairnferry/records/__init__.py
@@ -21,6 +21,7 @@
     Route,
     Service,
     Target,
+    Zone,
 )
 from cairnferry.records._parse import parse_record
 from cairnferry.records._recordset import Draft, Entry, RecordSet
@@ -51,5 +52,6 @@
     "UnknownReference",
     "UnknownSchemaVersion",
     "Withdraw",
+    "Zone",
     "parse_record",
 ]
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -11,6 +11,7 @@
     SERVICE = "service"
     TARGET = "target"
     ROUTE = "route"
+    ZONE = "zone"
 
 
 class Lifecycle(enum.StrEnum):
@@ -240,4 +241,25 @@
         return RecordKey(Kind.ROUTE, self.name)
 
 
-Record = Service | Target | Route
+@attrs.frozen
+class Zone:
+    """What operators say of an availability zone.
+
+    Attributes
+    ----------
+    name : str
+        Name of the zone, as targets and instances have it.
+    evacuated : bool
+        Whether its targets are to be sent nothing.
+    """
+
+    name: str
+    evacuated: bool
+
+    @property
+    def key(self):
+        """Key of the record."""
+        return RecordKey(Kind.ZONE, self.name)
+
+
+Record = Service | Target | Route | Zone
--- a/packages/records/src/cairnferry/records/_recordset.py
+++ b/packages/records/src/cairnferry/records/_recordset.py
@@ -17,6 +17,9 @@
 from cairnferry.records._model import Kind, Record, RecordKey
 from cairnferry.records._parse import parse_record
 
+# Kinds whose records name no service.
+_STAND_ALONE = (Kind.SERVICE, Kind.ZONE)
+
 
 @attrs.frozen
 class Entry:
@@ -190,7 +193,7 @@
     suspects = entries if withdrawn else touched
     for key in suspects:
         entry = entries.get(key)
-        if entry is None or key.kind is Kind.SERVICE:
+        if entry is None or key.kind in _STAND_ALONE:
             continue
         service = entry.record.service
         if RecordKey(Kind.SERVICE, service) not in entries:
--- a/packages/records/src/cairnferry/records/_schemas.py
+++ b/packages/records/src/cairnferry/records/_schemas.py
@@ -111,6 +111,12 @@
         },
         optional=("safe_methods", "timeout_s", "bulk"),
     ),
+    (1, Kind.ZONE): _version_1(
+        Kind.ZONE, {"evacuated": {"type": "boolean"}}, optional=()
+    ),
+    (2, Kind.ZONE): _version_2(
+        Kind.ZONE, {"evacuated": {"type": "boolean"}}, optional=()
+    ),
     (2, Kind.SERVICE): _version_2(
         Kind.SERVICE,
         {
--- a/packages/records/src/cairnferry/records/_version1.py
+++ b/packages/records/src/cairnferry/records/_version1.py
@@ -9,6 +9,7 @@
     Route,
     Service,
     Target,
+    Zone,
 )
 
 MS_PER_S = 1000
@@ -64,6 +65,10 @@
     )
 
 
+def _zone(doc):
+    return Zone(doc["name"], doc["evacuated"])
+
+
 def _milliseconds(seconds):
     return max(1, round(seconds * MS_PER_S))
 
@@ -72,4 +77,5 @@
     Kind.SERVICE: _service,
     Kind.TARGET: _target,
     Kind.ROUTE: _route,
+    Kind.ZONE: _zone,
 }
--- a/packages/records/src/cairnferry/records/_version2.py
+++ b/packages/records/src/cairnferry/records/_version2.py
@@ -9,6 +9,7 @@
     Route,
     Service,
     Target,
+    Zone,
 )
 
 
@@ -53,8 +54,13 @@
     )
 
 
+def _zone(doc):
+    return Zone(doc["metadata"]["name"], doc["spec"]["evacuated"])
+
+
 CONVERTERS = {
     Kind.SERVICE: _service,
     Kind.TARGET: _target,
     Kind.ROUTE: _route,
+    Kind.ZONE: _zone,
 }
--- a/tests/adapter/test_watching.py
+++ b/tests/adapter/test_watching.py
@@ -73,6 +73,20 @@
         wait_for(lambda d=daemon: d.core.services.revision == 9)
 
 
+def test_an_evacuation_is_known_to_all_and_asks_nobody_for_the_rules(daemons, store):
+    """Guards against a zone that only the watchers spare."""
+    before = [daemon.core.peer_meter.called.copy() for daemon in daemons]
+    store.put("op", "evacuate/hall", {})
+    for daemon in daemons:
+        wait_for(lambda d=daemon: d.core.services.evacuated == {"hall"})
+    for daemon, called in zip(daemons, before, strict=True):
+        now = daemon.core.peer_meter.called
+        assert now.get(("snapshot", "near")) == called.get(("snapshot", "near"))
+    store.drop("op", "evacuate/hall")
+    for daemon in daemons:
+        wait_for(lambda d=daemon: not d.core.services.evacuated)
+
+
 def test_a_target_that_drains_is_known_to_all(daemons, store):
     store.put("servers", "i-1", target_row(1, state="draining"))
     for daemon in daemons:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -124,6 +124,18 @@
     assert [each.facts.get("target") for each in lines] == ["t1", "t2", None]
 
 
+def test_a_request_is_told_with_the_evacuations_of_its_instance_before_it():
+    facts = GIVEN_UP | {"attempts": [], "asked": [], "cause": "zones-evacuated"}
+    texts = [
+        line(1.0, "zone evacuated", evacuated="zone-a", version=7),
+        line(1.0, "zone evacuated", instance="front-2", evacuated="zone-b", version=8),
+        line(9.5, "request given up", **facts),
+        line(9.8, "zone restored", restored="zone-a"),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [each.facts.get("evacuated") for each in lines] == ["zone-a", None]
+
+
 def test_a_request_is_told_with_the_limits_of_the_targets_that_it_tried():
     texts = [
         line(1.0, "limit named", target="t1", per_s=2.6),
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -42,6 +42,7 @@
         "services": {"svc": service(first=4, hedge=1)},
         "confirmed_head_age_s": 0.5,
         "blocked_requests": [{"content": "c"}],
+        "evacuated": ["hall"],
         "limits": {"i-1": {"per_s": 2.6, "sent": 7}},
         "log_lines_dropped": 0,
         "revision": 9,
