A cold target gets from all daemons what its service says that it takes

Cause: nobody read the rate of cold targets, nor the header that says how long one stays cold, and one that turned cold again under its name was not noticed.

Rows, the answers to status checks and notes of other daemons say who is cold: the target's own word replaces, the others' can only extend. The schedule begins at once for a target that has been cold for less than the hold, as nobody gave permits for it before. Questions on permits and their answers say it too.

Tests: model at 13 to 60 daemons (turns cold at any moment, a zone that returns, cold targets alone, those that give permits killed, 10 % of calls lost); the book (hypothesis); adapter. The bound's tests fail as it was.

--- a/bench/model/_need.py
+++ b/bench/model/_need.py
@@ -1,4 +1,4 @@
-"""Targets in need that name limits, at many daemons in simulated time."""
+"""Targets that name limits or are cold, at many daemons in simulated time."""
 
 import attrs
 
@@ -16,7 +16,18 @@
 from cairnferry.records import Lifecycle, Priority, Route, Service, Target
 from cairnferry.wire import Reply
 
-SERVICE = Service("s", 1000, 0.2, False, 8, retry_slack=6, retry_window_s=10.0)
+# Requests a second that a cold target takes.
+COLD_PER_S = 3.1
+SERVICE = Service(
+    "s",
+    1000,
+    0.2,
+    False,
+    8,
+    retry_slack=6,
+    retry_window_s=10.0,
+    warmup_per_s=COLD_PER_S,
+)
 ROUTE = Route("r", "/", "s", frozenset(["GET"]), 1000, Priority.INTERACTIVE)
 SLOTS = 6
 # Seconds for which a target runs a request.
@@ -25,7 +36,7 @@
 
 @attrs.define
 class NeedyTarget:
-    """A target that may name a limit, and what it got.
+    """A target that may name a limit or be cold, and what it got.
 
     Attributes
     ----------
@@ -33,6 +44,8 @@
         Its record.
     limit : float
         What it names; `NO_LIMIT` for none.
+    cold_until : float
+        Time in seconds to which it is cold.
     arrivals : list of float
         Times in seconds at which requests came.
     in_use : int
@@ -41,9 +54,14 @@
 
     record: Target
     limit: float = NO_LIMIT
+    cold_until: float = 0.0
     arrivals: list[float] = attrs.field(factory=list)
     in_use: int = 0
 
+    def warmup_s(self, now: float) -> float:
+        """Give the seconds for which it is still cold."""
+        return max(0.0, self.cold_until - now)
+
     def between(self, first: float, last: float) -> int:
         """Count what came in a span of time."""
         return sum(first <= at < last for at in self.arrivals)
@@ -103,7 +121,10 @@
         policy = daemon.services.runtime("s").policy
         while isinstance(decision, Ask):
             for record in decision.targets:
-                report = LoadReport(self.targets[record.name].in_use)
+                target = self.targets[record.name]
+                report = LoadReport(target.in_use)
+                warmup_s = target.warmup_s(now)
+                daemon.limiter.cold.note_check(record, warmup_s, SERVICE, now)
                 policy.note_check(record.identity, report, True, now)
             decision = policy.asked(call, now)
         match decision:
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -232,9 +232,18 @@
             if paths.get(target.service)
         ]
         self.core.services.install_targets(targets)
+        self._note_cold()
         self.core.upstreams.keep_only(targets)
         self.core.share_out()
 
+    def _note_cold(self):
+        services = {service.name: service for service in self._rules.services}
+        for key, warm_at in self._targets.warm_at.items():
+            target = self._targets.in_force[key]
+            service = services.get(target.service)
+            if service is not None:
+                self.core.limiter.cold.note_row(target, service, warm_at)
+
     # -- peers ------------------------------------------------------------------
 
     def rows_from(self, first: int) -> list:
--- a/packages/entry/src/cairnferry/entry/following/_target_rows.py
+++ b/packages/entry/src/cairnferry/entry/following/_target_rows.py
@@ -1,6 +1,7 @@
 """Rows that targets write of themselves, as they are read one by one."""
 
 import logging
+import time
 from collections.abc import Callable
 
 import attrs
@@ -39,12 +40,15 @@
     ----------
     in_force : dict of str to Target
         Targets by the names of their rows.
+    warm_at : dict of str to float
+        Monotonic times in seconds to which those are cold whose rows say so.
     """
 
     decode: Callable[[str, bytes], Result[Target, DecodeFault]]
     faulty_rows: FaultyRows
     take_again: Callable[[dict[str, Row]], None]
     in_force: dict[str, Target] = attrs.field(factory=dict)
+    warm_at: dict[str, float] = attrs.field(factory=dict)
     _rows: dict[str, Row] = attrs.field(factory=dict)
     _starts: dict[str, int] = attrs.field(factory=dict)
 
@@ -59,6 +63,7 @@
             if target is not None:
                 targets[key] = target
         self._log_changes(targets)
+        self.warm_at = {k: at for k, at in self.warm_at.items() if k in targets}
         self.in_force = targets
         self._rows = rows
 
@@ -77,6 +82,8 @@
             gevent.spawn_later(DOUBT_S, self._trust, key, target)
             return self.in_force.get(key)
         self._starts[key] = target.started_ms
+        if target.warmup_s:
+            self.warm_at[key] = time.monotonic() + target.warmup_s
         if len(self._starts) > MAX_STARTS:
             del self._starts[next(iter(self._starts))]
         return target
--- a/packages/entry/src/cairnferry/entry/targets/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -124,7 +124,13 @@
         target = check.target
         if self.limiter is not None:
             self.limiter.note_check(target.identity, result.limit, check.started)
+            service = runtime.policy.service
+            self.limiter.cold.note_check(
+                target, result.warmup_s, service, check.started
+            )
         self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
+        if result.warmup_s is not None:
+            runtime.policy.note_warmup(target.identity, now + result.warmup_s)
         runtime.policy.note_check(target.identity, result.report, result.well, now)
         if result.misplaced:
             until = now + MISPLACED_S
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -46,6 +46,8 @@
         Whether there was an answer at all.
     limit : float, LimitFault or None
         Limit that it names.
+    warmup_s : float or None
+        Seconds for which it is still cold; None if it does not tell.
     """
 
     report: LoadReport | None
@@ -53,6 +55,7 @@
     misplaced: bool = False
     heard: bool = False
     limit: float | LimitFault | None = None
+    warmup_s: float | None = None
 
 
 class CallerConvention(typing.Protocol):
--- a/packages/entry/src/cairnferry/entry/targets/_limit_notes.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limit_notes.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from cairnferry.coordination import Note, NoteBoard
-from cairnferry.policy import NO_LIMIT, NamedLimit
+from cairnferry.policy import NO_LIMIT, Cold, NamedLimit
 
 # Seconds for which a note is believed. Its age tells when the target spoke, and what is
 # older is of use to nobody: the target has been asked since, or is gone.
@@ -17,6 +17,7 @@
 TELL_S = 3.0
 _NAMES = "limit"
 _LIFTS = "no limit"
+_COLD = "cold"
 
 
 def limit_board(hear: Callable[[str, str, float], None]) -> NoteBoard:
@@ -36,6 +37,39 @@
     return Note(target, source, LIMIT_NOTE_S - (now - limit.at))
 
 
+def cold_note(target: str, cold: Cold, now: float) -> Note:
+    """Turn what is known of a cold target into a note that lapses once it is warm."""
+    return Note(target, f"{_COLD} {cold.per_s!r}", cold.until - now)
+
+
+def read_cold_note(source: str, until: float, now: float) -> Cold | None:
+    """Read such a note; None if it is another one.
+
+    Parameters
+    ----------
+    source : str
+        Of the note.
+    until : float
+        Monotonic time in seconds to which it holds.
+    now : float
+        Monotonic time in seconds.
+    """
+    word, _, text = source.partition(" ")
+    per_s = _rate(text)
+    if word != _COLD or not per_s:
+        return None
+    return Cold(now, until, per_s)
+
+
+def _rate(text):
+    """Read requests a second; None if it is no number of them."""
+    try:
+        per_s = float(text)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
+
 def read_note(source: str, until: float) -> NamedLimit | None:
     """Read a note; None if it is of a later release.
 
@@ -50,10 +84,7 @@
     if source == _LIFTS:
         return NamedLimit(NO_LIMIT, at)
     word, _, text = source.partition(" ")
-    try:
-        per_s = float(text)
-    except ValueError:
-        return None
-    if word != _NAMES or not math.isfinite(per_s) or per_s < 0:
+    per_s = _rate(text)
+    if word != _NAMES or per_s is None:
         return None
     return NamedLimit(per_s, at)
--- a/packages/entry/src/cairnferry/entry/targets/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/targets/_limiter.py
@@ -8,8 +8,9 @@
 from gevent.event import Event
 
 from cairnferry.coordination import Note
+from cairnferry.entry.targets._cold_targets import ColdTargets
 from cairnferry.entry.targets._conventions import TargetConvention
-from cairnferry.entry.targets._limit_notes import note_of, read_note
+from cairnferry.entry.targets._limit_notes import note_of, read_cold_note, read_note
 from cairnferry.entry.targets._limit_words import LimitFault
 from cairnferry.entry.telemetry import Metrics, RateLimit
 from cairnferry.policy import NO_LIMIT, Attempt, NamedLimit, TargetLimits
@@ -36,15 +37,21 @@
     Attributes
     ----------
     is_needed : Event
-        Set while any target names a limit.
+        Set while any target has a limit.
+    cold : ColdTargets
+        Takes in which targets are cold.
     """
 
     limits: TargetLimits
     metrics: Metrics
     tell: Callable[[Note, bool], None] = lambda note, again: None
     is_needed: Event = attrs.field(factory=Event)
+    cold: ColdTargets = attrs.field(init=False)
     _log_limit: RateLimit = attrs.field(factory=RateLimit)
 
+    def __attrs_post_init__(self):
+        self.cold = ColdTargets(self.limits, self.metrics, self.is_needed, self.tell)
+
     # -- what targets say --------------------------------------------------------
 
     def note_outcome(
@@ -63,7 +70,7 @@
         """
         identity = attempt.target.identity
         word = convention.limit_of(outcome)
-        if word is None and self.limits.is_limited(identity):
+        if word is None and self.limits.book.rate(identity) is not None:
             word = NO_LIMIT if convention.denies_limit(outcome) else None
         if word is not None:
             self._note(identity, word, attempt.started)
@@ -105,6 +112,10 @@
 
     def hear(self, subject: str, source: str, until: float) -> None:
         """Take in a note of another daemon, or one of this daemon's own."""
+        cold = read_cold_note(source, until, time.monotonic())
+        if cold is not None:
+            self.cold.learn(subject, cold, by="others")
+            return
         told = read_note(source, until)
         if told is None:
             log.info("limit of another release", extra={"source": source})
--- a/packages/entry/src/cairnferry/entry/targets/_permits.py
+++ b/packages/entry/src/cairnferry/entry/targets/_permits.py
@@ -20,7 +20,7 @@
     PermitsGiven,
     PermitsWanted,
 )
-from cairnferry.policy import NamedLimit, PermitSchedule, Wanted
+from cairnferry.policy import HOLD_S, Cold, NamedLimit, PermitSchedule, Wanted
 
 # Seconds between two rounds of asking, while any target names a limit: a part of the
 # time for which permits are given ahead.
@@ -77,9 +77,8 @@
 
     def _give_one(self, asker, wanted, now):
         target = wanted.limit.target
-        told = NamedLimit(wanted.limit.per_s, now - wanted.limit.age)
-        self.limiter.learn(target, told, by="one that asks")
-        rate = self.limiter.limits.book.rate(target)
+        _learn(self.limiter, wanted.limit, now, by="one that asks")
+        rate = self.limiter.limits.rate(target)
         if rate is None:
             self._given.pop(target, None)
             return PermitsGiven(self._state(target, now), (), ELSEWHERE_S)
@@ -94,17 +93,28 @@
     def _schedule(self, target, rate, now):
         given = self._given.get(target)
         if given is None:
-            schedule = PermitSchedule.begin(now, self.rng)
+            schedule = PermitSchedule.begin(now, self.rng, self._hold_s(target, now))
             given = self._given[target] = _Given(schedule, rate, now, now)
         if given.per_s != rate:
             given.per_s = rate
             given.schedule.start_anew(rate, now)
         given.asked_at = now
-        if now - given.reminded_at > REMIND_S:
+        is_named = self.limiter.limits.book.rate(target) is not None
+        if is_named and now - given.reminded_at > REMIND_S:
             given.reminded_at = now
             self.limiter.remind(target)
         return given
 
+    def _hold_s(self, target, now):
+        """Give the seconds for which another one's permits may still be used.
+
+        Nobody has given any for a target that has been cold for less than that.
+        """
+        cold = self.limiter.limits.cold.get(target)
+        is_new = cold is not None and now - cold.since < HOLD_S
+        is_named = self.limiter.limits.book.rate(target) is not None
+        return 0.0 if is_new and not is_named else HOLD_S
+
     def _state(self, target, now):
         return state_of(self.limiter, target, now)
 
@@ -159,6 +169,7 @@
         """Ask once for all that is wanted."""
         now = time.monotonic()
         self.giving.drop_unused(now)
+        self.limiter.cold.drop_warm()
         limits = self.limiter.limits
         self._returned = {
             target: count
@@ -219,8 +230,7 @@
         limits = self.limiter.limits
         for each in given:
             target = each.limit.target
-            told = NamedLimit(each.limit.per_s, now - each.limit.age)
-            self.limiter.learn(target, told, by="the one that gives permits")
+            _learn(self.limiter, each.limit, now, by="the one that gives permits")
             if each.limit.per_s == limits.book.get(target).per_s:
                 limits.take_in(target, [now + delay for delay in each.delays])
             self._not_before[target] = now + each.retry_s
@@ -228,7 +238,19 @@
             runtime.settle_waiting()
 
 
+def _learn(limiter, told, now, by):
+    """Take in what another daemon knows of a target's limit."""
+    limiter.learn(told.target, NamedLimit(told.per_s, now - told.age), by)
+    if told.cold_s:
+        cold = Cold(now, now + told.cold_s, told.cold_per_s)
+        limiter.cold.learn(told.target, cold, by)
+
+
 def state_of(limiter: Limiter, target: str, now: float) -> LimitState:
     """Give what is known here of a target's limit, for another daemon."""
     limit = limiter.limits.book.get(target)
-    return LimitState(target, limit.per_s, now - limit.at)
+    state = LimitState(target, limit.per_s, now - limit.at)
+    cold = limiter.limits.cold.get(target)
+    if cold is None or cold.until <= now:
+        return state
+    return attrs.evolve(state, cold_s=cold.until - now, cold_per_s=cold.per_s)
--- a/packages/peers/peer.thrift
+++ b/packages/peers/peer.thrift
@@ -67,6 +67,10 @@
   2: required double per_s,
   // Milliseconds since then.
   3: required i32 age_ms,
+  // Milliseconds for which it is cold, and requests a second that it takes meanwhile;
+  // left out if it is warm, and by daemons of earlier releases.
+  4: optional i32 cold_ms,
+  5: optional double cold_per_s,
 }
 
 struct PermitsWanted {
--- a/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
@@ -696,14 +696,18 @@
      - target
      - per_s
      - age_ms
+     - cold_ms
+     - cold_per_s
 
     """
 
 
-    def __init__(self, target=None, per_s=None, age_ms=None,):
+    def __init__(self, target=None, per_s=None, age_ms=None, cold_ms=None, cold_per_s=None,):
         self.target = target
         self.per_s = per_s
         self.age_ms = age_ms
+        self.cold_ms = cold_ms
+        self.cold_per_s = cold_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -729,6 +733,16 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.cold_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -751,6 +765,14 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 4)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
+        if self.cold_per_s is not None:
+            oprot.writeFieldBegin('cold_per_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.cold_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1180,6 +1202,8 @@
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'cold_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'cold_per_s', None, None, ),  # 5
 )
 all_structs.append(PermitsWanted)
 PermitsWanted.thrift_spec = (
--- a/packages/peers/src/cairnferry/peers/_messages.py
+++ b/packages/peers/src/cairnferry/peers/_messages.py
@@ -90,11 +90,16 @@
         Requests a second from all daemons together; infinite if it names no limit.
     age : float
         Seconds since then.
+    cold_s, cold_per_s : float
+        Seconds for which it is cold, and requests a second that it takes meanwhile; 0
+        if it is warm.
     """
 
     target: str
     per_s: float
     age: float
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -240,7 +245,9 @@
 def _limit_to_wire(state):
     per_s = NO_LIMIT_ON_WIRE if math.isinf(state.per_s) else state.per_s
     age_ms = int(min(state.age * MS_PER_S, MAX_AGE_MS))
-    return ttypes.LimitState(state.target, per_s, age_ms)
+    cold_ms = int(state.cold_s * MS_PER_S) or None
+    cold_per_s = state.cold_per_s if cold_ms else None
+    return ttypes.LimitState(state.target, per_s, age_ms, cold_ms, cold_per_s)
 
 
 def _limit_from_wire(message):
@@ -251,10 +258,13 @@
     ValueError
         If it is no number of requests; it would compare with nothing.
     """
-    if math.isnan(message.per_s):
+    cold_per_s = message.cold_per_s or 0.0
+    if math.isnan(message.per_s) or not math.isfinite(cold_per_s):
         raise ValueError("limit")
     per_s = math.inf if message.per_s < 0 else message.per_s
-    return LimitState(message.target, per_s, message.age_ms / MS_PER_S)
+    cold_s = (message.cold_ms or 0) / MS_PER_S
+    age = message.age_ms / MS_PER_S
+    return LimitState(message.target, per_s, age, cold_s, cold_per_s)
 
 
 def _state_to_wire(state):
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -31,6 +31,7 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy._cold import Cold, ColdBook
 from cairnferry.policy._events import Belief, TargetEvent
 from cairnferry.policy._evidence import (
     Answered,
@@ -57,7 +58,7 @@
     Send,
     Wait,
 )
-from cairnferry.policy._permits import Grant, PermitSchedule
+from cairnferry.policy._permits import HOLD_S, Grant, PermitSchedule
 from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
 from cairnferry.policy._quarantine import (
     ALONE_RETRY_S,
@@ -74,6 +75,7 @@
 __all__ = [
     "ALONE_RETRY_S",
     "EVERYBODY",
+    "HOLD_S",
     "MEMORY_S",
     "NO_LIMIT",
     "SAME_END_S",
@@ -91,6 +93,8 @@
     "BlockRef",
     "Call",
     "Cause",
+    "Cold",
+    "ColdBook",
     "Decision",
     "DrainSource",
     "End",
--- a/packages/policy/src/cairnferry/policy/_permits.py
+++ b/packages/policy/src/cairnferry/policy/_permits.py
@@ -60,9 +60,11 @@
     _askers: dict[str, float] = attrs.field(factory=dict)
 
     @classmethod
-    def begin(cls, now: float, rng: random.Random) -> "PermitSchedule":
+    def begin(
+        cls, now: float, rng: random.Random, hold_s: float = HOLD_S
+    ) -> "PermitSchedule":
         """Begin to give permits, after the hold."""
-        return cls(now + HOLD_S, rng)
+        return cls(now + hold_s, rng)
 
     def grant(self, asker: str, rate: float, wanted: int, now: float) -> Grant:
         """Give permits to one that asks.
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -139,6 +139,10 @@
         """Take in that a target has not answered a check in time."""
         self._targets.note_unheard(identity, now)
 
+    def note_warmup(self, identity: str, warm_at: float) -> None:
+        """Take in the time in seconds to which a target is slow, as it is cold."""
+        self._targets.note_warmup(identity, warm_at)
+
     def note_check(
         self, identity: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
--- a/packages/policy/src/cairnferry/policy/_target_limits.py
+++ b/packages/policy/src/cairnferry/policy/_target_limits.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cairnferry.policy._cold import ColdBook
 from cairnferry.policy._limits import LimitBook
 from cairnferry.policy._permits import PERMIT_S
 from cairnferry.records import Target
@@ -78,28 +79,41 @@
 
 @attrs.define
 class TargetLimits:
-    """Limits in force, and the permits that this daemon holds.
+    """Limits that hold for all daemons, and the permits that this one has.
+
+    A target has a limit if it names one, or while it is cold.
 
     Attributes
     ----------
     book : LimitBook
-        Limits.
+        Limits that targets name.
+    cold : ColdBook
+        Targets that are cold.
     sent : dict of str to int
         Requests sent to each target while it had a limit, by the names of their starts.
     """
 
     book: LimitBook = attrs.field(factory=LimitBook)
+    cold: ColdBook = attrs.field(factory=ColdBook)
     sent: dict[str, int] = attrs.field(factory=dict)
     _permits: dict[str, deque[Permit]] = attrs.field(factory=dict)
     _given: int = 0
 
     def __bool__(self):
-        """Tell whether any target names a limit."""
-        return len(self.book) > 0
+        """Tell whether any target has a limit."""
+        return len(self.book) > 0 or len(self.cold) > 0
+
+    def rate(self, identity: str) -> float | None:
+        """Give the requests a second that a target takes; None for any number."""
+        named = self.book.rate(identity)
+        cold = self.cold.get(identity)
+        if cold is None:
+            return named
+        return cold.per_s if named is None else min(named, cold.per_s)
 
     def is_limited(self, identity: str) -> bool:
-        """Tell whether a target names a limit."""
-        return self.book.rate(identity) is not None
+        """Tell whether a target has a limit."""
+        return self.rate(identity) is not None
 
     def admits(self, identity: str, now: float) -> bool:
         """Tell whether a request may be sent to a target now."""
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/_targetset.py
@@ -108,8 +108,10 @@
             state = known.get(target.identity)
             if state is None or state.record.address != target.address:
                 state = TargetState(target, target.identity, ready_since=start)
-                if target.warmup_s:
-                    state.warm_at = now + target.warmup_s
+                state.warm_at = now + target.warmup_s
+            elif target.warmup_s not in (0, state.record.warmup_s):
+                # Cold once more under its name, or further on its way.
+                state.warm_at = now + target.warmup_s
             state.record = target
             self._states[target.identity] = state
         self._usable.forget()
@@ -340,6 +342,12 @@
         if not well:
             target.unwell_until = now + UNWELL_S
 
+    def note_warmup(self, identity: str, warm_at: float) -> None:
+        """Take in the time in seconds to which a target is slow, as it is cold."""
+        target = self._states.get(identity)
+        if target is not None:
+            target.warm_at = warm_at
+
     def note_unheard(self, identity: str, now: float) -> None:
         """Take in that a target has not answered a check in time."""
         target = self._states.get(identity)
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -83,6 +83,9 @@
         counts them against what was earned and not yet spent.
     health_path : str or None
         Path of the targets' health endpoint, where their own records do not tell.
+    warmup_per_s : float
+        Requests a second that a cold target takes from all entry instances; 0 if there
+        is no such limit.
     """
 
     name: str
@@ -93,6 +96,7 @@
     retry_slack: float = 0
     retry_window_s: float | None = None
     health_path: str | None = None
+    warmup_per_s: float = 0.0
 
     @property
     def key(self):
