The decisions have a subpackage for each subject

No change of behaviour. The policy was one flat folder of 30 modules with a class of 510 lines on top and a circle of two (_model, _target). What a target says of its load has a module of its own, which opens the circle. Learning from results is apart from the set of targets, refusals and attempts apart from the service, and what a driver tells it apart from what it decides; the largest module has 344 lines.

--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -13,64 +13,67 @@
 All times are monotonic seconds of one clock.
 """
 
-from cairnferry.policy._blocks import (
-    EVERYBODY,
-    SAME_END_S,
-    Barred,
-    Block,
-    BlockRef,
-    End,
-    Free,
-    Suspect,
-)
-from cairnferry.policy._choice import (
+from cairnferry.policy._service import ServicePolicy
+from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
+from cairnferry.policy.choice import (
     LeastInFlight,
     LoadAware,
     RandomChoice,
     RoundRobin,
+    SeekSettings,
     Strategy,
     TwoChoices,
 )
-from cairnferry.policy._cold import Cold, ColdBook
-from cairnferry.policy._events import Belief, TargetEvent
-from cairnferry.policy._evidence import (
-    Answered,
-    AttemptResult,
-    Lost,
-    NotRun,
-    TargetRefused,
-)
-from cairnferry.policy._identity import RequestIdentity
-from cairnferry.policy._limits import NO_LIMIT, LimitBook, NamedLimit
-from cairnferry.policy._model import (
+from cairnferry.policy.requests import (
     Abandoned,
+    Answered,
     Ask,
     Attempt,
     AttemptKind,
+    AttemptResult,
     Call,
     Cause,
     Decision,
     GiveUp,
-    LoadReport,
+    Lost,
+    NotRun,
     Pause,
     Refuse,
     Relay,
     Send,
+    TargetRefused,
     Wait,
 )
-from cairnferry.policy._permits import HOLD_S, Grant, PermitSchedule
-from cairnferry.policy._probes import ProbePlan, ProbeShare, probe_share
-from cairnferry.policy._quarantine import (
+from cairnferry.policy.shared import (
     ALONE_RETRY_S,
+    EVERYBODY,
+    HOLD_S,
     MEMORY_S,
+    NO_LIMIT,
+    SAME_END_S,
     TRIAL_RETRY_S,
+    Barred,
+    Block,
+    BlockRef,
+    Cold,
+    ColdBook,
+    End,
+    Free,
+    Grant,
+    LimitBook,
+    NamedLimit,
+    Permit,
+    PermitSchedule,
+    ProbePlan,
+    ProbeShare,
     Quarantine,
+    RequestIdentity,
+    Suspect,
+    TargetLimits,
+    Wanted,
+    probe_share,
 )
-from cairnferry.policy._seeking import SeekSettings
-from cairnferry.policy._service import ServicePolicy
-from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
-from cairnferry.policy._target import DrainSource
-from cairnferry.policy._target_limits import Permit, TargetLimits, Wanted
+from cairnferry.policy.targets import Belief, DrainSource, LoadReport, TargetEvent
 
 __all__ = [
     "ALONE_RETRY_S",
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -1,187 +1,68 @@
 """Policy of one service at one daemon."""
 
-import math
-import random
-from collections.abc import Container
-
-from cairnferry.policy._admission import Admission
-from cairnferry.policy._budget import budget_of
-from cairnferry.policy._demand import Demand
-from cairnferry.policy._events import TargetEvent
-from cairnferry.policy._evidence import (
-    Answered,
-    AttemptResult,
-    Follow,
-    Lost,
-    NotRun,
-    TargetRefused,
-    follow,
+from cairnferry.policy._attempts import Attempts
+from cairnferry.policy._knowledge import ServiceKnowledge
+from cairnferry.policy.admission import (
+    CLASSES,
+    Admission,
+    Refusals,
 )
-from cairnferry.policy._model import (
+from cairnferry.policy.requests import (
     Abandoned,
+    Answered,
     Ask,
     Attempt,
     AttemptKind,
+    AttemptResult,
     Call,
     Cause,
     Decision,
-    GiveUp,
-    LoadReport,
+    Follow,
+    Lost,
+    NotRun,
     Pause,
     Refuse,
     Relay,
     Search,
     Send,
+    TargetRefused,
     Wait,
+    follow,
 )
-from cairnferry.policy._queue import CLASSES
-from cairnferry.policy._room import Room
-from cairnferry.policy._searcher import Found, NothingFound, Searcher
-from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy._target import DrainSource
-from cairnferry.policy._target_limits import TargetLimits, Wanted
-from cairnferry.policy._targetset import TargetSet
-from cairnferry.policy._work import WorkEstimates
-from cairnferry.records import Service, Target
-
-
-class ServicePolicy:
-    """Decides about the requests of one service.
-
-    Parameters
-    ----------
-    service : Service
-        The service's record.
-    zone : str
-        Availability zone of this daemon.
-    rng : random.Random
-        Source of randomness.
-    settings : PolicySettings, optional
-        Constants.
-    limits : TargetLimits, optional
-        Limits that targets name, of all services of the daemon.
-    """
-
-    def __init__(
-        self,
-        service: Service,
-        zone: str,
-        rng: random.Random,
-        settings: PolicySettings | None = None,
-        limits: TargetLimits | None = None,
-    ):
-        self.settings = settings or PolicySettings()
-        self.service = service
-        self.given_up = dict.fromkeys(Cause, 0)
-        self.attempts = dict.fromkeys(AttemptKind, 0)
+from cairnferry.policy.search import Found, NothingFound, Searcher
+from cairnferry.policy.targets import TargetEvent
+
+
+class ServicePolicy(ServiceKnowledge):
+    """Decides about the requests of one service; parameters as `ServiceKnowledge`."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
         self.repeats_denied = 0
-        self.limits = TargetLimits() if limits is None else limits
-        self._rng = rng
-        self._work = WorkEstimates()
-        self._demand = Demand()
-        self._targets = TargetSet(zone, rng, self.settings, self.limits)
         self._searcher = Searcher(self.settings.seek, self._targets, self._work)
-        self._room = Room(self.settings)
-        self._instances = 1
-        self._budget = budget_of(service, self.settings)
+        self._refusals = Refusals(self.settings, self._work, self._rng)
+        self._attempts = Attempts(self._targets, self.limits, self._work, self._room)
         self._admission = Admission(self.settings, self._targets, self._room)
         self._waiting = self._admission.waiting
 
-    # -- what is known of the service and its targets --------------------------
-
-    def share_with(self, instances: int, place: float | None = None) -> None:
-        """Take in the other instances.
-
-        Parameters
-        ----------
-        instances : int
-            How many share the service's retry budget.
-        place : float, optional
-            Where among those of the zone this one stands, 0 to 1: it begins at another
-            part of the targets than these.
-        """
-        if place is not None:
-            self._targets.begin_at(place)
-        self._instances = max(1, instances)
-        self._budget.follow(self.service, self.settings, self._instances)
-
-    def update(self, service: Service, targets: list[Target], now: float) -> None:
-        """Take in the records in force; what was learnt of targets is kept."""
-        is_new = not self._targets
-        self.service = service
-        self._budget.follow(service, self.settings, self._instances)
-        self._targets.update(targets, now)
-        self._room.set_slots(sum(target.slots for target in targets), is_new)
-
-    def evacuate(self, zones: frozenset[str]) -> None:
-        """Send nothing to the targets of these availability zones, and of no others."""
-        self._targets.evacuate(zones)
-
-    def note_draining(self, identity: str, source: DrainSource, until: float) -> None:
-        """Take in that a source calls a target leaving.
-
-        Parameters
-        ----------
-        identity : str
-            Name of the target's start.
-        source : DrainSource
-            Who says so.
-        until : float
-            Time in seconds to which it holds; 0 takes it back.
-        """
-        self._targets.note_draining(identity, source, until)
-
-    def note_probe(self, identity: str, healthy: bool, now: float) -> None:
-        """Take in the result of a probe."""
-        self._targets.note_probe(identity, healthy, now)
-
-    def note_unheard(self, identity: str, now: float) -> None:
-        """Take in that a target has not answered a check in time."""
-        self._targets.note_unheard(identity, now)
-
-    def note_warmup(self, identity: str, warm_at: float) -> None:
-        """Take in the time in seconds to which a target is slow, as it is cold."""
-        self._targets.note_warmup(identity, warm_at)
-
-    def note_check(
-        self, identity: str, report: LoadReport | None, well: bool, now: float
-    ) -> None:
-        """Take in what a target said when it was asked for its load.
-
-        Parameters
-        ----------
-        identity : str
-            Name of the target's start.
-        report : LoadReport or None
-            Its load; None if it gave no answer.
-        well : bool
-            Whether it calls itself well.
-        now : float
-            Time in seconds.
-        """
-        self._targets.note_check(identity, report, well, now)
-
-    def permits_wanted(self, barred: Container[str], now: float) -> list[Wanted]:
-        """Give the permits for limited targets that the next requests may use.
+    @property
+    def given_up(self) -> dict[Cause, int]:
+        """Requests that were given up, by cause."""
+        return self._refusals.given_up
 
-        Parameters
-        ----------
-        barred : container of str
-            Targets that are not to be asked about now.
-        now : float
-            Time in seconds.
-        """
-        expected = self._demand.expected(now)
-        return self._targets.permits_wanted(expected, barred, now)
+    @property
+    def attempts(self) -> dict[AttemptKind, int]:
+        """Attempts that were made, by kind."""
+        return self._attempts.made
 
     # -- requests --------------------------------------------------------------
 
     def arrive(self, call: Call, now: float) -> Decision:
         """Decide about a request that arrives."""
         if now >= call.deadline:
-            return self._refuse(Cause.DEADLINE)
+            return self._refusals.refuse(Cause.DEADLINE)
         if not self._targets or self._targets.are_evacuated:
-            return self._refuse(self._targets.cause_of_none)
+            return self._refusals.refuse(self._targets.cause_of_none)
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank)
         if self.limits:
@@ -189,7 +70,7 @@
         if self.settings.seek is not None:
             return self._search(call, AttemptKind.FIRST, now)
         if not self._waiting.ahead_of(call.priority):
-            attempt = self._place(call, AttemptKind.FIRST, now)
+            attempt = self._attempts.place(call, AttemptKind.FIRST, now)
             if attempt is not None:
                 return Send(attempt)
         return self._enqueue(call, now)
@@ -197,7 +78,7 @@
     def finished(self, attempt: Attempt, result: AttemptResult, now: float) -> Decision:
         """Decide what follows the result of an attempt."""
         call = attempt.call
-        self._end(attempt)
+        self._attempts.end(attempt)
         self._targets.learn(attempt, result, now)
         if isinstance(result, Answered) and not result.failed:
             self._work.note(call.route, now - attempt.started, attempt.cost)
@@ -212,7 +93,7 @@
     def asked(self, call: Call, now: float) -> Decision:
         """Decide about a request once the targets to ask have been asked."""
         if now >= call.deadline:
-            return self._settle(call, Cause.DEADLINE, now)
+            return self._refusals.settle(call, Cause.DEADLINE, now)
         found = self._searcher.go_on(call, now)
         if isinstance(found, NothingFound) and call.search.kind is AttemptKind.RETRY:
             self._budget.give_back()
@@ -226,29 +107,16 @@
     def _act_on(self, call, found, now):
         match found:
             case Found(target, cost, trial):
-                attempt = self._start(call, target, call.search.kind, now, trial)
+                attempt = self._attempts.start(
+                    call, target, call.search.kind, now, trial
+                )
                 attempt.cost = cost
                 return Send(attempt)
             case NothingFound(cause, room_at):
-                return self._settle(call, cause, now, room_at)
+                return self._refusals.settle(call, cause, now, room_at)
             case Ask() | Pause():
                 return found
 
-    def _return_after(self, call, now, room_at):
-        """Give the seconds after which a request that found no room may come back.
-
-        Early enough to make its objective if room is found then, and spread, so that
-        those that were refused together do not come back together.
-        """
-        if room_at < math.inf:
-            return max(self.settings.min_retry_after_s, room_at - now)
-        if call.objective is None:
-            return self.settings.retry_after_s
-        earliest, latest = self.settings.return_shares
-        share = earliest + (latest - earliest) * self._rng.random()
-        slack = call.objective - now - self._work.seconds(call.route)
-        return max(self.settings.min_retry_after_s, slack * share)
-
     def _adapt_room(self, now):
         latency = self._targets.latency.usual
         self._room.adapt(self._targets.reported_load, now, latency)
@@ -265,16 +133,16 @@
                 # room. If most refuse, more attempts would only add to the load.
                 sound = self._targets.most_are_sound(now)
                 again = self._again(call, now, sound and not call.possibly_run)
-                return again or self._settle(call, _cause(result), now)
+                return again or self._refusals.settle(call, _cause(result), now)
             case Follow.TELL_UNKNOWN:
                 late = isinstance(result, Lost) and result.timed_out
-                return self._settle(
+                return self._refusals.settle(
                     call, Cause.DEADLINE if late else Cause.TARGET_LOST, now
                 )
 
     def cancelled(self, attempt: Attempt, now: float) -> None:
         """Take in that an attempt was cut off, as it was no longer needed."""
-        self._end(attempt)
+        self._attempts.end(attempt)
         self._targets.learn_cut(attempt, now)
 
     def abandon(self, call: Call) -> None:
@@ -312,7 +180,7 @@
             return None
         if not self._spend(now):
             return None
-        attempt = self._place(call, AttemptKind.HEDGE, now)
+        attempt = self._attempts.place(call, AttemptKind.HEDGE, now)
         return Send(attempt) if attempt else None
 
     def _hedge_if_stuck(self, call, now):
@@ -337,7 +205,7 @@
     def _enqueue(self, call, now):
         cause = self._admission.admit(call, self.service.queue_limit, now)
         if cause is not None:
-            return self._refuse(cause)
+            return self._refusals.refuse(cause)
         return Wait(self._admission.start_by(call))
 
     def release(self, now: float) -> list[tuple[Call, Decision]]:
@@ -346,7 +214,7 @@
         To be called after an attempt ended and when a `Wait` has run out.
         """
         decided = [
-            (call, self._settle(call, Cause.OVERLOAD, now))
+            (call, self._refusals.settle(call, Cause.OVERLOAD, now))
             for call in self._admission.take_displaced()
         ]
         for priority in CLASSES:
@@ -368,19 +236,18 @@
     def _decide_waiting(self, call, now):
         """Decide about the first waiting request; None lets it wait on."""
         if now >= self._admission.start_by(call):
-            return self._settle(call, Cause.DEADLINE, now)
+            return self._refusals.settle(call, Cause.DEADLINE, now)
         if self._targets.none_left_for(call, now):
-            return self._settle(call, self._targets.cause_of_none, now)
+            return self._refusals.settle(call, self._targets.cause_of_none, now)
         kind = AttemptKind.RETRY if call.attempts else AttemptKind.FIRST
-        attempt = self._place(call, kind, now)
+        attempt = self._attempts.place(call, kind, now)
         return Send(attempt) if attempt else None
 
     # -- attempts --------------------------------------------------------------
 
     def turn_away(self, cause: Cause, retry_after: float) -> Refuse:
         """Refuse a request for a cause that lies outside of this service."""
-        self.given_up[cause] += 1
-        return Refuse(cause, retry_after)
+        return self._refusals.turn_away(cause, retry_after)
 
     def may_add(self, call: Call) -> bool:
         """Tell whether a request may have a further attempt."""
@@ -395,7 +262,7 @@
             return None
         if self.settings.seek is not None:
             return self._search_again(call, now, may_relay)
-        attempt = self._place(call, AttemptKind.RETRY, now)
+        attempt = self._attempts.place(call, AttemptKind.RETRY, now)
         if attempt is not None:
             return Send(attempt)
         # With no target left it would wait to its deadline for what is known now.
@@ -413,46 +280,6 @@
             return None
         return self._act_on(call, found, now)
 
-    def _place(self, call, kind, now):
-        """Choose a target and count the attempt; None if there is no room."""
-        if not self._room.has(call.priority):
-            return None
-        target = self._targets.choose_for_trial(call, now)
-        trial = target is not None
-        if target is None:
-            target = self._targets.choose(call, now)
-        if target is None:
-            return None
-        return self._start(call, target, kind, now, trial)
-
-    def _start(self, call, target, kind, now, trial):
-        attempt = Attempt(call, target, kind, now, trial)
-        call.attempts.append(attempt)
-        target.note_sent(now)
-        if self.limits:
-            urgent = self._work.is_urgent(call.rank)
-            self.limits.spend(target.identity, urgent, now)
-        self._room.take(call.priority)
-        self.attempts[kind] += 1
-        return attempt
-
-    def _end(self, attempt):
-        attempt.ended = True
-        attempt.target.note_ended(attempt.started)
-        self._room.give_back(attempt.call.priority)
-
-    def _settle(self, call, cause, now, room_at=math.inf):
-        """Give the request up, with what the evidence of all attempts allows."""
-        self.given_up[cause] += 1
-        retry_after = self._return_after(call, now, room_at)
-        if call.possibly_run:
-            return GiveUp(cause, retry_after)
-        return Refuse(cause, retry_after)
-
-    def _refuse(self, cause):
-        self.given_up[cause] += 1
-        return Refuse(cause, self.settings.retry_after_s)
-
     def take_events(self) -> list[TargetEvent]:
         """Give the changes in what is believed of targets since the last call."""
         return self._targets.events.take()
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -2,15 +2,15 @@
 
 import attrs
 
-from cairnferry.policy._choice import (
+from cairnferry.policy.choice import (
     LeastInFlight,
     LoadAware,
     RandomChoice,
     RoundRobin,
+    SeekSettings,
     Strategy,
     TwoChoices,
 )
-from cairnferry.policy._seeking import SeekSettings
 
 UNLIMITED = 1_000_000
 
--- a/packages/policy/src/cairnferry/policy/_admission.py
+++ b/packages/policy/src/cairnferry/policy/admission/_admission.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from cairnferry.policy._model import Call, Cause
-from cairnferry.policy._queue import WaitingCalls
-from cairnferry.policy._room import Room
 from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy._targetset import TargetSet
+from cairnferry.policy.admission._queue import WaitingCalls
+from cairnferry.policy.admission._room import Room
+from cairnferry.policy.requests import Call, Cause
+from cairnferry.policy.search import TargetSet
 from cairnferry.records import Priority
 
 
--- a/packages/policy/src/cairnferry/policy/_queue.py
+++ b/packages/policy/src/cairnferry/policy/admission/_queue.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from cairnferry.policy._model import Call
+from cairnferry.policy.requests import Call
 from cairnferry.records import Priority
 
 CLASSES = (Priority.INTERACTIVE, Priority.BACKGROUND)
--- a/packages/policy/src/cairnferry/policy/_room.py
+++ b/packages/policy/src/cairnferry/policy/admission/_room.py
@@ -3,7 +3,7 @@
 import attrs
 
 from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy._window import Window
+from cairnferry.policy.admission._window import Window
 from cairnferry.records import Priority
 
 # Part of all slots that one daemon starts with.
--- a/packages/policy/src/cairnferry/policy/_choice.py
+++ b/packages/policy/src/cairnferry/policy/choice/_choice.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cairnferry.policy._target import ReportTrust, TargetState
+from cairnferry.policy.targets import ReportTrust, TargetState
 
 IDLE_COST = 0.5
 RAMP_LOAD = 0.8
--- a/packages/policy/src/cairnferry/policy/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/choice/_seeking.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from cairnferry.policy._model import Ask, Call
-from cairnferry.policy._target import TargetState
+from cairnferry.policy.requests import Ask, Call
+from cairnferry.policy.targets import TargetState
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/requests/__init__.py
@@ -0,0 +1,51 @@
+"""Requests, attempts, decisions, and what an attempt proves."""
+
+from cairnferry.policy.requests._evidence import (
+    Answered,
+    AttemptResult,
+    Follow,
+    Lost,
+    NotRun,
+    TargetRefused,
+    follow,
+)
+from cairnferry.policy.requests._model import (
+    Abandoned,
+    Ask,
+    Attempt,
+    AttemptKind,
+    Call,
+    Cause,
+    Decision,
+    GiveUp,
+    Pause,
+    Refuse,
+    Relay,
+    Search,
+    Send,
+    Wait,
+)
+
+__all__ = [
+    "Abandoned",
+    "Answered",
+    "Ask",
+    "Attempt",
+    "AttemptKind",
+    "AttemptResult",
+    "Call",
+    "Cause",
+    "Decision",
+    "Follow",
+    "GiveUp",
+    "Lost",
+    "NotRun",
+    "Pause",
+    "Refuse",
+    "Relay",
+    "Search",
+    "Send",
+    "TargetRefused",
+    "Wait",
+    "follow",
+]
--- a/packages/policy/src/cairnferry/policy/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/requests/_evidence.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cairnferry.policy._model import LoadReport
+from cairnferry.policy.targets import LoadReport
 
 
 @attrs.frozen
--- a/packages/policy/src/cairnferry/policy/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -1,16 +1,13 @@
 """Requests, attempts and decisions."""
 
 import enum
-import typing
 
 import attrs
 
-from cairnferry.policy._identity import RequestIdentity
+from cairnferry.policy.shared import RequestIdentity
+from cairnferry.policy.targets import TargetState
 from cairnferry.records import Priority, RefusalContract, Target
 
-if typing.TYPE_CHECKING:
-    from cairnferry.policy._target import TargetState
-
 
 class Cause(enum.StrEnum):
     """Why a request is given up."""
@@ -34,22 +31,6 @@
     HEDGE = "hedge"
 
 
-@attrs.frozen
-class LoadReport:
-    """What a target says of its load.
-
-    Attributes
-    ----------
-    in_use : float
-        Requests that it runs or holds in its own queue.
-    pace : float
-        How long work takes there at this moment, as a multiple of the usual.
-    """
-
-    in_use: float
-    pace: float = 1.0
-
-
 @attrs.define(eq=False)
 class Call:
     """One request of a caller.
@@ -106,7 +87,7 @@
     is_isolated: bool = False
     is_trial: bool = False
 
-    def tried(self, target: "TargetState") -> bool:
+    def tried(self, target: TargetState) -> bool:
         """Tell whether an attempt went to this start of a target."""
         return any(each.target.identity == target.identity for each in self.attempts)
 
@@ -164,7 +145,7 @@
     """
 
     call: Call
-    target: "TargetState"
+    target: TargetState
     kind: AttemptKind
     started: float
     trial: bool = False
--- a/packages/policy/src/cairnferry/policy/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/search/_searcher.py
@@ -4,11 +4,17 @@
 
 import attrs
 
-from cairnferry.policy._model import Ask, AttemptKind, Call, Cause, Pause, Search
-from cairnferry.policy._seeking import SeekSettings
-from cairnferry.policy._target import TargetState
-from cairnferry.policy._targetset import TargetSet
-from cairnferry.policy._work import WorkEstimates
+from cairnferry.policy.choice import SeekSettings, WorkEstimates
+from cairnferry.policy.requests import (
+    Ask,
+    AttemptKind,
+    Call,
+    Cause,
+    Pause,
+    Search,
+)
+from cairnferry.policy.search._targetset import TargetSet
+from cairnferry.policy.targets import TargetState
 
 # Longest and least seconds for which a request waits for a permit that is held already,
 # and how often: others that wait may take it first. A caller that is refused opens
--- a/packages/policy/src/cairnferry/policy/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -4,36 +4,33 @@
 import random
 from collections.abc import Container
 
-from cairnferry.policy._choice import Chooser
-from cairnferry.policy._ejection import Ejector
-from cairnferry.policy._events import Belief, EventLog
-from cairnferry.policy._evidence import (
-    Answered,
+from cairnferry.policy._settings import PolicySettings
+from cairnferry.policy.choice import Chooser, Seeker, SeekSettings
+from cairnferry.policy.requests import (
+    Ask,
+    Attempt,
     AttemptResult,
-    Lost,
-    NotRun,
-    TargetRefused,
+    Call,
+    Cause,
 )
-from cairnferry.policy._latency import LatencyEstimate
-from cairnferry.policy._limited_targets import LimitedTargets, Usable
-from cairnferry.policy._model import Ask, Attempt, Call, Cause, LoadReport
-from cairnferry.policy._seeking import Seeker, SeekSettings
-from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy._target import (
-    CLEARLY_SLOWER,
+from cairnferry.policy.search._learning import Learning
+from cairnferry.policy.shared import TargetLimits, Wanted
+from cairnferry.policy.targets import (
+    Belief,
     DrainSource,
+    Ejector,
+    EventLog,
+    LatencyEstimate,
+    LoadReport,
     ReportTrust,
     TargetState,
 )
-from cairnferry.policy._target_limits import TargetLimits, Wanted
-from cairnferry.policy._usable import UsableTargets
+from cairnferry.policy.usable import LimitedTargets, Usable, UsableTargets
 from cairnferry.records import Priority, Target
 
-REPORTED_LOAD_GAIN = 0.05
 PROBE_RETURN_S = 5.0
 # Seconds for which the word of a check holds; the next check comes sooner.
 UNWELL_S = 0.5
-MAX_REFUSAL_DOUBLINGS = 6
 
 
 class TargetSet:
@@ -52,10 +49,6 @@
 
     Attributes
     ----------
-    latency : LatencyEstimate
-        Answer times of the service.
-    reported_load : float
-        Mean load that targets report, as a share of their slots.
     events : EventLog
         Changes in what is believed.
     """
@@ -69,8 +62,6 @@
     ):
         self.settings = settings
         self.limits = limits
-        self.latency = LatencyEstimate(settings.high_quantile)
-        self.reported_load = 0.0
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
         self._usable = UsableTargets(zone, rng.random())
@@ -91,6 +82,20 @@
             settings.trial_timeout_s,
         )
 
+        self._learning = Learning(
+            settings, self._chooser, self._ejector, self.events, self._usable.forget
+        )
+
+    @property
+    def latency(self) -> LatencyEstimate:
+        """Answer times of the service."""
+        return self._learning.latency
+
+    @property
+    def reported_load(self) -> float:
+        """Mean load that targets report, as a share of their slots."""
+        return self._learning.reported_load
+
     def __len__(self):
         return len(self._states)
 
@@ -250,72 +255,11 @@
 
     def learn(self, attempt: Attempt, result: AttemptResult, now: float) -> None:
         """Take in the result of an attempt."""
-        target = attempt.target
-        elapsed = now - attempt.started
-        match result:
-            case Answered(failed=False, report=report):
-                self._learn_success(target, elapsed, report, now)
-            case Answered(failed=True) | Lost() | NotRun(deadline=False):
-                self._learn_failure(target, elapsed, now)
-            case TargetRefused(draining=draining, report=report):
-                self._learn_refusal(target, draining, report, now)
+        self._learning.learn(attempt, result, self, now)
 
     def learn_cut(self, attempt: Attempt, now: float) -> None:
         """Take in that an attempt was cut off here before it had an answer."""
-        target = attempt.target
-        elapsed = now - attempt.started
-        if elapsed > CLEARLY_SLOWER * self.latency.usual > 0:
-            # A hedge won, or the caller left. A target that hangs gives no other
-            # sign: its attempts would always be cut before they fail.
-            self._learn_failure(target, elapsed, now)
-        elif elapsed > target.latency:
-            target.note_latency(elapsed, self.settings.latency_gain, now)
-
-    def _learn_success(self, target, elapsed, report, now):
-        was_out = bool(target.ejected_until)
-        target.paused_until = 0.0
-        target.refusals = 0
-        target.note_latency(elapsed, self.settings.latency_gain, now)
-        self.latency.note(elapsed)
-        self._ejector.note_success(target, now)
-        if was_out:
-            self._usable.forget()
-            self.events.note(target.name, Belief.RETURNED, by="answer")
-        if report is not None:
-            self._learn_report(target, report, now)
-
-    def _learn_report(self, target, report: LoadReport, now):
-        target.note_report(report, now)
-        chooser = self._chooser
-        step = target.others_load - chooser.usual_others
-        chooser.usual_others += REPORTED_LOAD_GAIN * step
-        load = report.in_use / target.record.slots
-        self.reported_load += REPORTED_LOAD_GAIN * (load - self.reported_load)
-
-    def _learn_failure(self, target, elapsed, now):
-        slow = self.latency.usual * self.settings.failure_latency_factor
-        target.note_latency(max(elapsed, slow), self.settings.latency_gain, now)
-        was_out = bool(target.ejected_until)
-        self._ejector.note_failure(target, self, now)
-        self._usable.forget()
-        if target.ejected_until and not was_out:
-            self.events.note(
-                target.name,
-                Belief.EJECTED,
-                failures=target.failures,
-                for_s=round(target.ejected_until - now, 3),
-            )
-
-    def _learn_refusal(self, target, draining, report, now):
-        if draining:
-            until = now + self.settings.refusal_drain_s
-            target.draining_until[DrainSource.REFUSAL] = until
-        doublings = min(target.refusals, MAX_REFUSAL_DOUBLINGS)
-        target.refusals += 1
-        target.paused_until = now + self.settings.refusal_pause_s * 2**doublings
-        if report is not None:
-            self._learn_report(target, report, now)
-        self._usable.forget()
+        self._learning.learn_cut(attempt, self, now)
 
     def note_draining(self, identity: str, source: DrainSource, until: float) -> None:
         """Take in that a source calls a target leaving, up to a time."""
@@ -338,7 +282,7 @@
             return
         if target.unheard:
             self.events.note(target.name, Belief.HEARD, after_checks=target.unheard)
-        self._learn_report(target, report, now)
+        self._learning.learn_report(target, report, now)
         if not well:
             target.unwell_until = now + UNWELL_S
 
--- a/packages/policy/src/cairnferry/policy/_quarantine.py
+++ b/packages/policy/src/cairnferry/policy/shared/_quarantine.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from cairnferry.policy._blocks import (
+from cairnferry.policy.shared._blocks import (
     EVERYBODY,
     FREE,
     Barred,
@@ -26,7 +26,7 @@
     runs_in_turn,
     runs_of_several,
 )
-from cairnferry.policy._identity import RequestIdentity, head_of
+from cairnferry.policy.shared._identity import RequestIdentity, head_of
 
 # Runs, each begun after the target of the one before had ended, that are proof enough.
 # With a tenth of all targets ending in the seconds in which a request is run, one that
--- a/packages/policy/src/cairnferry/policy/_target_limits.py
+++ b/packages/policy/src/cairnferry/policy/shared/_target_limits.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from cairnferry.policy._cold import ColdBook
-from cairnferry.policy._limits import LimitBook
-from cairnferry.policy._permits import PERMIT_S
+from cairnferry.policy.shared._cold import ColdBook
+from cairnferry.policy.shared._limits import LimitBook
+from cairnferry.policy.shared._permits import PERMIT_S
 from cairnferry.records import Target
 
 # Seconds for which a permit is left to urgent requests, where all targets have limits:
--- /dev/null
+++ b/packages/policy/src/cairnferry/policy/targets/__init__.py
@@ -0,0 +1,25 @@
+"""What is known of a target: its state, its load, its latency, and when it is out."""
+
+from cairnferry.policy.targets._ejection import Ejector
+from cairnferry.policy.targets._events import Belief, EventLog, TargetEvent
+from cairnferry.policy.targets._latency import LatencyEstimate
+from cairnferry.policy.targets._report import LoadReport
+from cairnferry.policy.targets._target import (
+    CLEARLY_SLOWER,
+    DrainSource,
+    ReportTrust,
+    TargetState,
+)
+
+__all__ = [
+    "Belief",
+    "CLEARLY_SLOWER",
+    "DrainSource",
+    "Ejector",
+    "EventLog",
+    "LatencyEstimate",
+    "LoadReport",
+    "ReportTrust",
+    "TargetEvent",
+    "TargetState",
+]
--- a/packages/policy/src/cairnferry/policy/_ejection.py
+++ b/packages/policy/src/cairnferry/policy/targets/_ejection.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cairnferry.policy._target import TargetState
+from cairnferry.policy.targets._target import TargetState
 
 
 @attrs.frozen
--- a/packages/policy/src/cairnferry/policy/_target.py
+++ b/packages/policy/src/cairnferry/policy/targets/_target.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cairnferry.policy._model import LoadReport
+from cairnferry.policy.targets._report import LoadReport
 from cairnferry.records import Lifecycle, Target
 
 UNKNOWN_LATENCY_S = 0.0
--- a/packages/policy/src/cairnferry/policy/_limited_targets.py
+++ b/packages/policy/src/cairnferry/policy/usable/_limited_targets.py
@@ -9,9 +9,9 @@
 
 import attrs
 
-from cairnferry.policy._model import Ask
-from cairnferry.policy._target import TargetState
-from cairnferry.policy._target_limits import TargetLimits, Wanted
+from cairnferry.policy.requests import Ask
+from cairnferry.policy.shared import TargetLimits, Wanted
+from cairnferry.policy.targets import TargetState
 
 # Limited targets of the own zone, and of others, for which a daemon asks for permits:
 # the ones that it would choose from anyway.
--- a/packages/policy/src/cairnferry/policy/_usable.py
+++ b/packages/policy/src/cairnferry/policy/usable/_usable.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from cairnferry.policy._target import TargetState
+from cairnferry.policy.targets import TargetState
 from cairnferry.records import Lifecycle
 
 
--- a/tests/policy/test_budget.py
+++ b/tests/policy/admission/test_budget.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cairnferry.policy._budget import WindowBudget
+from cairnferry.policy.admission._budget import WindowBudget
 
 WINDOW_S = 10.0
 
--- a/tests/policy/test_choice.py
+++ b/tests/policy/choice/test_choice.py
@@ -14,8 +14,7 @@
     Wait,
 )
 from cairnferry.records import Lifecycle, Priority
-
-from ._helpers import (
+from policy._helpers import (
     SERVICE,
     make_call,
     make_policy,
--- a/tests/policy/test_ring.py
+++ b/tests/policy/choice/test_ring.py
@@ -6,8 +6,7 @@
 import pytest
 
 from cairnferry.policy import ServicePolicy, settings_for
-
-from ._asking import SERVICE, busy, call, near, settle
+from policy._asking import SERVICE, busy, call, near, settle
 
 # A zone of a large installation.
 DAEMONS = 62
--- a/tests/policy/test_seeking.py
+++ b/tests/policy/choice/test_seeking.py
@@ -18,17 +18,7 @@
     TargetRefused,
     settings_for,
 )
-
-from ._asking import (
-    SERVICE,
-    answer,
-    call,
-    far,
-    near,
-    policy_of,
-    settle,
-    target,
-)
+from policy._asking import SERVICE, answer, call, far, near, policy_of, settle, target
 
 
 def test_an_idle_target_of_the_own_zone_ends_the_asking():
--- a/tests/policy/test_cold.py
+++ b/tests/policy/shared/test_cold.py
@@ -4,9 +4,8 @@
 from hypothesis import strategies as st
 
 from cairnferry.policy import ColdBook, NamedLimit, Refuse, TargetLimits
-
-from ._asking import call, far, near, policy_of, settle
-from .test_limited_targets import permit
+from policy._asking import call, far, near, policy_of, settle
+from policy.usable.test_limited_targets import permit
 
 NOW = 10.0
 
--- a/tests/policy/test_permits.py
+++ b/tests/policy/shared/test_permits.py
@@ -13,7 +13,7 @@
     PermitSchedule,
     TargetLimits,
 )
-from cairnferry.policy._permits import AHEAD_S, HOLD_S
+from cairnferry.policy.shared._permits import AHEAD_S, HOLD_S
 
 
 def schedule(now=0.0, seed=1):
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/shared/test_quarantine.py
@@ -19,9 +19,9 @@
     RequestIdentity,
     Suspect,
 )
-from cairnferry.policy import _blocks as blocks
-from cairnferry.policy import _identity as identity_module
-from cairnferry.policy import _quarantine as module
+from cairnferry.policy.shared import _blocks as blocks
+from cairnferry.policy.shared import _identity as identity_module
+from cairnferry.policy.shared import _quarantine as module
 
 RUN_S = 0.1
 
--- a/tests/policy/test_evacuation.py
+++ b/tests/policy/usable/test_evacuation.py
@@ -3,9 +3,8 @@
 import pytest
 
 from cairnferry.policy import Answered, Cause, Lost, Refuse, Send
-
-from ._asking import call, far, near, policy_of, settle
-from ._helpers import make_call, make_policy, make_target, state
+from policy._asking import call, far, near, policy_of, settle
+from policy._helpers import make_call, make_policy, make_target, state
 
 NEAR = frozenset(["near"])
 
--- a/tests/policy/test_limited_targets.py
+++ b/tests/policy/usable/test_limited_targets.py
@@ -18,9 +18,8 @@
     TargetRefused,
     Wait,
 )
-
-from ._asking import call, far, learned, near, policy_of, settle
-from ._helpers import make_call, make_policy
+from policy._asking import call, far, learned, near, policy_of, settle
+from policy._helpers import make_call, make_policy
 
 
 def limit(policy, *names, per_s=2.0):
