What a daemon that starts is handed over is compressed, and given at a pace

Rules told between peers were small by then.

Ruled out: far pulls of rules (23 KB each, some 70 of them: 2 MB).

Change: the page is compressed once for all (a query asks for it, which earlier releases pass over; they get the plain form), counts against the same part of the link as rules do, and one who comes too soon is told to ask again.

--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -13,7 +13,7 @@
 from cairnferry.entry.core import Core
 from cairnferry.entry.following._evacuations import EVACUATIONS, Evacuations
 from cairnferry.entry.following._following import Follower
-from cairnferry.entry.following._handover import Handover
+from cairnferry.entry.following._handover import Handover, HandoverPages
 from cairnferry.entry.following._rules_exchange import (
     BUSY_S,
     GivingPace,
@@ -21,6 +21,7 @@
 )
 from cairnferry.entry.following._table import FollowedTable
 from cairnferry.entry.following._target_rows import TargetRows
+from cairnferry.entry.http import Page
 from cairnferry.peers import PeerCallFailed, PeerLink
 
 # Seconds between two calls for targets. Targets that start one after the other would
@@ -68,6 +69,7 @@
     _rules: Rules | None = None
     _document: bytes = b""
     _exchange: RulesExchange = attrs.field(init=False)
+    _handovers: HandoverPages = attrs.field(init=False)
     _targets: TargetRows = attrs.field(init=False)
     tables: dict[str, FollowedTable] = attrs.field(factory=dict)
     _rules_follower: Follower = attrs.field(init=False)
@@ -76,6 +78,7 @@
     def __attrs_post_init__(self):
         pace = GivingPace(self.core.cfg.peers.link_bytes_per_s)
         self._exchange = RulesExchange(pace)
+        self._handovers = HandoverPages(self.handover, pace.has_room)
         self._targets = TargetRows(
             self.decoders.target, self.core.faulty_rows, self._take_targets
         )
@@ -265,6 +268,10 @@
         )
         return Handover(self._document, targets, evacuations)
 
+    def handover_page(self, url: str) -> Page:
+        """Answer a daemon that asks for what is in force."""
+        return self._handovers.page(url)
+
     def take_over(self, handover: Handover, source: str) -> bool:
         """Put in force what another daemon gave; tell whether that was done.
 
--- a/packages/entry/src/cairnferry/entry/following/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -9,6 +9,9 @@
 import json
 import logging
 import random
+import time
+import zlib
+from collections.abc import Callable
 
 import attrs
 import gevent
@@ -16,11 +19,15 @@
 
 from cairnferry.coordination import News, Row
 from cairnferry.entry._ports import DecodeFault
-from cairnferry.entry.http import Page
+from cairnferry.entry.http import JSON, Page
 from cairnferry.settings import Address
 from cairnferry.wire import Client, Reply, describe
 
 HANDOVER_PATH = "/handover"
+# Query by which the compressed form is asked for; earlier releases pass it over.
+PACKED = "packed"
+# Field that tells that contents stand as text, not in base64, which hardly shrinks.
+AS_TEXT = "as_text"
 # Seconds that the store is given first, many times what it needs when it is well, and
 # between two rounds of asking others; seconds for one answer of another daemon, which
 # has nothing to wait for. Chosen so that a round of three dead seeds ends within 2 s.
@@ -49,29 +56,38 @@
     targets: News
     evacuations: News = News(True, (), 0)
 
-    def to_page(self) -> Page:
-        """Write it as JSON."""
-        if not self.rules:
-            return Page.of("503 Service Unavailable", {"error": "no rules yet"})
-        document = {
-            "rules": _encode(self.rules),
-            "targets": _write_rows(self.targets),
+    def write(self) -> bytes:
+        """Write it as JSON, for a daemon of an earlier release."""
+        return json.dumps(self._document(_to_base64)).encode()
+
+    def pack(self) -> bytes:
+        """Write it compressed: a large one would fill the link of either side."""
+        document = {AS_TEXT: True, **self._document(_to_text)}
+        return zlib.compress(json.dumps(document).encode())
+
+    def _document(self, encode):
+        return {
+            "rules": encode(self.rules),
+            "targets": _write_rows(self.targets, encode),
             "version": self.targets.version,
-            "evacuations": _write_rows(self.evacuations),
+            "evacuations": _write_rows(self.evacuations, encode),
             "evacuations_version": self.evacuations.version,
         }
-        return Page.of("200 OK", document)
 
     @classmethod
     def read(cls, data: bytes) -> Result["Handover", DecodeFault]:
-        """Read what `to_page` wrote."""
+        """Read what `write` or `pack` wrote."""
         try:
-            document = json.loads(data)
-            rules = base64.b64decode(document["rules"])
-            targets = _read_rows(document["targets"], document["version"])
+            text = data if data.startswith(b"{") else zlib.decompress(data)
+            document = json.loads(text)
+            decode = _from_text if document.get(AS_TEXT) else base64.b64decode
+            rules = decode(document["rules"])
+            targets = _read_rows(document["targets"], document["version"], decode)
             # Daemons of earlier releases give none.
             evacuations = _read_rows(
-                document.get("evacuations", ()), document.get("evacuations_version", 0)
+                document.get("evacuations", ()),
+                document.get("evacuations_version", 0),
+                decode,
             )
         except (
             ValueError,
@@ -79,27 +95,75 @@
             LookupError,
             AttributeError,
             RecursionError,
+            zlib.error,
         ) as exc:
             return Error(DecodeFault("handover", f"{type(exc).__name__}: {exc}"))
         return Ok(cls(rules, targets, evacuations))
 
 
-def _encode(data):
+def _to_base64(data):
     return base64.b64encode(data).decode()
 
 
-def _write_rows(news):
-    return [[row.key, _encode(row.value), row.version] for row in news.rows]
+def _to_text(data):
+    return data.decode("latin-1")
+
+
+def _from_text(text):
+    return text.encode("latin-1")
+
 
+def _write_rows(news, encode):
+    return [[row.key, encode(row.value), row.version] for row in news.rows]
 
-def _read_rows(entries, version):
+
+def _read_rows(entries, version, decode):
     rows = tuple(
-        Row(str(key), base64.b64decode(value), int(written))
-        for key, value, written in entries
+        Row(str(key), decode(value), int(written)) for key, value, written in entries
     )
     return News(True, rows, int(version))
 
 
+@attrs.define
+class HandoverPages:
+    """Hands over what is in force, as fast as the link allows.
+
+    After a loss of power all daemons ask at once. One that is told to ask again gets it
+    from another meanwhile.
+
+    Parameters
+    ----------
+    handover : callable
+        Gives what is in force.
+    has_room : callable
+        Tells whether so many bytes may be given at a monotonic time in seconds.
+    """
+
+    handover: Callable[[], Handover]
+    has_room: Callable[[int, float], bool]
+    _packed: tuple[Handover, bytes] | None = None
+
+    def page(self, url: str) -> Page:
+        """Answer a daemon that starts."""
+        handover = self.handover()
+        if not handover.rules:
+            return _later("no rules yet")
+        is_packed = url.partition("?")[2] == PACKED
+        body = self._pack(handover) if is_packed else handover.write()
+        if not self.has_room(len(body), time.monotonic()):
+            return _later("ask again")
+        return Page("200 OK", body, "application/octet-stream" if is_packed else JSON)
+
+    def _pack(self, handover):
+        if self._packed is None or self._packed[0] != handover:
+            self._packed = (handover, handover.pack())
+        return self._packed[1]
+
+
+def _later(reason):
+    return Page.of("503 Service Unavailable", {"error": reason})
+
+
 @attrs.define
 class Newcomer:
     """Asks others for what is in force, until it is known.
@@ -132,7 +196,8 @@
     def _ask(self, seed):
         client = Client(seed.host, seed.port)
         try:
-            outcome = client.call("GET", HANDOVER_PATH, timeout=TIMEOUT_S)
+            path = f"{HANDOVER_PATH}?{PACKED}"
+            outcome = client.call("GET", path, timeout=TIMEOUT_S)
         finally:
             client.close()
         if not isinstance(outcome, Reply) or outcome.status != OK_STATUS:
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -24,7 +24,7 @@
 )
 from cairnferry.entry.http._pipeline import CallerGone
 from cairnferry.entry.http._pipelined_server import PipelinedHandler, PipelinedServer
-from cairnferry.entry.http._small_apps import TEXT, Page, PagesApp
+from cairnferry.entry.http._small_apps import JSON, TEXT, Page, PagesApp
 
 __all__ = [
     "ATTEMPT_HEADER",
@@ -35,6 +35,7 @@
     "FieldNames",
     "HANDLER_KEY",
     "HttpServer",
+    "JSON",
     "Limits",
     "Page",
     "PagesApp",
