The first answers do not decide that those who wait are too late

Cause, by a trial that holds the process up for 0.5 s while ten such requests are there: three are sent and seven wait; the first answer then takes 0.5 s by this process alone, becomes the usual answer time (its double the high one), and each that waits is taken for one that cannot make its deadline of 1 s. 3 served, 7 given up, each time, as in the finding.

Ruled out: the pipeline (a sleeping task in place of a held-up process changes nothing), the target (1 ms).

Change: answer times say what to expect from the eighth on.

--- a/packages/policy/src/cairnferry/policy/admission/_admission.py
+++ b/packages/policy/src/cairnferry/policy/admission/_admission.py
@@ -59,8 +59,7 @@
 
     def start_by(self, call: Call) -> float:
         """Give the time by which a request has to be sent to make its deadline."""
-        latency = self.targets.latency
-        return call.deadline - max(latency.usual, latency.high)
+        return call.deadline - self.targets.latency.longest
 
     def take_displaced(self) -> list[Call]:
         """Give the requests that had to leave the queue for more urgent ones."""
@@ -70,7 +69,7 @@
 
     def _expected_wait(self, call):
         ahead = self.waiting.ahead_of(call.priority)
-        return ahead * self.targets.latency.usual / max(1.0, self.room.limit)
+        return ahead * self.targets.latency.expected / max(1.0, self.room.limit)
 
     def _make_room(self, call):
         """Refuse a waiting background request in favour of an interactive one."""
