--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -52,6 +52,11 @@
         return {"buckets": counts, "count": total, "sum": round(self.total_s, 6)}
 
 
+def _by_service():
+    """Make a histogram for a service when it is first needed."""
+    return collections.defaultdict(Durations)
+
+
 @attrs.define
 class Metrics:
     """What a daemon counts.
@@ -94,15 +99,15 @@
     target_ends: collections.Counter = attrs.field(factory=collections.Counter)
     quarantine: collections.Counter = attrs.field(factory=collections.Counter)
     limits: collections.Counter = attrs.field(factory=collections.Counter)
-    latency: dict[str, Durations] = attrs.field(factory=dict)
-    waits: dict[str, Durations] = attrs.field(factory=dict)
+    latency: dict[str, Durations] = attrs.field(factory=_by_service)
+    waits: dict[str, Durations] = attrs.field(factory=_by_service)
     store_era: int = 0
     started: float = attrs.field(factory=time.monotonic)
 
     def note_answer(self, service: str, outcome: str, seconds: float) -> None:
         """Count an answer to a caller."""
         self.outcomes[service, outcome] += 1
-        self.latency.setdefault(service, Durations()).note(seconds)
+        self.latency[service].note(seconds)
 
     def note_request(
         self, service: str, idempotent: bool, outcome: str, cause: str
@@ -113,7 +118,7 @@
 
     def note_wait(self, service: str, seconds: float) -> None:
         """Take in how long a request had to wait for its first sending."""
-        self.waits.setdefault(service, Durations()).note(seconds)
+        self.waits[service].note(seconds)
 
     def note_cause(self, cause: str) -> None:
         """Count an answer that the system made itself."""
