A decision passes over fewer targets

Profile of a decision at 300 targets (cProfile): a fifth goes into lists of all targets of which four are asked, and into leaving out silent ones where none is silent. Now only as many are looked at as are asked, and silent ones are left out only while there are some.

The same targets are chosen: the tests of the choice stand as they are.

--- a/packages/policy/src/cairnferry/policy/choice/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/choice/_seeking.py
@@ -6,6 +6,7 @@
 are now.
 """
 
+import itertools
 import random
 
 import attrs
@@ -190,8 +191,8 @@
         Drawn at random, they are others at each request: 300 daemons of some 3 requests
         a second each opened 29,300 connections for 9,000 requests in 30 s.
         """
-        left = [target for target in targets if target.identity not in asked]
-        return left[:count]
+        left = (target for target in targets if target.identity not in asked)
+        return list(itertools.islice(left, count))
 
     def _cheapest(self, near, far, now, max_age):
         best_cost, best = 0.0, None
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -64,6 +64,8 @@
         self.limits = limits
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
+        # From then on each target may be asked.
+        self._muted_until = -math.inf
         self._usable = UsableTargets(zone, rng.random())
         self._limited = LimitedTargets(limits, zone)
         self._chooser = Chooser(
@@ -181,6 +183,8 @@
     def _candidates(self, call, now, urgent=True):
         """List the targets that may be used, those not heard of only if need be."""
         usable = self._open_to(call, now, urgent)
+        if now >= self._muted_until:
+            return usable
         heard_near = [target for target in usable.near if target.mute_until <= now]
         heard_far = [target for target in usable.far if target.mute_until <= now]
         if heard_near or heard_far:
@@ -300,6 +304,7 @@
 
     def _note_silence(self, target, now):
         target.note_unheard(now)
+        self._muted_until = max(self._muted_until, target.mute_until)
         if target.unheard == 1:
             self.events.note(
                 target.name, Belief.SILENT, in_flight=target.in_flight, checks=1
