Model of a large document on its way over slow links

The parts that decide who fetches and gives are the daemon's own; links of 10 Mbit/s, rounds and the time to install are the model's.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -9,6 +9,7 @@
 from bench.model._loads import LOADS, SITES, Load, Site
 from bench.model._need import Need, NeedyTarget
 from bench.model._result import Outcome, Result
+from bench.model._spread import Spread, Way
 from bench.model._storm import Storm
 from bench.model._world import World, play
 
@@ -22,7 +23,9 @@
     "Outcome",
     "Result",
     "Site",
+    "Spread",
     "Storm",
+    "Way",
     "World",
     "play",
 ]
