While all daemons start, callers are sent away for as long as that has taken

Cause: Retry-After of that refusal was a constant, chosen for the restart of single daemons.

Change: as long as no daemon that has rules was heard, and 0.1 s have passed, the caller is told to come back after as long as the start has taken, 0.2 to 0.5 s; with others ready after 0.05 s as before.

Ruled out: to hold the request until rules are there; if they do not come, it has lost its time, and a refusal that can be given at once is due at once.

--- a/packages/entry/src/cairnferry/entry/callers/__init__.py
+++ b/packages/entry/src/cairnferry/entry/callers/__init__.py
@@ -3,6 +3,7 @@
 from cairnferry.entry.callers._callers import BodyLimits, CallersApp
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._guard import Guard
+from cairnferry.entry.callers._starting import Starting
 from cairnferry.entry.callers._suspicions import suspicion_board
 
 __all__ = [
@@ -10,5 +11,6 @@
     "CallersApp",
     "Forwarder",
     "Guard",
+    "Starting",
     "suspicion_board",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -1,12 +1,14 @@
 """WSGI application for callers: steering answers and forwarded requests."""
 
 import json
+import time
 import urllib.parse
 
 import attrs
 
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._request_log import RequestLog
+from cairnferry.entry.callers._starting import Starting
 from cairnferry.entry.http import (
     HANDLER_KEY,
     Answer,
@@ -51,6 +53,10 @@
     seconds: float
 
 
+def _starting_alone():
+    return Starting(time.monotonic(), lambda: False)
+
+
 @attrs.define
 class CallersApp:
     """Serves callers.
@@ -69,6 +75,8 @@
         Limits of bodies.
     convention : CallerConvention, optional
         How callers speak.
+    starting : Starting, optional
+        When to come back while there are no rules.
     """
 
     services: Services
@@ -77,6 +85,7 @@
     metrics: Metrics
     limits: BodyLimits
     convention: CallerConvention = attrs.field(factory=OwnCallers)
+    starting: Starting = attrs.field(factory=_starting_alone)
     _request_log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -166,6 +175,9 @@
 
     def _problem(self, problem, handler):
         self._request_log.note_rejected(problem.value[2], self._request_id(handler))
+        if problem is Problem.NOT_READY:
+            now = time.monotonic()
+            return problem_answer(problem, self.starting.retry_after(now))
         return problem_answer(problem)
 
     def _request_id(self, handler):
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -15,6 +15,7 @@
     CallersApp,
     Forwarder,
     Guard,
+    Starting,
     suspicion_board,
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
@@ -161,6 +162,7 @@
             self.metrics,
             cfg.bodies,
             self.conventions.callers,
+            Starting(time.monotonic(), self.cluster.others_have_rules),
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -75,8 +75,8 @@
         "Service Unavailable",
         "not-ready",
         "destination_unavailable",
-        # Other instances are ready now, and callers know their addresses.
-        0.05,
+        # Depends on whether other instances are ready.
+        None,
     )
     TOO_MANY_CONNECTIONS = (
         503,
@@ -152,9 +152,18 @@
     return _own(status, str(cause), error, RequestOutcome.UNKNOWN, retry_after)
 
 
-def problem_answer(problem: Problem) -> Answer:
-    """Tell of a fault found before a service was chosen: not run."""
-    _, _, name, error, retry_after = problem.value
+def problem_answer(problem: Problem, retry_after: float | None = None) -> Answer:
+    """Tell of a fault found before a service was chosen: not run.
+
+    Parameters
+    ----------
+    problem : Problem
+        The fault.
+    retry_after : float, optional
+        When to come back, in seconds, where the fault itself does not say.
+    """
+    _, _, name, error, usual = problem.value
+    retry_after = usual if retry_after is None else retry_after
     return _own(problem.status_line, name, error, RequestOutcome.NOT_RUN, retry_after)
 
 
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -243,6 +243,10 @@
             return True
         return health.spare != STEER_AWAY
 
+    def others_have_rules(self) -> bool:
+        """Tell whether a daemon was heard that has rules in force."""
+        return any(health.revision for health in self._health.values())
+
     def spare_of(self, name: str) -> int:
         """Give the thousandths of a member's capacity that are free."""
         if name == self.membership.me.name:
