A peer that has no rules to give is asked a few times, not for ever

Found by reading the change: a daemon asks again after 0.15 s as long as the revision that was offered is not in force. A peer that started anew in between has nothing to give, and would be asked for good, six times a second. Rows that say that a target is warm also end what a row said before.

Test: eight times and no more, without a clock.

--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -16,6 +16,7 @@
 from cairnferry.entry.following._handover import Handover, HandoverPages
 from cairnferry.entry.following._rules_exchange import (
     BUSY_S,
+    MAX_ASKED_AGAIN,
     GivingPace,
     RulesExchange,
 )
@@ -284,9 +285,18 @@
         log.info("taken over", extra={"from": source, "revision": self.revision})
         return True
 
-    def pull_from(self, link: PeerLink, offered: int) -> None:
+    def pull_from(self, link: PeerLink, offered: int, asked: int = 0) -> None:
         """Take over a peer's rules: it reaches the store, or did so later.
 
+        Parameters
+        ----------
+        link : PeerLink
+            Connection to the peer.
+        offered : int
+            Revision that the peer has.
+        asked : int, optional
+            How often the peer has had no room to give them so far.
+
         Raises
         ------
         PeerCallFailed
@@ -301,13 +311,13 @@
             turns.end(link.address)
         if document is not None:
             self.apply(document)
-        else:
+        elif asked < MAX_ASKED_AGAIN:
             pause = BUSY_S * (0.5 + self.core.rng.random())
-            gevent.spawn_later(pause, self._ask_again, link, offered)
+            gevent.spawn_later(pause, self._ask_again, link, offered, asked + 1)
 
-    def _ask_again(self, link, offered):
+    def _ask_again(self, link, offered, asked):
         try:
-            self.pull_from(link, offered)
+            self.pull_from(link, offered, asked)
         except PeerCallFailed as exc:
             log.info("pull failed", extra={"peer": exc.address, "why": exc.reason})
 
--- a/packages/entry/src/cairnferry/entry/following/_rules_exchange.py
+++ b/packages/entry/src/cairnferry/entry/following/_rules_exchange.py
@@ -33,6 +33,8 @@
 MAX_FETCHES = 2
 # Seconds after which a peer that had no room is asked again.
 BUSY_S = 0.15
+# How often: one that lost its rules meanwhile has none to give, and another will offer.
+MAX_ASKED_AGAIN = 8
 # How a call ends that a peer of an earlier release does not know.
 NO_SUCH_CALL = "TApplicationException"
 
--- a/packages/entry/src/cairnferry/entry/following/_target_rows.py
+++ b/packages/entry/src/cairnferry/entry/following/_target_rows.py
@@ -82,6 +82,7 @@
             gevent.spawn_later(DOUBT_S, self._trust, key, target)
             return self.in_force.get(key)
         self._starts[key] = target.started_ms
+        self.warm_at.pop(key, None)
         if target.warmup_s:
             self.warm_at[key] = time.monotonic() + target.warmup_s
         if len(self._starts) > MAX_STARTS:
--- a/packages/policy/src/cairnferry/policy/shared/_cold.py
+++ b/packages/policy/src/cairnferry/policy/shared/_cold.py
@@ -82,7 +82,7 @@
 
     def note_row(self, identity: str, until: float, per_s: float, now: float) -> bool:
         """Take in what a target's row tells, each time only once; as `hear`."""
-        if self._rows.get(identity) == until:
+        if until <= now or self._rows.get(identity) == until:
             return False
         self._rows[identity] = until
         return self.hear(identity, until, per_s, now)
--- a/tests/adapter/test_news.py
+++ b/tests/adapter/test_news.py
@@ -6,8 +6,10 @@
 import pytest
 from gevent.event import Event
 
+from cairnferry.coordination import NO_NEWS
 from cairnferry.entry.following import _followed
 from cairnferry.entry.following._handover import Handover
+from cairnferry.entry.following._rules_exchange import MAX_ASKED_AGAIN
 from cairnferry.standins import wait_for
 
 from ._standins import configuration, rule, target_row
@@ -221,3 +223,23 @@
     first = start_daemon(wait=False)
     reply = first.get(first.cfg.handover, "/handover")
     assert reply.status == 503
+
+
+def test_a_peer_that_has_nothing_to_give_is_not_asked_for_ever(daemon, monkeypatch):
+    """Guards against calls without end to a peer that lost the rules it offered."""
+    asked = []
+
+    class Link:
+        address = "10.0.0.9:1"
+
+        def document_since(self, revision):
+            asked.append(revision)
+            return NO_NEWS
+
+    def at_once(pause, function, *args):
+        function(*args)
+
+    monkeypatch.setattr(_followed.gevent, "spawn_later", at_once)
+    records = daemon.core.cluster.configuration
+    records.pull_from(Link(), offered=records.revision + 1)
+    assert len(asked) == 1 + MAX_ASKED_AGAIN
