--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -58,8 +58,7 @@
     """Follows one feed while that is this daemon's duty.
 
     Others tell it what is new while it is not: calls to the store grow with the zones,
-    not with the daemons. 312 daemons in 5 zones made 12,181 calls in 42 s when each
-    followed two tables itself.
+    not with the daemons.
 
     Parameters
     ----------
--- a/packages/entry/src/cairnferry/entry/following/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -30,7 +30,7 @@
 AS_TEXT = "as_text"
 # Seconds that the store is given first, many times what it needs when it is well, and
 # between two rounds of asking others; seconds for one answer of another daemon, which
-# has nothing to wait for. Chosen so that a round of three dead seeds ends within 2 s.
+# has nothing to wait for: a round of three dead seeds ends within 2 s.
 PATIENCE_S = 0.4
 ROUND_S = 0.5
 TIMEOUT_S = 0.5
--- a/packages/entry/src/cairnferry/entry/members/_joining.py
+++ b/packages/entry/src/cairnferry/entry/members/_joining.py
@@ -21,7 +21,7 @@
 TIMEOUT_S = 1.0
 # Seconds between the first two rounds, and at most. Those who are asked start at the
 # same moment, and have enrolled themselves shortly after they listen, unless the store
-# is away; callers are refused until then. Both are chosen, not measured.
+# is away; callers are refused until then.
 ROUND_S = 0.05
 MAX_ROUND_S = 0.4
 # Seconds for which others are asked before the store is. One that answers but has not
--- a/packages/entry/src/cairnferry/entry/targets/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -15,8 +15,8 @@
 from cairnferry.policy import DrainSource
 from cairnferry.records import Target
 
-# Longest wait in seconds for the answers of a round. By the users' sheets a sound
-# target takes 1 to 6 ms; one that takes longer would not be chosen anyway.
+# Longest wait in seconds for the answers of a round: many times what a sound target
+# takes; one that takes longer would not be chosen anyway.
 ROUND_S = 0.03
 # Turns of the event loop in which answers that are there already are still taken: one
 # to notice that a socket is readable, one to read it, one to tell.
--- a/packages/policy/src/cairnferry/policy/choice/_seeking.py
+++ b/packages/policy/src/cairnferry/policy/choice/_seeking.py
@@ -23,8 +23,7 @@
     ----------
     rounds : tuple of int
         Targets asked in each round. Asking stops as soon as one that is idle and at
-        its usual pace was heard: in a trial that served more than asking 3, 5 or 8 at
-        once, and asked least.
+        its usual pace was heard.
     fresh_s : float
         Age in seconds up to which an earlier answer spares a question: a small part
         of the 300 ms after which the pace of a machine has changed.
@@ -35,13 +34,11 @@
         at the best target known, so that no further one is asked. What is faster than
         that serves nobody better, and each check has its price.
     near_share : float
-        The same part, beyond which targets of other zones are asked as well. Asked as
-        soon as no idle one is near, they make a third more bytes between zones (0.032
-        GB against 0.024 in a run at full load, the same seed).
+        The same part, beyond which targets of other zones are asked as well: each of
+        these questions costs bytes between zones.
     good_costs, near_costs : tuple of float
         Least and highest cost that these parts may stand for; 1 is an idle target at
-        its usual pace. The middle ones hold while it is not known what the work takes;
-        fixed at these the costs did as well in three runs. The bounds are chosen.
+        its usual pace. The middle ones hold while it is not known what the work takes.
     load_cost : float
         Added cost of a target that is full, in proportion below that: of two that
         are equally fast the emptier one is taken, not the first in order.
@@ -54,9 +51,7 @@
         as long as it is not known how long the work takes.
     calm_share : float
         Share of slots up to which a target takes any request: all of them, as a
-        request that begins at a nearly full target is slower, but slows no other. With
-        a fifth left free, which is one of two, 75 % of the callers of the model's burst
-        are served in time, and 79 % with all.
+        request that begins at a nearly full target is slower, but slows no other.
     objective_margin : float
         Part of the time up to the objective that a request may be expected to take
         at a target beyond that share. What would come late there makes those behind
@@ -72,13 +67,12 @@
         still there. Work varies by a third, so that most requests are done before.
     stuck_factor : float
         Multiple of the expected time from which the request is sent to a second
-        target although the first one still answers checks. Chosen, not measured:
-        beyond it the objective is lost, and the budget of repeats bounds the rest.
+        target although the first one still answers checks: beyond it the objective is
+        lost, and the budget of repeats bounds the rest.
     far_cost : float
         Added cost of another availability zone: the longer way, and its price.
     warmup_cost : float
-        Factor for a target that has just started. Chosen between the 1 of a warm one
-        and the 2 of the users' sheets: it warms up while the request runs.
+        Factor for a target that has just started; it warms up while the request runs.
     unwell_cost : float
         Factor for a target whose check says that it is not well. It may be wrong, so
         that such a target is the last choice and not none. As bad as the busiest
@@ -188,8 +182,8 @@
     def _draw(self, targets, count, asked):
         """Take the next ones on the ring.
 
-        Drawn at random, they are others at each request: 300 daemons of some 3 requests
-        a second each opened 29,300 connections for 9,000 requests in 30 s.
+        Drawn at random, they would be others at each request, and few of them would
+        still have a connection.
         """
         left = (target for target in targets if target.identity not in asked)
         return list(itertools.islice(left, count))
--- a/packages/records/src/cairnferry/records/_schemas.py
+++ b/packages/records/src/cairnferry/records/_schemas.py
@@ -167,10 +167,9 @@
 def validator(version: int, kind: Kind) -> Callable[[object], object]:
     """Give the function that checks a document of a schema version and kind.
 
-    They are made when they are first needed: making all of them took 29 of the 204 ms
-    that the imports of a start take (one run with `-X importtime`), in which an
-    instance that lost power serves nobody, and a daemon whose platform has its own
-    format needs none.
+    They are made when they are first needed: making all of them is a good part of a
+    start, in which an instance that lost power serves nobody, and a daemon whose
+    platform has its own format needs none.
     """
     return fastjsonschema.compile(_SCHEMAS[version, kind], use_default=False)
 
