Model: instances that are killed, held up, added and taken away

The model of one service knew only instances that live to its end. An instance is an object of its own now, a start of it takes the place of the one before, and what happens to one that is gone is dropped. Targets may refuse or lose a part of what reaches them. Times of requests and of arrivals beyond the first are kept, and excess_of_repeats compares them with the users' rule. Loads that use none of it draw the same random numbers as before.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -5,6 +5,7 @@
 instance drives a `ServicePolicy` of its own, as the daemon does.
 """
 
+from bench.model._disruptions import DisruptedWorld, excess_of_repeats
 from bench.model._fleet import Fleet
 from bench.model._loads import LOADS, SITES, Load, Site
 from bench.model._need import Need, NeedyTarget
@@ -14,6 +15,7 @@
 from bench.model._world import World, play
 
 __all__ = [
+    "DisruptedWorld",
     "Fleet",
     "LOADS",
     "SITES",
@@ -27,5 +29,6 @@
     "Storm",
     "Way",
     "World",
+    "excess_of_repeats",
     "play",
 ]
--- a/bench/model/_loads.py
+++ b/bench/model/_loads.py
@@ -62,6 +62,9 @@
         loads are parts of it.
     noise : Noise
         Neighbours of the targets.
+    retry_slack : float
+        Further attempts that all instances may make in a window beyond a share of the
+        requests.
     """
 
     targets: int
@@ -73,6 +76,7 @@
     instances: int = 18
     zones: int = 3
     far_s: float = 0.0009
+    retry_slack: float = 64.0
 
 
 SIX_SLOTS = Site(targets=20, slots=6, queue=12, rate=320.0, kinds=KINDS)
@@ -86,6 +90,7 @@
     noise=Noise(0.25, 5.0, 0.15),
     instances=13,
     far_s=0.0014,
+    retry_slack=56.0,
 )
 # Sizes that no deployment has, to see whether a constant fits one alone.
 ONE_ZONE = Site(
--- a/bench/model/_result.py
+++ b/bench/model/_result.py
@@ -37,6 +37,9 @@
         Sent to targets.
     far_checks, far_attempts : int
         Those of them that went to another zone.
+    requests, further : list of float
+        Times at which callers sent requests, and at which attempts beyond the first of
+        a request reached a target.
     """
 
     outcomes: dict[Outcome, int] = attrs.field(
@@ -48,6 +51,8 @@
     repeats: int = 0
     far_checks: int = 0
     far_attempts: int = 0
+    requests: list[float] = attrs.field(factory=list)
+    further: list[float] = attrs.field(factory=list)
 
     @property
     def worth(self) -> float:
--- a/bench/model/_target.py
+++ b/bench/model/_target.py
@@ -69,6 +69,14 @@
         Requests that it runs at the same time, and that wait for these.
     noise : Noise
         Its neighbours.
+
+    Attributes
+    ----------
+    slow : float
+        How many times longer its work takes.
+    failing, shedding, losing : float
+        Parts of the requests that fail, are refused whatever room there is, or run
+        and lose their answer.
     """
 
     name: str
@@ -80,6 +88,8 @@
     noise: Noise
     slow: float = 1.0
     failing: float = 0.0
+    shedding: float = 0.0
+    losing: float = 0.0
     pace: float = 1.0
     refused: int = 0
     _running: list[Job] = attrs.field(factory=list)
@@ -104,6 +114,9 @@
 
     def offer(self, job: Job) -> bool:
         """Take a request, or refuse it."""
+        if self.shedding and self.rng.random() < self.shedding:
+            self.refused += 1
+            return False
         if len(self._running) < self.slots:
             self._move()
             self._begin(job)
--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -17,6 +17,7 @@
     Ask,
     Call,
     GiveUp,
+    Lost,
     PolicySettings,
     Refuse,
     Relay,
@@ -33,6 +34,7 @@
 # Seconds between two looks at waiting requests.
 LOOK_S = 0.004
 SPREAD = 0.3
+RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
 
 
@@ -64,6 +66,35 @@
     tries_left: int
 
 
+@attrs.define(eq=False)
+class Instance:
+    """One start of an entry instance.
+
+    Attributes
+    ----------
+    policy : ServicePolicy
+        Its decisions.
+    zone : str
+        Availability zone.
+    place : float
+        Where among those of its zone it stands, 0 to 1.
+    held_until : float
+        Time in seconds up to which its process does not run.
+    open : dict of Call to _Caller
+        Requests that it has taken and not ended.
+    waiting : dict of Call to _Caller
+        Those of them that wait for room.
+    """
+
+    policy: ServicePolicy
+    zone: str
+    place: float
+    is_up: bool = True
+    held_until: float = 0.0
+    open: dict = attrs.field(factory=dict)
+    waiting: dict = attrs.field(factory=dict)
+
+
 class World:
     """One service.
 
@@ -97,8 +128,14 @@
         self.length = length
         self.result = Result()
         self._seeks = settings.seek is not None
-        self._service = Service(
-            "s", 1000, 0.2, False, 512, retry_slack=64, retry_window_s=RETRY_WINDOW_S
+        self.service = Service(
+            "s",
+            1000,
+            RETRY_RATIO,
+            False,
+            512,
+            retry_slack=site.retry_slack,
+            retry_window_s=RETRY_WINDOW_S,
         )
         self.targets = {
             f"t{i}": ModelTarget(
@@ -112,18 +149,23 @@
             )
             for i in range(site.targets)
         }
-        self._instances = [
-            ServicePolicy(self._service, self._zone(i), self.rng, settings)
-            for i in range(site.instances)
+        self.settings = settings
+        in_zone = math.ceil(site.instances / len(self._zones))
+        self.instances = [
+            self._start(self._zone(index), index // len(self._zones) / in_zone)
+            for index in range(site.instances)
         ]
-        self._waiting = [{} for _ in self._instances]
         self._hurt()
 
     def _zone(self, index):
         return self._zones[index % len(self._zones)]
 
-    def _is_far(self, index, target_name):
-        return self.targets[target_name].zone != self._zone(index)
+    def _start(self, zone, place):
+        policy = ServicePolicy(self.service, zone, self.rng, self.settings)
+        return Instance(policy, zone, place)
+
+    def _is_far(self, instance, target_name):
+        return self.targets[target_name].zone != instance.zone
 
     # -- setting -----------------------------------------------------------------
 
@@ -135,11 +177,8 @@
             self.targets[name].slow = 5.0
         for name in names[: int(self.load.failing * len(names))]:
             self.targets[name].failing = 0.5
-        count = len(self._instances)
-        in_zone = math.ceil(count / len(self._zones))
-        for index, policy in enumerate(self._instances):
-            place = index // len(self._zones) / in_zone
-            policy.share_with(count, place)
+        for instance in self.instances:
+            instance.policy.share_with(len(self.instances), instance.place)
         self._tell(Lifecycle.ACTIVE)
         if self.load.leaving:
             third = self.length / 3
@@ -148,7 +187,7 @@
 
     def _tell(self, lifecycle):
         leaving = int(self.load.leaving * len(self.targets))
-        records = [
+        self._records = [
             Target(
                 t.name,
                 "s",
@@ -162,8 +201,8 @@
             )
             for index, t in enumerate(self.targets.values())
         ]
-        for policy in self._instances:
-            policy.update(self._service, records, self.clock.now)
+        for instance in self.instances:
+            instance.policy.update(self.service, self._records, self.clock.now)
 
     def run(self) -> Result:
         """Play the load."""
@@ -197,9 +236,18 @@
             rank=kind.rank,
             route=kind.name,
         )
-        index = self.rng.randrange(len(self._instances))
-        policy = self._instances[index]
-        self._do(index, caller, call, policy.arrive(call, now))
+        self.result.requests.append(now)
+        up = [instance for instance in self.instances if instance.is_up]
+        if not up:
+            self._come_back(caller, 0.0, Outcome.FAILED)
+            return
+        instance = self.rng.choice(up)
+        instance.open[call] = caller
+        self._when_it_runs(instance, lambda: self._arrived(instance, caller, call))
+
+    def _arrived(self, instance, caller, call):
+        decision = instance.policy.arrive(call, self.clock.now)
+        self._do(instance, caller, call, decision)
 
     def _end(self, caller, decision):
         now = self.clock.now
@@ -231,22 +279,31 @@
 
     # -- instances -----------------------------------------------------------------
 
-    def _do(self, index, caller, call, decision):
+    def _when_it_runs(self, instance, event):
+        """Let an instance do something once its process runs, unless it is gone."""
+        wait = instance.held_until - self.clock.now
+        if wait > 0:
+            self.clock.after(wait, lambda: self._when_it_runs(instance, event))
+        elif instance.is_up:
+            event()
+
+    def _do(self, instance, caller, call, decision):
         match decision:
             case Send(attempt):
-                self._send(index, caller, attempt)
+                self._send(instance, caller, attempt)
             case Ask(targets):
-                self._ask(index, caller, call, targets)
+                self._ask(instance, caller, call, targets)
             case Wait():
-                self._waiting[index][call] = caller
+                instance.waiting[call] = caller
             case Abandoned():
                 pass
             case _:
+                del instance.open[call]
                 self._end(caller, decision)
 
-    def _ask(self, index, caller, call, records):
-        policy = self._instances[index]
-        far = sum(self._is_far(index, record.name) for record in records)
+    def _ask(self, instance, caller, call, records):
+        policy = instance.policy
+        far = sum(self._is_far(instance, record.name) for record in records)
         self.result.checks += len(records)
         self.result.far_checks += far
 
@@ -255,54 +312,63 @@
             for record in records:
                 report = self.targets[record.name].report()
                 policy.note_check(record.name, report, True, now)
-            self._do(index, caller, call, policy.asked(call, now))
+            self._do(instance, caller, call, policy.asked(call, now))
 
-        self.clock.after(CHECK_S + 2 * self.site.far_s * bool(far), hear)
+        wait = CHECK_S + 2 * self.site.far_s * bool(far)
+        self.clock.after(wait, lambda: self._when_it_runs(instance, hear))
 
-    def _send(self, index, caller, attempt):
+    def _send(self, instance, caller, attempt):
         target = self.targets[attempt.target_name]
         way = NEAR_S
-        if self._is_far(index, attempt.target_name):
+        if self._is_far(instance, attempt.target_name):
             self.result.far_attempts += 1
             way = self.site.far_s
         self.result.attempts += 1
-        self.result.repeats += len(attempt.call.attempts) > 1
+        is_further = len(attempt.call.attempts) > 1
+        self.result.repeats += is_further
         work = caller.kind.work * self.rng.lognormvariate(-(SPREAD**2) / 2, SPREAD)
 
         def done(good):
             result = Answered(failed=not good, report=target.report())
-            self._hear(index, caller, attempt, result, way)
+            if target.losing and self.rng.random() < target.losing:
+                result = Lost()
+            self._hear(instance, caller, attempt, result, way)
 
         def reach():
+            if is_further:
+                self.result.further.append(self.clock.now)
             if not target.offer(Job(work, attempt.call.deadline, done)):
                 refused = TargetRefused(report=target.report())
-                self._hear(index, caller, attempt, refused, way)
+                self._hear(instance, caller, attempt, refused, way)
 
         self.clock.after(way, reach)
 
-    def _hear(self, index, caller, attempt, result, way):
-        self.clock.after(way, lambda: self._finished(index, caller, attempt, result))
+    def _hear(self, instance, caller, attempt, result, way):
+        def hear():
+            self._finished(instance, caller, attempt, result)
+
+        self.clock.after(way, lambda: self._when_it_runs(instance, hear))
 
-    def _finished(self, index, caller, attempt, result):
-        policy = self._instances[index]
-        decision = policy.finished(attempt, result, self.clock.now)
-        self._do(index, caller, attempt.call, decision)
-        self._release(index)
+    def _finished(self, instance, caller, attempt, result):
+        decision = instance.policy.finished(attempt, result, self.clock.now)
+        self._do(instance, caller, attempt.call, decision)
+        self._release(instance)
 
     def _look(self):
-        for index in range(len(self._instances)):
-            self._release(index)
+        for instance in self.instances:
+            if instance.is_up and instance.held_until <= self.clock.now:
+                self._release(instance)
         if self.clock.now < self.length + 2:
             self.clock.after(LOOK_S, self._look)
 
-    def _release(self, index):
-        waiting = self._waiting[index]
+    def _release(self, instance):
+        waiting = instance.waiting
         if not waiting:
             return
-        for call, decision in self._instances[index].release(self.clock.now):
+        for call, decision in instance.policy.release(self.clock.now):
             caller = waiting.pop(call, None)
             if caller is not None:
-                self._do(index, caller, call, decision)
+                self._do(instance, caller, call, decision)
 
 
 def play(
