--- a/tests/adapter/_processes.py
+++ b/tests/adapter/_processes.py
@@ -81,15 +81,20 @@
 
 
 @contextlib.contextmanager
-def running_fleet(store_port, zones, folder):
-    """Start a daemon for each zone that is given; they know each other, and serve."""
+def running_fleet(store_port, zones, folder, changes=()):
+    """Start a daemon for each zone that is given; they know each other, and serve.
+
+    `changes` are pairs of lines of the settings: the usual one, and what replaces it.
+    """
     started = []
     seeds = []
     try:
         for number, zone in enumerate(zones):
             host = own_host(number + 1)
             text = settings_text(store_port, f"front-{number}", seeds, host)
-            process = Process(folder, host, text.replace("zone=hall", f"zone={zone}"))
+            for line, changed in [("zone=hall", f"zone={zone}"), *changes]:
+                text = text.replace(line, changed)
+            process = Process(folder, host, text)
             seeds = seeds or [process.cfg.handover]
             started.append(process)
         for process in started:
