A budget of retries begins empty, and holds no more than its slack

Cause: what was spent in a window was known to the process alone. One that starts again had its whole part of the slack, and earned besides, while what its predecessor had spent in the same window stayed spent at the targets. Three kills in a window spend the slack up to four times, and the earnings of the window before up to once more.

Change: the window's memory of firsts and repeats becomes a store of tokens. It starts empty, each first attempt adds the ratio, time adds the rest of the slack, and it holds seven tenths of this instance's part of the slack at most, one at least.

Tests that took a new policy's repeats for granted let requests earn them first.

--- a/packages/policy/src/cairnferry/policy/admission/_budget.py
+++ b/packages/policy/src/cairnferry/policy/admission/_budget.py
@@ -1,7 +1,5 @@
 """Budgets of retries and hedges, a share of first attempts."""
 
-from collections import deque
-
 import attrs
 
 from cairnferry.policy._settings import PolicySettings
@@ -69,13 +67,22 @@
         self.tokens = min(self.burst, self.tokens + 1)
 
 
+# Part of an instance's slack that it may hold unspent; the rest comes with time.
+STOCK_SHARE = 0.7
+
+
 @attrs.define
 class WindowBudget:
     """Budget of retries and hedges in any window of a given length.
 
-    All instances share it. Each spends the share that its own requests earn, and
-    an equal part of what is allowed beyond that, so that no message is needed
-    between them, and none can spend what another has spent.
+    All instances share it. Each spends what its own requests earn, and an equal part
+    of what is allowed beyond that, so that no message is needed between them, and none
+    can spend what another has spent.
+
+    The budget begins empty, and never holds more than its part of the slack. A process
+    that starts does not know what the one before it has spent in the same window: what
+    the two spend is bounded by what was held at the start of the window and what came
+    in since, however often an instance is lost.
 
     Parameters
     ----------
@@ -85,50 +92,60 @@
         Further attempts in a window beyond that, for this instance.
     window : float
         Length in seconds.
+
+    Attributes
+    ----------
+    tokens : float
+        Further attempts that may be made now.
     """
 
     ratio: float
     slack: float
     window: float
-    _firsts: deque[float] = attrs.field(factory=deque)
-    _further: deque[float] = attrs.field(factory=deque)
+    tokens: float = attrs.field(default=0.0, init=False)
+    _filled_at: float | None = attrs.field(default=None, init=False)
 
     def follow(self, service: Service, settings: PolicySettings, instances: int):
         """Take in a changed record, or another number of instances that share it."""
         part = settings.budget_share
         self.ratio = part * service.retry_ratio
         self.slack = part * service.retry_slack / instances
+        self.tokens = min(self.tokens, self.most_held)
+
+    @property
+    def most_held(self) -> float:
+        """Most tokens held; one at least, or none could ever be spent."""
+        return max(1.0, STOCK_SHARE * self.slack)
 
     def earn(self, now: float) -> None:
         """Count a first attempt."""
-        self._firsts.append(now)
-        self._forget(now)
+        self._fill(now)
+        self._add(self.ratio)
 
     def spend(self, now: float, on_credit: bool = False) -> bool:
-        """Count a further attempt, if the window allows one.
+        """Take a token for a further attempt, if there is one.
 
         There is no credit: the bound holds in each window.
         """
-        self._forget(now)
-        if len(self._further) + 1 > self.ratio * len(self._firsts) + self.slack:
+        self._fill(now)
+        if self.tokens < 1:
             return False
-        self._further.append(now)
+        self.tokens -= 1
         return True
 
     def give_back(self) -> None:
         """Take back the last `spend`: nothing was sent."""
-        if self._further:
-            self._further.pop()
+        self._add(1.0)
 
-    @property
-    def tokens(self) -> float:
-        """Further attempts that the window still allows."""
-        return self.ratio * len(self._firsts) + self.slack - len(self._further)
-
-    def _forget(self, now):
-        for times in (self._firsts, self._further):
-            while times and times[0] <= now - self.window:
-                times.popleft()
+    def _fill(self, now):
+        """Add what comes with time: what of the slack is not held, in each window."""
+        if self._filled_at is not None:
+            rate = max(0.0, self.slack - self.most_held) / self.window
+            self._add(rate * max(0.0, now - self._filled_at))
+        self._filled_at = now
+
+    def _add(self, count):
+        self.tokens = min(self.most_held, self.tokens + count)
 
 
 def budget_of(service: Service, settings: PolicySettings) -> RetryBudget | WindowBudget:
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,10 +1,12 @@
 """The adapter with stand-ins of its platform, in this process."""
 
 import json
+import time
 
 import pytest
 
 from cairnferry.entry.targets import _asking
+from cairnferry.policy import Call
 from cairnferry.standins import free_port, wait_for
 from cairnferry.wire import Client
 from hosting._settings import read_host_settings
@@ -109,6 +111,13 @@
         client = Client(HOST, self.cfg.callers.port, host_name=host)
         return client.call(method, path, timeout=30, headers=headers, **options)
 
+    def earn_repeats(self, service="svc", requests=10):
+        """Let requests come that earn repeats; a daemon that starts has none."""
+        policy = self.core.services.runtime(service).policy
+        now = time.monotonic()
+        for _ in range(requests):
+            policy.arrive(Call(now, now + 1.0, True), now)
+
     def get(self, address, path):
         return Client(HOST, address.port).call("GET", path, timeout=10)
 
--- a/tests/adapter/test_evidence.py
+++ b/tests/adapter/test_evidence.py
@@ -17,6 +17,7 @@
     first = start_target(behave=refuse, load="0,0,4,100")
     start_target("i-2", load="3,0,4,100")
     knows(unsafe_daemon, "i-1", "i-2")
+    unsafe_daemon.earn_repeats()
     reply = unsafe_daemon.call(**POST)
     assert (reply.status, reply.body) == (200, b"i-2 /a/x")
     assert len(first.seen) == 1
@@ -135,6 +136,7 @@
     start_target(behave=broken)
     start_target("i-2", load="4,1,4,400")
     knows(daemon, "i-1", "i-2")
+    daemon.earn_repeats()
     reply = daemon.call()
     assert (reply.status, reply.body) == (200, b"i-2 /a/x")
 
--- a/tests/policy/_asking.py
+++ b/tests/policy/_asking.py
@@ -27,6 +27,13 @@
     return policy
 
 
+def earned(policy, now=0.0, requests=10):
+    """Let a policy see requests that earn repeats; a new one has none."""
+    for _ in range(requests):
+        policy.arrive(call(now=now, route="other"), now)
+    return policy
+
+
 def call(now=1.0, **more):
     return Call(arrived=now, deadline=now + 1, idempotent=True, **more)
 
