A daemon shares budgets as soon as it has heard of the others

Cause: the count of instances was renewed once a second, or as targets changed. One that joins by another one is told in time by luck, as its rules come later than its list; one that enrols itself counts itself alone up to the next round.

Change: the shares are worked out as the list is taken in. The test holds the rounds back, and fails without the change (1 instance where 2 are listed).

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -117,6 +117,7 @@
         )
         self.cluster = Cluster(membership, configuration, self.notes, self._spare)
         self.cluster.tables = records.tables
+        self.cluster.on_listed = self.share_out
         self.cluster.suspicions = suspicion_board(self.guard.hear)
         self.cluster.limits = limit_board(self.limiter.hear)
         self.duty = WatchDuty(self.cluster)
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -84,6 +85,8 @@
     ----------
     listed : dict of str to Listed
         Instances that the platform or the registry lists, by name.
+    on_listed : callable
+        Called after `listed` was renewed.
     suspicions : NoteBoard or None
         Notes on requests under which targets ended.
     limits : NoteBoard or None
@@ -105,8 +108,14 @@
     listed: dict[str, Listed] = attrs.field(factory=dict)
     tables: dict[str, SharedTable] = attrs.field(factory=dict)
     told_instances: int = 0
+    on_listed: Callable[[], None] = lambda: None
     _health: dict[str, PeerHealth] = attrs.field(factory=dict)
 
+    def list_instances(self, listed: dict[str, Listed]) -> None:
+        """Take in all that the platform or the registry lists."""
+        self.listed = listed
+        self.on_listed()
+
     def heartbeat(self, zone: str) -> Heartbeat:
         """Give what this daemon now tells one of an availability zone."""
         now = time.monotonic()
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -189,9 +189,9 @@
         now = time.monotonic()
         gone = self._long_gone(now)
         kept = [entry for entry in entries if entry.name not in gone]
-        self.cluster.listed = {
-            e.name: Listed(e.zone, e.leaving, e.peer_address) for e in kept
-        }
+        self.cluster.list_instances(
+            {e.name: Listed(e.zone, e.leaving, e.peer_address) for e in kept}
+        )
         self.gossip.strangers = {
             entry.peer_address: entry.zone
             for entry in kept
--- a/tests/adapter/test_retry_budgets.py
+++ b/tests/adapter/test_retry_budgets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cairnferry.entry.core import _core
 from cairnferry.standins import wait_for
 
 from ._processes import ALIVE, running_fleet
@@ -67,3 +68,14 @@
                 wait_for(lambda each=process: each.metric(ALIVE) == len(DAEMONS))
     further = arrivals_beyond_the_first(targets)
     assert 0 < further <= RATIO * sent + SLACK
+
+
+def test_a_daemon_that_enrols_is_not_alone_to_the_next_round(
+    store, start_daemon, monkeypatch
+):
+    """Guards against the slack of all at one that has just heard of the others."""
+    monkeypatch.setattr(_core, "SHARE_OUT_S", 3600.0)
+    first, second = (start_daemon(name, wait=False) for name in ("front-1", "front-2"))
+    for daemon in (first, second):
+        wait_for(lambda each=daemon: len(each.core.cluster.listed) == 2)
+        assert daemon.core.instances == 2
--- a/tests/entry/members/test_enrolment.py
+++ b/tests/entry/members/test_enrolment.py
@@ -76,6 +76,9 @@
         self.hurried = 0
         self.membership = Membership(member(name), random.Random(1))
 
+    def list_instances(self, listed):
+        self.listed = listed
+
     def meet(self, teller=None):
         self.hurried += 1
         self.teller = teller
