What targets say of themselves is read, logged and counted

Retry-After of what targets turn away and Server-Leaving are read on the answers to requests and checks, in both wirings; a book for all services of the daemon keeps what holds, and a line, counters and gauges tell it. Nothing is done about it yet: no decision looks at the book.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -54,6 +54,7 @@
     TargetConvention,
     lost,
     read_limit,
+    read_words,
 )
 from cairnferry.entry.telemetry import configure_logs
 
@@ -106,6 +107,7 @@
     "lost",
     "read_limit",
     "read_request_head",
+    "read_words",
     "stamp",
     "version_of",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -16,6 +16,7 @@
     ServiceRuntime,
     StatusChecks,
     Upstreams,
+    WordListener,
 )
 from cairnferry.policy import (
     Abandoned,
@@ -67,6 +68,8 @@
         Keeps requests that end targets from further ones.
     limiter : Limiter, optional
         Takes in limits that targets name.
+    listener : WordListener, optional
+        Takes in what targets say of themselves.
     """
 
     upstreams: Upstreams
@@ -74,6 +77,7 @@
     endings: Endings | None = None
     guard: Guard | None = None
     limiter: Limiter | None = None
+    listener: WordListener | None = None
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -168,6 +172,11 @@
         reply = outcome if isinstance(outcome, Reply) else None
         if self.limiter is not None:
             self.limiter.note_outcome(attempt, outcome, self.upstreams.convention)
+        if self.listener is not None:
+            convention, request_id = self.upstreams.convention, req.head.request_id
+            self.listener.note_outcome(
+                attempt, outcome, runtime, convention, request_id
+            )
         if self.guard is None:
             return runtime.finished(attempt, result), reply
         try:
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -38,6 +38,7 @@
     Services,
     StatusChecks,
     Upstreams,
+    WordListener,
     limit_board,
 )
 from cairnferry.entry.telemetry import FaultyRows, Metrics
@@ -82,8 +83,9 @@
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
         )
         self.limiter = Limiter(self.services.limits, self.metrics, self._tell_limit)
+        self.listener = WordListener(self.metrics, self.services.holds)
         self.checks = StatusChecks(
-            self.upstreams, self.metrics, cfg.checks_per_s, self.limiter
+            self.upstreams, self.metrics, cfg.checks_per_s, self.limiter, self.listener
         )
         self.guard = Guard(self.metrics, self._accuse, self._is_first_for)
         self.endings = Endings(self.upstreams, self.metrics, self.guard.note_end)
@@ -157,7 +159,12 @@
         app = CallersApp(
             self.services,
             Forwarder(
-                self.upstreams, self.checks, self.endings, self.guard, self.limiter
+                self.upstreams,
+                self.checks,
+                self.endings,
+                self.guard,
+                self.limiter,
+                self.listener,
             ),
             self.steering if steer_on_it else None,
             self.metrics,
@@ -179,6 +186,7 @@
             self.metrics,
             self.guard,
             self.limiter,
+            self.listener,
         )
         return self.callers_server
 
@@ -263,6 +271,7 @@
         targets = self.services.targets()
         self.checks.share_with(self.instances, len(targets))
         self.limiter.forget_unlisted(targets)
+        self.listener.keep(targets)
         for runtime in self.services.active().values():
             runtime.policy.share_with(self.instances, self._place())
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -9,7 +9,7 @@
 from cairnferry.entry.callers import Guard
 from cairnferry.entry.http import TEXT, Page, PipelinedServer
 from cairnferry.entry.members import Cluster, Gossip
-from cairnferry.entry.targets import Limiter, Services, Upstreams
+from cairnferry.entry.targets import Limiter, Services, Upstreams, WordListener
 from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
 from cairnferry.peers import ByteMeter
 
@@ -36,6 +36,8 @@
         Requests that are kept from targets.
     limiter : Limiter
         Limits that targets name.
+    listener : WordListener
+        What targets said of themselves.
     """
 
     cluster: Cluster
@@ -47,6 +49,7 @@
     metrics: Metrics
     guard: Guard
     limiter: Limiter
+    listener: WordListener
 
     def status(self) -> dict:
         """Give this daemon's view of all daemons."""
@@ -91,6 +94,7 @@
             },
             "blocked_requests": self.guard.snapshot(),
             "limits": self.limiter.snapshot(),
+            "target_words": self.listener.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
         }
--- a/packages/entry/src/cairnferry/entry/targets/__init__.py
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -17,7 +17,9 @@
 from cairnferry.entry.targets._probing import Probing
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._services import Services
+from cairnferry.entry.targets._target_words import read_words
 from cairnferry.entry.targets._upstreams import OutboundRequest, Upstreams
+from cairnferry.entry.targets._word_listener import WordListener
 
 __all__ = [
     "CallerConvention",
@@ -37,7 +39,9 @@
     "StatusChecks",
     "TargetConvention",
     "Upstreams",
+    "WordListener",
     "limit_board",
     "lost",
     "read_limit",
+    "read_words",
 ]
--- a/packages/entry/src/cairnferry/entry/targets/_asking.py
+++ b/packages/entry/src/cairnferry/entry/targets/_asking.py
@@ -11,6 +11,7 @@
 from cairnferry.entry.targets._limiter import Limiter
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._upstreams import Upstreams
+from cairnferry.entry.targets._word_listener import WordListener
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.policy import DrainSource
 from cairnferry.records import Target
@@ -55,12 +56,15 @@
         Checks a second for each target, over all instances; 0 for no limit.
     limiter : Limiter, optional
         Takes in limits that the answers name.
+    listener : WordListener, optional
+        Takes in what targets say of themselves.
     """
 
     upstreams: Upstreams
     metrics: Metrics
     rate: float = 0.0
     limiter: Limiter | None = None
+    listener: WordListener | None = None
     _bucket: TokenBucket = attrs.field(
         factory=lambda: TokenBucket(0.0, 0.0, time.monotonic())
     )
@@ -128,6 +132,8 @@
             self.limiter.cold.note_check(
                 target, result.warmup_s, service, check.started
             )
+        if self.listener is not None:
+            self.listener.note(target, result.words, runtime)
         self.metrics.probes["healthy" if result.well else "unhealthy"] += 1
         if result.warmup_s is not None:
             runtime.policy.note_warmup(target.identity, now + result.warmup_s)
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -4,6 +4,7 @@
 here; an adapter to another platform brings its own.
 """
 
+import math
 import typing
 
 import attrs
@@ -20,7 +21,15 @@
     read_report,
 )
 from cairnferry.entry.targets._limit_words import LimitFault, read_limit
-from cairnferry.policy import Attempt, AttemptKind, AttemptResult, LoadReport
+from cairnferry.entry.targets._target_words import read_words
+from cairnferry.policy import (
+    NO_WORDS,
+    Attempt,
+    AttemptKind,
+    AttemptResult,
+    LoadReport,
+    TargetWords,
+)
 from cairnferry.records import Target
 from cairnferry.wire import AnswerRules, Outcome, Reply
 
@@ -28,6 +37,12 @@
 HTTP_OK = 200
 # Requests a second that a target in need takes from all daemons together.
 LIMIT_HEADERS = frozenset(["server-limit"])
+LEAVING_HEADERS = frozenset(["server-leaving"])
+# Statuses with which Retry-After is defined for what a server turns away.
+REST_STATUSES = frozenset([429, 503])
+# Seconds for which a target's word that it is leaving holds where its next start would
+# have the same name.
+LEAVING_BY_NAME_S = 30.0
 
 
 @attrs.frozen
@@ -48,6 +63,8 @@
         Limit that it names.
     warmup_s : float or None
         Seconds for which it is still cold; None if it does not tell.
+    words : TargetWords
+        What it says of itself.
     """
 
     report: LoadReport | None
@@ -56,6 +73,7 @@
     heard: bool = False
     limit: float | LimitFault | None = None
     warmup_s: float | None = None
+    words: TargetWords = NO_WORDS
 
 
 class CallerConvention(typing.Protocol):
@@ -112,6 +130,9 @@
         a refusal, tells nothing of it.
         """
 
+    def words_of(self, outcome: Outcome, target: Target) -> TargetWords:
+        """Read what an answer says of its target."""
+
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the answer to a status check."""
 
@@ -168,12 +189,26 @@
         """Believe answers that are no refusals."""
         return isinstance(outcome, Reply) and outcome.status == HTTP_OK
 
+    def words_of(self, outcome: Outcome, target: Target) -> TargetWords:
+        """Read what an answer says of its target."""
+        if not isinstance(outcome, Reply):
+            return NO_WORDS
+        leaving_s = math.inf if target.started_ms else LEAVING_BY_NAME_S
+        return read_words(
+            outcome.status, outcome.headers, REST_STATUSES, LEAVING_HEADERS, leaving_s
+        )
+
     def read_check(self, outcome: Outcome, target: Target) -> CheckResult:
         """Read the load that comes with a health answer."""
         match outcome:
             case Reply() as reply:
                 report = read_report(reply.header(REPORT_HEADER))
                 limit = read_limit(reply.headers, LIMIT_HEADERS)
-                return CheckResult(report, reply.status == HTTP_OK, limit=limit)
+                return CheckResult(
+                    report,
+                    reply.status == HTTP_OK,
+                    limit=limit,
+                    words=self.words_of(reply, target),
+                )
             case _:
                 return CheckResult(None, False)
--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -8,7 +8,12 @@
 
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._weights import WeightedTurns
-from cairnferry.policy import PolicySettings, ServicePolicy, TargetLimits
+from cairnferry.policy import (
+    PolicySettings,
+    ServicePolicy,
+    TargetHolds,
+    TargetLimits,
+)
 from cairnferry.records import Kind, RecordSet, Route, Service, Target
 
 
@@ -31,6 +36,8 @@
         Constants of the policies.
     limits : TargetLimits, optional
         Limits that targets name.
+    holds : TargetHolds, optional
+        What targets have asked of this daemon.
 
     Attributes
     ----------
@@ -43,6 +50,7 @@
     on_start: Callable[[ServicePolicy], None]
     settings: PolicySettings = PolicySettings()
     limits: TargetLimits = attrs.field(factory=TargetLimits)
+    holds: TargetHolds = attrs.field(factory=TargetHolds)
     revision: int = 0
     evacuated: frozenset[str] = frozenset()
     _services: dict[str, Service] = attrs.field(factory=dict)
@@ -145,7 +153,7 @@
             if service is None:
                 return None
             policy = ServicePolicy(
-                service, self.zone, self.rng, self.settings, self.limits
+                service, self.zone, self.rng, self.settings, self.limits, self.holds
             )
             policy.evacuate(self.evacuated)
             runtime = ServiceRuntime(policy)
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -83,6 +83,13 @@
     limits = document["limits"]
     yield "target_limit", "gauge", _by_target(limits, "per_s")
     yield "limited_requests_total", "counter", _by_target(limits, "sent")
+    heard = _counted(metrics["target_words"], "word")
+    yield "target_words_total", "counter", heard
+    asked = document["target_words"]
+    resting = [Sample(s, {"target": t}) for t, s in asked["resting_s"].items()]
+    yield "target_resting_seconds", "gauge", resting
+    leaving = [Sample(1, {"target": target}) for target in asked["leaving"]]
+    yield "target_leaving", "gauge", leaving
     zones = [Sample(1, {"zone": zone}) for zone in document["evacuated"]]
     yield "zone_evacuated", "gauge", zones
     yield "request_seconds", "histogram", _histograms(metrics["latency_s"])
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -82,6 +82,9 @@
         What was done about requests that end targets, by event.
     limits : Counter
         Limits that targets name, by what happened to them.
+    target_words : Counter
+        What targets said of themselves: that they want rest or are leaving, and what
+        could not be read.
     latency : dict of str to Durations
         From a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -99,6 +102,7 @@
     target_ends: collections.Counter = attrs.field(factory=collections.Counter)
     quarantine: collections.Counter = attrs.field(factory=collections.Counter)
     limits: collections.Counter = attrs.field(factory=collections.Counter)
+    target_words: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=_by_service)
     waits: dict[str, Durations] = attrs.field(factory=_by_service)
     store_era: int = 0
@@ -149,6 +153,7 @@
             "target_ends": dict(sorted(self.target_ends.items())),
             "quarantine": dict(sorted(self.quarantine.items())),
             "limits": dict(sorted(self.limits.items())),
+            "target_words": dict(sorted(self.target_words.items())),
             "latency_us": {
                 service: durations.quantiles()
                 for service, durations in self.latency.items()
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -7,8 +7,8 @@
 - an attempt ended: `ServicePolicy.finished`;
 - the caller went away: `ServicePolicy.abandon`;
 - time passed or room came up: `ServicePolicy.release`;
-- something else was learnt of a target: `ServicePolicy.note_draining`,
-  `ServicePolicy.note_probe`.
+- something else was learnt of a target: `ServicePolicy.note_words`,
+  `ServicePolicy.note_draining`, `ServicePolicy.note_probe`.
 
 All times are monotonic seconds of one clock.
 """
@@ -69,11 +69,20 @@
     Quarantine,
     RequestIdentity,
     Suspect,
+    TargetHolds,
     TargetLimits,
     Wanted,
     probe_share,
 )
-from cairnferry.policy.targets import Belief, DrainSource, LoadReport, TargetEvent
+from cairnferry.policy.targets import (
+    NO_WORDS,
+    Belief,
+    DrainSource,
+    LoadReport,
+    TargetEvent,
+    TargetWords,
+    WordFault,
+)
 
 __all__ = [
     "ALONE_RETRY_S",
@@ -81,6 +90,7 @@
     "HOLD_S",
     "MEMORY_S",
     "NO_LIMIT",
+    "NO_WORDS",
     "SAME_END_S",
     "STRATEGY_NAMES",
     "TRIAL_RETRY_S",
@@ -129,11 +139,14 @@
     "Suspect",
     "Strategy",
     "TargetEvent",
+    "TargetHolds",
     "TargetLimits",
     "TargetRefused",
+    "TargetWords",
     "TwoChoices",
     "Wait",
     "Wanted",
+    "WordFault",
     "probe_share",
     "settings_for",
 ]
--- a/packages/policy/src/cairnferry/policy/_knowledge.py
+++ b/packages/policy/src/cairnferry/policy/_knowledge.py
@@ -7,8 +7,8 @@
 from cairnferry.policy.admission import Demand, Room, budget_of
 from cairnferry.policy.choice import WorkEstimates
 from cairnferry.policy.search import TargetSet
-from cairnferry.policy.shared import TargetLimits, Wanted
-from cairnferry.policy.targets import DrainSource, LoadReport
+from cairnferry.policy.shared import TargetHolds, TargetLimits, Wanted
+from cairnferry.policy.targets import DrainSource, LoadReport, TargetWords
 from cairnferry.records import Service, Target
 
 
@@ -27,6 +27,8 @@
         Constants.
     limits : TargetLimits, optional
         Limits that targets name, of all services of the daemon.
+    holds : TargetHolds, optional
+        What targets have asked of the daemon, of all its services.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         rng: random.Random,
         settings: PolicySettings | None = None,
         limits: TargetLimits | None = None,
+        holds: TargetHolds | None = None,
     ):
         self.settings = settings or PolicySettings()
         self.service = service
@@ -43,7 +46,8 @@
         self._rng = rng
         self._work = WorkEstimates()
         self._demand = Demand()
-        self._targets = TargetSet(zone, rng, self.settings, self.limits)
+        self.holds = TargetHolds() if holds is None else holds
+        self._targets = TargetSet(zone, rng, self.settings, self.limits, self.holds)
         self._room = Room(self.settings)
         self._instances = 1
         self._budget = budget_of(service, self.settings)
@@ -90,6 +94,24 @@
         """
         self._targets.note_draining(identity, source, until)
 
+    def note_words(
+        self, identity: str, words: TargetWords, now: float, heard_by: str | None = None
+    ) -> None:
+        """Take in what a target says of itself.
+
+        Parameters
+        ----------
+        identity : str
+            Name of the target's start.
+        words : TargetWords
+            What it says.
+        now : float
+            Time in seconds.
+        heard_by : str or None, optional
+            ID of the request in whose answer it said so, for the log.
+        """
+        self._targets.note_words(identity, words, now, heard_by)
+
     def note_probe(self, identity: str, healthy: bool, now: float) -> None:
         """Take in the result of a probe."""
         self._targets.note_probe(identity, healthy, now)
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -14,7 +14,7 @@
     Cause,
 )
 from cairnferry.policy.search._learning import Learning
-from cairnferry.policy.shared import TargetLimits, Wanted
+from cairnferry.policy.shared import TargetHolds, TargetLimits, Wanted
 from cairnferry.policy.targets import (
     Belief,
     DrainSource,
@@ -24,6 +24,7 @@
     LoadReport,
     ReportTrust,
     TargetState,
+    TargetWords,
 )
 from cairnferry.policy.usable import LimitedTargets, Usable, UsableTargets
 from cairnferry.records import Priority, Target
@@ -46,6 +47,8 @@
         Constants.
     limits : TargetLimits
         Limits that targets name, and the permits to send to these.
+    holds : TargetHolds
+        What targets have asked of this daemon.
 
     Attributes
     ----------
@@ -59,9 +62,11 @@
         rng: random.Random,
         settings: PolicySettings,
         limits: TargetLimits,
+        holds: TargetHolds,
     ):
         self.settings = settings
         self.limits = limits
+        self.holds = holds
         self.events = EventLog()
         self._states: dict[str, TargetState] = {}
         # From then on each target may be asked.
@@ -272,6 +277,24 @@
             target.draining_until[source] = until
             self._usable.forget()
 
+    def note_words(
+        self, identity: str, words: TargetWords, now: float, heard_by: str | None
+    ) -> None:
+        """Take in what a target says of itself; as `ServiceKnowledge.note_words`."""
+        if words.rest_s:
+            until = now + words.rest_s
+            was_resting = self.holds.rests.until(identity) > now
+            if self.holds.rests.note(identity, until) and not was_resting:
+                for_s = round(words.rest_s, 3)
+                self.events.note(
+                    identity, Belief.RESTING, for_s=for_s, heard_by=heard_by
+                )
+        if words.leaving_s:
+            was_leaving = self.holds.leaving.until(identity) > now
+            self.holds.leaving.note(identity, now + words.leaving_s)
+            if not was_leaving:
+                self.events.note(identity, Belief.LEAVING, heard_by=heard_by)
+
     def note_check(
         self, identity: str, report: LoadReport | None, well: bool, now: float
     ) -> None:
--- a/packages/policy/src/cairnferry/policy/shared/__init__.py
+++ b/packages/policy/src/cairnferry/policy/shared/__init__.py
@@ -11,6 +11,7 @@
     Suspect,
 )
 from cairnferry.policy.shared._cold import Cold, ColdBook
+from cairnferry.policy.shared._holds import HoldBook, TargetHolds
 from cairnferry.policy.shared._identity import RequestIdentity
 from cairnferry.policy.shared._limits import NO_LIMIT, LimitBook, NamedLimit
 from cairnferry.policy.shared._permits import HOLD_S, Grant, PermitSchedule
@@ -35,6 +36,7 @@
     "Free",
     "Grant",
     "HOLD_S",
+    "HoldBook",
     "LimitBook",
     "MEMORY_S",
     "NO_LIMIT",
@@ -48,6 +50,7 @@
     "SAME_END_S",
     "Suspect",
     "TRIAL_RETRY_S",
+    "TargetHolds",
     "TargetLimits",
     "Wanted",
     "probe_share",
--- a/packages/policy/src/cairnferry/policy/targets/__init__.py
+++ b/packages/policy/src/cairnferry/policy/targets/__init__.py
@@ -10,6 +10,7 @@
     ReportTrust,
     TargetState,
 )
+from cairnferry.policy.targets._words import NO_WORDS, TargetWords, WordFault
 
 __all__ = [
     "Belief",
@@ -19,7 +20,10 @@
     "EventLog",
     "LatencyEstimate",
     "LoadReport",
+    "NO_WORDS",
     "ReportTrust",
     "TargetEvent",
     "TargetState",
+    "TargetWords",
+    "WordFault",
 ]
--- a/packages/policy/src/cairnferry/policy/targets/_events.py
+++ b/packages/policy/src/cairnferry/policy/targets/_events.py
@@ -16,6 +16,8 @@
     RETURNED = "returned"
     SILENT = "silent"
     HEARD = "heard again"
+    RESTING = "asks for rest"
+    LEAVING = "is leaving"
 
 
 @attrs.frozen
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -44,6 +44,7 @@
         "blocked_requests": [{"content": "c"}],
         "evacuated": ["hall"],
         "limits": {"i-1": {"per_s": 2.6, "sent": 7}},
+        "target_words": {"resting_s": {"i-2": 1.5}, "leaving": ["i-3"]},
         "log_lines_dropped": 0,
         "revision": 9,
     }
