An ejected target that has left since gets no trial

What a caller would see: a request sent to a target that said that it leaves, or whose zone was evacuated, to find out whether it is well again.

Cause: the list of ejected targets is worked out with the lists of usable ones, when these are next asked for; the choice for a trial read the old list first. Found by a case of the tests on targets that ask for rest.

Change: the list is brought up to date before a trial is chosen. The test fails without it.

--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -231,7 +231,7 @@
         """Choose an ejected target for which it is time to be tested."""
         if not self._usable.ejected or not call.idempotent or call.attempts:
             return None
-        for target in self._usable.ejected:
+        for target in self._usable.to_try(self._states, now):
             if not self.limits.admits(target.identity, now):
                 continue
             if self._ejector.wants_trial(target, now):
--- a/packages/policy/src/cairnferry/policy/usable/_usable.py
+++ b/packages/policy/src/cairnferry/policy/usable/_usable.py
@@ -68,6 +68,13 @@
             self._work_out(targets, now)
         return self._near, self._far
 
+    def to_try(
+        self, targets: dict[str, TargetState], now: float
+    ) -> list[TargetState]:
+        """Give the ejected targets that nothing else keeps out of use."""
+        self.lists(targets, now)
+        return self.ejected
+
     def _work_out(self, targets, now):
         self._near = []
         self._far = []
