Targets that ask for rest get it

Cause: nobody read how long the target wants rest. After a refusal it was passed over for 20 ms, doubled with each in a row, and a success set that back.

Ruled out: trials and second attempts as the main way (most arrivals were first attempts, none of the targets was ejected); that the answers did not say so (the new lines show each daemon reading it).

Change: one reason more in the table of what keeps a target out of use, before ejection, so that trials mind it. It is kept by the name of the target's start, for all services of the daemon, so that a row or a service that is gone for a moment, a check, an answer to an earlier request or a shorter word end nothing. A refusal that asks for rest is no failing: no pause, no rank, no report is taken from it. Right before a request is written it is looked at once more. If all rest, requests are refused at once, with the time of the first that is back, spread by a quarter of it; those that may wait do so only if it ends in time.

--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -18,6 +18,7 @@
     "target heard again",
     "target ejected",
     "target returned",
+    "target is leaving",
     "feed lost",
     "feed is back",
     "history lost",
@@ -37,11 +38,17 @@
 )
 # Lines on limits that targets name. A limit holds until another line ends it.
 LIMITS = ("limit named", "limit changed", "limit lifted", "limit forgotten")
+# Lines on targets that asked for rest. It holds for the time that the line tells.
+RESTS = ("target asks for rest", "target has rested")
 # Lines on zones that operators took out of use or back: these say which targets it
 # could not have.
 ZONES = ("zone evacuated", "zone restored")
 # Cause of a request for which all targets were kept back by their limits.
 KEPT_BY_LIMITS = "target-limit"
+# Cause of a request for which all targets rested.
+KEPT_BY_RESTS = "targets-resting"
+# Lines that tell why requests were kept back for a cause.
+LASTING = {KEPT_BY_LIMITS: LIMITS, KEPT_BY_RESTS: RESTS}
 # Names of targets in a belief's line.
 TARGET_FIELDS = (
     "target",
@@ -163,7 +170,7 @@
     instances = {line.instance for line in own}
     contents = set().union(*(line.contents() for line in own))
     targets = set().union(*(_targets_of(line) for line in own))
-    kept_by_limits = any(line.facts.get("cause") == KEPT_BY_LIMITS for line in own)
+    causes = {line.facts.get("cause") for line in own}
     begin = min(_arrived(line) for line in own) - timedelta(seconds=before_s)
     end = max(line.time for line in own)
 
@@ -175,10 +182,11 @@
             return line.request_id == request_id
         if line.message in ZONES:
             return line.time <= end
-        if line.message in LIMITS and line.time <= end:
-            # However long ago it was named. Of a request that all limits kept back,
-            # no line says which targets it might have had.
-            return kept_by_limits or bool(line.names() & targets)
+        for cause, messages in LASTING.items():
+            if line.message in messages and line.time <= end:
+                # However long ago it was said. Of a request that was kept back by all
+                # targets, no line says which of them it might have had.
+                return cause in causes or bool(line.names() & targets)
         if line.message not in BELIEFS or not begin <= line.time <= end:
             return False
         names = line.names()
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -53,6 +53,7 @@
     LimitFault,
     TargetConvention,
     lost,
+    not_run,
     read_limit,
     read_words,
 )
@@ -105,6 +106,7 @@
     "disposable_instance",
     "era_of",
     "lost",
+    "not_run",
     "read_limit",
     "read_request_head",
     "read_words",
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -131,6 +131,7 @@
     Cause.ENDS_TARGETS: "http_request_denied",
     Cause.TARGET_LIMIT: "connection_limit_reached",
     Cause.EVACUATED: "destination_unavailable",
+    Cause.RESTING: "destination_unavailable",
 }
 
 _UNKNOWN_CAUSES = {
--- a/packages/entry/src/cairnferry/entry/targets/__init__.py
+++ b/packages/entry/src/cairnferry/entry/targets/__init__.py
@@ -9,7 +9,7 @@
     TargetConvention,
 )
 from cairnferry.entry.targets._endings import Endings, LostRun
-from cairnferry.entry.targets._exchange_result import lost
+from cairnferry.entry.targets._exchange_result import lost, not_run
 from cairnferry.entry.targets._limit_notes import limit_board
 from cairnferry.entry.targets._limit_words import LimitFault, read_limit
 from cairnferry.entry.targets._limiter import Limiter
@@ -42,6 +42,7 @@
     "WordListener",
     "limit_board",
     "lost",
+    "not_run",
     "read_limit",
     "read_words",
 ]
--- a/packages/entry/src/cairnferry/entry/targets/_exchange_result.py
+++ b/packages/entry/src/cairnferry/entry/targets/_exchange_result.py
@@ -34,13 +34,20 @@
     """
     match outcome:
         case NotSent(failure):
-            return NotRun(deadline=failure is Failure.TIMEOUT)
+            return not_run(failure)
         case Incomplete() as incomplete:
             return lost(incomplete)
         case Reply() as reply:
             return _classify_reply(reply, refusal)
 
 
+def not_run(failure: Failure) -> NotRun:
+    """Give what it proves that no byte was written."""
+    return NotRun(
+        deadline=failure is Failure.TIMEOUT, withdrawn=failure is Failure.WITHDRAWN
+    )
+
+
 def lost(outcome: Incomplete) -> Lost:
     """Give what an exchange without a whole answer proves."""
     failure = outcome.failure
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -98,6 +98,10 @@
         if isinstance(conn, ConnectFailed):
             late = time.monotonic() >= call.deadline
             return NotSent(Failure.TIMEOUT if late else Failure.CONNECT)
+        if attempt.target.wants_none(time.monotonic()):
+            # It said so while the connection was opened.
+            pool.give(conn)
+            return NotSent(Failure.WITHDRAWN)
         payload = self._encode(req, attempt)
         rules = self.convention.rules(req.head)
         outcome = exchange(
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -133,7 +133,7 @@
                 # room. If most refuse, more attempts would only add to the load.
                 sound = self._targets.most_are_sound(now)
                 again = self._again(call, now, sound and not call.possibly_run)
-                return again or self._refusals.settle(call, _cause(result), now)
+                return again or self._settle_without_target(call, _cause(result), now)
             case Follow.TELL_UNKNOWN:
                 late = isinstance(result, Lost) and result.timed_out
                 return self._refusals.settle(
@@ -204,10 +204,19 @@
 
     def _enqueue(self, call, now):
         cause = self._admission.admit(call, self.service.queue_limit, now)
+        if cause is self._targets.cause_of_none:
+            return self._settle_without_target(call, cause, now)
         if cause is not None:
             return self._refusals.refuse(cause)
         return Wait(self._admission.start_by(call))
 
+    def _settle_without_target(self, call, cause, now):
+        """Give a request up; while all rest, the first to end that says when."""
+        back_at = self._targets.back_at(now)
+        if back_at is None:
+            return self._refusals.settle(call, cause, now)
+        return self._refusals.settle(call, Cause.RESTING, now, back_at)
+
     def release(self, now: float) -> list[tuple[Call, Decision]]:
         """Decide about waiting requests for which it is time.
 
@@ -237,8 +246,9 @@
         """Decide about the first waiting request; None lets it wait on."""
         if now >= self._admission.start_by(call):
             return self._refusals.settle(call, Cause.DEADLINE, now)
-        if self._targets.none_left_for(call, now):
-            return self._refusals.settle(call, self._targets.cause_of_none, now)
+        if self._targets.none_left_for(call, self._admission.start_by(call)):
+            cause = self._targets.cause_of_none
+            return self._settle_without_target(call, cause, now)
         kind = AttemptKind.RETRY if call.attempts else AttemptKind.FIRST
         attempt = self._attempts.place(call, kind, now)
         return Send(attempt) if attempt else None
@@ -267,7 +277,8 @@
             return Send(attempt)
         # With no target left it would wait to its deadline for what is known now.
         full = len(self._waiting) >= self.service.queue_limit
-        if full or self._targets.none_left_for(call, now):
+        start_by = self._admission.start_by(call)
+        if full or self._targets.none_left_for(call, start_by):
             return None
         self._waiting.push(call)
         return Wait(self._admission.start_by(call))
--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -91,6 +91,9 @@
         Earliest and latest return of a refused request, as shares of the time that it
         can still wait and make its objective. In the model's burst 77 % of the callers
         are served in time with these, 73 % with 0.4 to 1 and 76 % with 0.1 to 0.3.
+    rest_spread : float
+        Part of the time to the end of a rest by which the returns of those that were
+        refused for it are spread after it.
     budget_share : float
         Part of a budget in windows that is spent. Instances see the windows a little
         shifted, and count requests that others do not: with all of it spent, 334
@@ -134,6 +137,7 @@
     probe_interval_s: float = 1.2
     retry_after_s: float = 1.0
     return_shares: tuple[float, float] = (0.2, 0.6)
+    rest_spread: float = 0.25
     budget_share: float = 0.9
     min_retry_after_s: float = 0.05
     seek: SeekSettings | None = None
--- a/packages/policy/src/cairnferry/policy/admission/_admission.py
+++ b/packages/policy/src/cairnferry/policy/admission/_admission.py
@@ -47,8 +47,8 @@
         now : float
             Time in seconds.
         """
-        if self.targets.none_left_for(call, now):
-            return Cause.NO_TARGET
+        if self.targets.none_left_for(call, self.start_by(call)):
+            return self.targets.cause_of_none
         left = self.start_by(call) - now
         if self._expected_wait(call) > self.settings.wait_share * left:
             return Cause.DEADLINE
--- a/packages/policy/src/cairnferry/policy/admission/_refusals.py
+++ b/packages/policy/src/cairnferry/policy/admission/_refusals.py
@@ -64,6 +64,8 @@
             Time in seconds at which there will be room again; infinite if unknown.
         """
         self.given_up[cause] += 1
+        if cause is Cause.RESTING:
+            room_at += self.settings.rest_spread * self.rng.random() * (room_at - now)
         retry_after = self._return_after(call, now, room_at)
         if call.possibly_run:
             return GiveUp(cause, retry_after)
--- a/packages/policy/src/cairnferry/policy/requests/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/requests/_evidence.py
@@ -51,9 +51,12 @@
     ----------
     deadline : bool
         Whether that was for the request's deadline, not for the target.
+    withdrawn : bool
+        Whether the target asked to be left alone before the request was written.
     """
 
     deadline: bool = False
+    withdrawn: bool = False
 
 
 @attrs.frozen
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -21,6 +21,7 @@
     ENDS_TARGETS = "ends-targets"
     TARGET_LIMIT = "target-limit"
     EVACUATED = "zones-evacuated"
+    RESTING = "targets-resting"
 
 
 class AttemptKind(enum.StrEnum):
--- a/packages/policy/src/cairnferry/policy/search/_learning.py
+++ b/packages/policy/src/cairnferry/policy/search/_learning.py
@@ -90,8 +90,12 @@
         match result:
             case Answered(failed=False, report=report):
                 self._learn_success(target, elapsed, report, now)
-            case Answered(failed=True) | Lost() | NotRun(deadline=False):
+            case (
+                Answered(failed=True) | Lost() | NotRun(deadline=False, withdrawn=False)
+            ):
                 self._learn_failure(target, elapsed, targets, now)
+            case NotRun(withdrawn=True):
+                pass
             case TargetRefused(draining=draining, report=report):
                 self._learn_refusal(target, draining, report, now)
 
@@ -145,6 +149,9 @@
             )
 
     def _learn_refusal(self, target, draining, report, now):
+        if target.resting_until > now:
+            # It is well, and what it says of its load is why it wants rest.
+            return
         if draining:
             until = now + self.settings.refusal_drain_s
             target.draining_until[DrainSource.REFUSAL] = until
--- a/packages/policy/src/cairnferry/policy/search/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/search/_searcher.py
@@ -102,6 +102,9 @@
     def _without_target(self, call, urgent, now):
         permitted_at = self.targets.next_permit(call, urgent, now)
         if permitted_at is None:
+            back_at = self.targets.back_at(now)
+            if back_at is not None:
+                return NothingFound(Cause.RESTING, back_at)
             return NothingFound(self.targets.cause_of_none)
         wait = permitted_at - now
         may_pause = call.search.pauses < MAX_PAUSES and wait <= MAX_PAUSE_S
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -121,6 +121,7 @@
             if state is None or state.record.address != target.address:
                 state = TargetState(target, target.identity, ready_since=start)
                 state.warm_at = now + target.warmup_s
+                state.resting_until = self.holds.rests.until(target.identity)
             elif target.warmup_s not in (0, state.record.warmup_s):
                 # Cold once more under its name, or further on its way.
                 state.warm_at = now + target.warmup_s
@@ -239,11 +240,18 @@
                 return target
         return None
 
-    def none_left_for(self, call: Call, now: float) -> bool:
-        """Tell whether no target is left that could still take a request."""
-        left = (each for each in self if not self._usable.has_left(each, now))
+    def none_left_for(self, call: Call, start_by: float) -> bool:
+        """Tell whether no target is left that could take a request up to a time."""
+        left = (each for each in self if not self._usable.is_out_to(each, start_by))
         return all(call.tried(target) for target in left)
 
+    def back_at(self, now: float) -> float | None:
+        """Give the time at which the first rest ends; None if a target is in use."""
+        if any(self._usable.lists(self._states, now)):
+            return None
+        rests = (each.resting_until for each in self if each.resting_until > now)
+        return min(rests, default=None)
+
     @property
     def are_evacuated(self) -> bool:
         """Whether there are targets, and the zones of all of them are evacuated."""
@@ -281,19 +289,23 @@
         self, identity: str, words: TargetWords, now: float, heard_by: str | None
     ) -> None:
         """Take in what a target says of itself; as `ServiceKnowledge.note_words`."""
+        target = self._states.get(identity)
+        name = identity if target is None else target.name
         if words.rest_s:
-            until = now + words.rest_s
-            was_resting = self.holds.rests.until(identity) > now
-            if self.holds.rests.note(identity, until) and not was_resting:
+            rests = self.holds.rests
+            was_resting = rests.until(identity) > now
+            if rests.note(identity, now + words.rest_s) and not was_resting:
                 for_s = round(words.rest_s, 3)
-                self.events.note(
-                    identity, Belief.RESTING, for_s=for_s, heard_by=heard_by
-                )
+                self.events.note(name, Belief.RESTING, for_s=for_s, heard_by=heard_by)
+            if target is not None:
+                target.resting_until = rests.until(identity)
+                self._usable.forget()
         if words.leaving_s:
-            was_leaving = self.holds.leaving.until(identity) > now
-            self.holds.leaving.note(identity, now + words.leaving_s)
+            leaving = self.holds.leaving
+            was_leaving = leaving.until(identity) > now
+            leaving.note(identity, now + words.leaving_s)
             if not was_leaving:
-                self.events.note(identity, Belief.LEAVING, heard_by=heard_by)
+                self.events.note(name, Belief.LEAVING, heard_by=heard_by)
 
     def note_check(
         self, identity: str, report: LoadReport | None, well: bool, now: float
--- a/packages/policy/src/cairnferry/policy/targets/_target.py
+++ b/packages/policy/src/cairnferry/policy/targets/_target.py
@@ -78,6 +78,8 @@
         Checks in a row that were not answered in time.
     mute_until : float
         Time to which it is not asked, after such a check.
+    resting_until : float
+        Time to which it wants no requests, by its own word.
     """
 
     record: Target
@@ -104,6 +106,7 @@
     checked_at: float = -math.inf
     unheard: int = 0
     mute_until: float = -math.inf
+    resting_until: float = -math.inf
 
     @property
     def name(self) -> str:
@@ -117,6 +120,10 @@
         draining = self.draining_until
         return bool(draining) and any(until > now for until in draining.values())
 
+    def wants_none(self, now: float) -> bool:
+        """Tell whether it rests or leaves, so that nothing more may be sent to it."""
+        return self.resting_until > now or self.is_draining(now)
+
     def is_sound(self, now: float) -> bool:
         """Tell whether its last result was good and nobody says that it leaves."""
         return not self.failures and not self.refusals and not self.is_draining(now)
--- a/packages/policy/src/cairnferry/policy/usable/_usable.py
+++ b/packages/policy/src/cairnferry/policy/usable/_usable.py
@@ -22,6 +22,7 @@
 
     DRAINING = "draining"
     EVACUATED = "evacuated"
+    RESTING = "resting"
     EJECTED = "ejected"
     PAUSED = "paused"
 
@@ -68,9 +69,7 @@
             self._work_out(targets, now)
         return self._near, self._far
 
-    def to_try(
-        self, targets: dict[str, TargetState], now: float
-    ) -> list[TargetState]:
+    def to_try(self, targets: dict[str, TargetState], now: float) -> list[TargetState]:
         """Give the ejected targets that nothing else keeps out of use."""
         self.lists(targets, now)
         return self.ejected
@@ -104,9 +103,9 @@
         else:
             self._far.append(target)
 
-    def has_left(self, target: TargetState, now: float) -> bool:
-        """Tell whether a target takes no request any more, however long one waits."""
-        return any(_REASONS[reason](target, self) > now for reason in _LASTING)
+    def is_out_to(self, target: TargetState, time: float) -> bool:
+        """Tell whether a target takes no request before a time, as is known now."""
+        return any(_REASONS[reason](target, self) > time for reason in _LASTING)
 
     def reason_against(self, target: TargetState, now: float) -> str | None:
         """Give the first reason for which a target is out of use; None if it is not."""
@@ -128,6 +127,10 @@
     return math.inf if target.record.zone in usable.evacuated else -math.inf
 
 
+def _resting_until(target, _usable):
+    return target.resting_until
+
+
 def _ejected_until(target, _usable):
     # It comes back by a trial, not by time.
     return math.inf if target.ejected_until else -math.inf
@@ -137,15 +140,17 @@
     return target.paused_until
 
 
-# For each reason the time in seconds to which it holds.
+# For each reason the time in seconds to which it holds. The first that does decides: an
+# ejected target is not tried while any of those above keeps it out of use.
 _REASONS: dict[Reason, Callable[[TargetState, UsableTargets], float]] = {
     Reason.DRAINING: _draining_until,
     Reason.EVACUATED: _evacuated_until,
+    Reason.RESTING: _resting_until,
     Reason.EJECTED: _ejected_until,
     Reason.PAUSED: _paused_until,
 }
-# Reasons that outlast any request that waits.
-_LASTING = (Reason.DRAINING, Reason.EVACUATED)
+# Reasons whose end is not waited for, unless it is known to come in time.
+_LASTING = (Reason.DRAINING, Reason.EVACUATED, Reason.RESTING)
 
 
 def _on_ring(target):
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -24,6 +24,7 @@
     BAD_FRAMING = "bad-framing"
     TOO_LARGE = "too-large"
     CONNECT = "connect"
+    WITHDRAWN = "withdrawn"
 
 
 def find_header(headers: list[tuple[str, str]], name: str) -> str | None:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -183,3 +183,17 @@
         text=True,
         check=False,
     )
+
+
+def test_a_request_that_rests_kept_back_is_told_with_the_rests_of_its_instance():
+    """It was sent nowhere and asked nobody: no line names the targets."""
+    facts = GIVEN_UP | {"attempts": [], "asked": [], "cause": "targets-resting"}
+    texts = [
+        line(1.0, "target asks for rest", target="t1", for_s=30.0),
+        line(1.1, "target asks for rest", target="t2", for_s=9.0),
+        line(1.2, "target asks for rest", instance="front-2", target="t3", for_s=3.0),
+        line(9.5, "request given up", **facts),
+        line(9.8, "target has rested", target="t1"),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [each.facts.get("target") for each in lines] == ["t1", "t2", None]
