A target that says in an answer that it leaves gets no more requests

Cause: the header was read and told, and no decision looked at it.

Change: one source of leaving more, beside the row, checks, refusals and the platform; kept by the name of the start for all services of the daemon, for good where starts have names of their own, so that no answer, check, row, reload or new configuration takes it back. What it has in hand is answered, and a connection that breaks then is no end under requests. Connection: close alone says nothing. Others are not told: each is answered by the target itself, and the row says it to those that ask nothing of it.

--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -14,6 +14,7 @@
     Cause,
 )
 from cairnferry.policy.search._learning import Learning
+from cairnferry.policy.search._word_keeper import WordKeeper
 from cairnferry.policy.shared import TargetHolds, TargetLimits, Wanted
 from cairnferry.policy.targets import (
     Belief,
@@ -66,8 +67,8 @@
     ):
         self.settings = settings
         self.limits = limits
-        self.holds = holds
         self.events = EventLog()
+        self._words = WordKeeper(holds, self.events)
         self._states: dict[str, TargetState] = {}
         # From then on each target may be asked.
         self._muted_until = -math.inf
@@ -121,7 +122,7 @@
             if state is None or state.record.address != target.address:
                 state = TargetState(target, target.identity, ready_since=start)
                 state.warm_at = now + target.warmup_s
-                state.resting_until = self.holds.rests.until(target.identity)
+                self._words.recall(state)
             elif target.warmup_s not in (0, state.record.warmup_s):
                 # Cold once more under its name, or further on its way.
                 state.warm_at = now + target.warmup_s
@@ -291,21 +292,10 @@
         """Take in what a target says of itself; as `ServiceKnowledge.note_words`."""
         target = self._states.get(identity)
         name = identity if target is None else target.name
-        if words.rest_s:
-            rests = self.holds.rests
-            was_resting = rests.until(identity) > now
-            if rests.note(identity, now + words.rest_s) and not was_resting:
-                for_s = round(words.rest_s, 3)
-                self.events.note(name, Belief.RESTING, for_s=for_s, heard_by=heard_by)
-            if target is not None:
-                target.resting_until = rests.until(identity)
-                self._usable.forget()
-        if words.leaving_s:
-            leaving = self.holds.leaving
-            was_leaving = leaving.until(identity) > now
-            leaving.note(identity, now + words.leaving_s)
-            if not was_leaving:
-                self.events.note(name, Belief.LEAVING, heard_by=heard_by)
+        self._words.keep(identity, name, words, now, heard_by)
+        if target is not None:
+            self._words.recall(target)
+            self._usable.forget()
 
     def note_check(
         self, identity: str, report: LoadReport | None, well: bool, now: float
--- a/packages/policy/src/cairnferry/policy/targets/_target.py
+++ b/packages/policy/src/cairnferry/policy/targets/_target.py
@@ -26,6 +26,7 @@
     HEALTH = "health"
     REFUSAL = "refusal"
     PLATFORM = "platform"
+    ANSWER = "answer"
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/policy/usable/test_leaving.py
@@ -0,0 +1,112 @@
+"""Targets that say in their answers that they are leaving: nothing more is sent."""
+
+import math
+import random
+
+from cairnferry.policy import (
+    Answered,
+    Cause,
+    Refuse,
+    Send,
+    ServicePolicy,
+    TargetHolds,
+    TargetWords,
+    settings_for,
+)
+from policy._asking import SERVICE, call, near, policy_of, settle, target
+
+FOR_GOOD = TargetWords(leaving_s=math.inf)
+
+
+def leave(policy, name, now=1.0, words=FOR_GOOD):
+    policy.note_words(name, words, now)
+
+
+def chosen(policy, now, count=12):
+    names = set()
+    for _ in range(count):
+        decision, _ = settle(policy, call(now=now), now=now)
+        if isinstance(decision, Send):
+            names.add(decision.attempt.target_name)
+    return names
+
+
+def test_it_gets_nothing_more_however_well_it_answers():
+    """Guards against an answer, a check or a report that takes the word back."""
+    policy = policy_of(*near(2))
+    decision, _ = settle(policy, call())
+    leave(policy, decision.attempt.target_name)
+    policy.finished(decision.attempt, Answered(), 1.1)
+    policy.note_probe(decision.attempt.target_name, True, 1.2)
+    for now in (1.3, 60.0, 5000.0):
+        assert decision.attempt.target_name not in chosen(policy, now)
+
+
+def test_a_row_that_calls_it_ready_does_not_take_it_back():
+    """Guards against a changed row, a row that is gone for a moment, or a reload."""
+    policy = policy_of(*near(2))
+    leave(policy, "n0")
+    for now, targets in (
+        (2.0, [target("n0", slots=9), target("n1")]),
+        (3.0, [target("n1")]),
+        (4.0, near(2)),
+    ):
+        policy.update(SERVICE, targets, now)
+        assert "n0" not in chosen(policy, now)
+
+
+def test_a_service_that_is_dropped_and_back_remembers_it():
+    holds = TargetHolds()
+    for now in (1.0, 1.5):
+        policy = ServicePolicy(
+            SERVICE, "near", random.Random(3), settings_for("ask-first"), holds=holds
+        )
+        policy.update(SERVICE, near(2), now)
+        if now == 1.0:
+            leave(policy, "n0")
+    assert "n0" not in chosen(policy, 1.6)
+
+
+def test_the_next_start_of_it_is_used():
+    policy = policy_of(target("n0", started_ms=1000), target("n1", started_ms=1))
+    leave(policy, "n0@1000")
+    policy.update(
+        SERVICE, [target("n0", started_ms=2000), target("n1", started_ms=1)], 1.1
+    )
+    assert "n0" in chosen(policy, 1.2)
+
+
+def test_where_starts_have_no_names_the_word_lapses():
+    """Guards against a target that is never used again under its name."""
+    policy = policy_of(*near(2))
+    leave(policy, "n0", words=TargetWords(leaving_s=30.0))
+    assert "n0" not in chosen(policy, 30.9)
+    assert "n0" in chosen(policy, 31.1)
+
+
+def test_what_it_has_in_hand_is_answered_and_its_end_is_none_under_requests():
+    """Guards against a target that leaves being taken for one that crashed."""
+    policy = policy_of(*near(1))
+    decision, _ = settle(policy, call())
+    leave(policy, "n0")
+    assert decision.attempt.target.is_draining(1.1)
+    policy.finished(decision.attempt, Answered(), 1.2)
+    assert policy.in_flight == 0
+
+
+def test_where_all_leave_requests_are_refused_at_once():
+    policy = policy_of(*near(2))
+    leave(policy, "n0")
+    leave(policy, "n1")
+    decision = policy.arrive(call(now=2.0), 2.0)
+    assert isinstance(decision, Refuse)
+    assert decision.cause is Cause.NO_TARGET
+
+
+def test_it_is_told_once():
+    policy = policy_of(*near(2))
+    policy.note_words("n0", FOR_GOOD, 1.0, heard_by="req-1")
+    policy.note_words("n0", FOR_GOOD, 2.0, heard_by="req-2")
+    (event,) = policy.take_events()
+    assert (event.target, str(event.belief)) == ("n0", "is leaving")
+    assert event.inputs == {"heard_by": "req-1"}
