A refusal by another target at the address counts while the first one rests

Found on reading the change: a 421 says that the target is gone; within a rest it was passed over with all else that a resting target's refusal does not teach, so that the target was asked again as the rest ended. And a request whose time was over was told that targets rest. Two tests; both failed before.

--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -213,7 +213,7 @@
     def _settle_without_target(self, call, cause, now):
         """Give a request up; while all rest, the first to end that says when."""
         back_at = self._targets.back_at(now)
-        if back_at is None:
+        if back_at is None or now >= call.deadline:
             return self._refusals.settle(call, cause, now)
         return self._refusals.settle(call, Cause.RESTING, now, back_at)
 
--- a/packages/policy/src/cairnferry/policy/search/_learning.py
+++ b/packages/policy/src/cairnferry/policy/search/_learning.py
@@ -149,12 +149,13 @@
             )
 
     def _learn_refusal(self, target, draining, report, now):
-        if target.resting_until > now:
-            # It is well, and what it says of its load is why it wants rest.
-            return
         if draining:
             until = now + self.settings.refusal_drain_s
             target.draining_until[DrainSource.REFUSAL] = until
+            self.forget_usable()
+        if target.resting_until > now:
+            # It is well, and what it says of its load is why it wants rest.
+            return
         doublings = min(target.refusals, MAX_REFUSAL_DOUBLINGS)
         target.refusals += 1
         target.paused_until = now + self.settings.refusal_pause_s * 2**doublings
--- a/tests/policy/usable/test_resting.py
+++ b/tests/policy/usable/test_resting.py
@@ -11,6 +11,7 @@
     GiveUp,
     LoadReport,
     Lost,
+    NotRun,
     Refuse,
     Send,
     ServicePolicy,
@@ -66,6 +67,24 @@
     assert state.is_sound(30.0)
 
 
+def test_a_resting_target_whose_address_another_one_has_is_out_for_longer():
+    """Guards against a refusal that says more than that the target rests."""
+    policy = earned(policy_of(*near(2)))
+    decision, _ = settle(policy, call(), n1=LoadReport(3))
+    rest(policy, "n0", now=1.05)
+    policy.finished(decision.attempt, TargetRefused(draining=True), 1.1)
+    assert "n0" not in chosen(policy, 6.0)
+
+
+def test_a_request_whose_time_is_over_is_told_so_while_all_rest():
+    policy = earned(policy_of(*near(1)))
+    req = call()
+    decision, _ = settle(policy, req)
+    rest(policy, "n0", now=1.5)
+    after = policy.finished(decision.attempt, NotRun(deadline=True), req.deadline)
+    assert after.cause is Cause.DEADLINE
+
+
 def test_a_shorter_word_later_does_not_end_a_rest():
     policy = policy_of(*near(2))
     rest(policy, "n0", now=1.0)
