--- a/packages/policy/src/cairnferry/policy/_settings.py
+++ b/packages/policy/src/cairnferry/policy/_settings.py
@@ -89,15 +89,13 @@
         Retry-After in seconds where nothing better is known.
     return_shares : tuple of float
         Earliest and latest return of a refused request, as shares of the time that it
-        can still wait and make its objective. In the model's burst 77 % of the callers
-        are served in time with these, 73 % with 0.4 to 1 and 76 % with 0.1 to 0.3.
+        can still wait and make its objective.
     rest_spread : float
         Part of the time to the end of a rest by which the returns of those that were
         refused for it are spread after it.
     budget_share : float
-        Part of a budget in windows that is spent. Instances see the windows a little
-        shifted, and count requests that others do not: with all of it spent, 334
-        repeats were seen in a window that allowed 331.
+        Part of a budget in windows that is spent. The rest covers requests that are
+        sent in one window and earn in the next, and repeats that arrive in the next.
     min_retry_after_s : float
         Shortest Retry-After in seconds: below it a caller would come back before
         anything has changed.
