--- a/tests/policy/_asking.py
+++ b/tests/policy/_asking.py
@@ -34,6 +34,25 @@
     return policy
 
 
+def ejected(policy):
+    """Let the first of three targets fail until it is ejected."""
+    for index in range(4):
+        now = 1.0 + index / 10
+        busy = dict.fromkeys(["n1", "n2"], LoadReport(3))
+        decision, _ = settle(policy, call(now=now), now=now, **busy)
+        policy.finished(decision.attempt, Answered(failed=True), now + 0.01)
+    assert policy._targets._usable.ejected
+    return policy
+
+
+def made_anew(*targets, holds, now):
+    """Give the policy of a service that was dropped and is back."""
+    settings = settings_for("ask-first")
+    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings, holds=holds)
+    policy.update(SERVICE, list(targets), now)
+    return policy
+
+
 def call(now=1.0, **more):
     return Call(arrived=now, deadline=now + 1, idempotent=True, **more)
 
--- a/tests/policy/usable/test_evacuation.py
+++ b/tests/policy/usable/test_evacuation.py
@@ -6,12 +6,11 @@
     Answered,
     Cause,
     DrainSource,
-    LoadReport,
     Lost,
     Refuse,
     Send,
 )
-from policy._asking import call, earned, far, near, policy_of, settle
+from policy._asking import call, earned, ejected, far, near, policy_of, settle
 from policy._helpers import make_call, make_policy, make_target, state
 
 NEAR = frozenset(["near"])
@@ -96,13 +95,7 @@
 
 def test_an_ejected_target_that_leaves_is_not_tried():
     """Guards against a trial at a target that is out of use for another reason too."""
-    policy = policy_of(*near(3))
-    for index in range(4):
-        now = 1.0 + index / 10
-        busy = dict.fromkeys(["n1", "n2"], LoadReport(3))
-        decision, _ = settle(policy, call(now=now), now=now, **busy)
-        policy.finished(decision.attempt, Answered(failed=True), now + 0.01)
-    assert policy._targets._usable.ejected
+    policy = ejected(policy_of(*near(3)))
     policy.note_draining("n0", DrainSource.PLATFORM, 60.0)
     decision, _ = settle(policy, call(now=9.0), now=9.0)
     assert decision.attempt.target_name != "n0"
--- a/tests/policy/usable/test_leaving.py
+++ b/tests/policy/usable/test_leaving.py
@@ -1,19 +1,24 @@
 """Targets that say in their answers that they are leaving: nothing more is sent."""
 
 import math
-import random
 
 from cairnferry.policy import (
     Answered,
     Cause,
     Refuse,
     Send,
-    ServicePolicy,
     TargetHolds,
     TargetWords,
-    settings_for,
 )
-from policy._asking import SERVICE, call, near, policy_of, settle, target
+from policy._asking import (
+    SERVICE,
+    call,
+    made_anew,
+    near,
+    policy_of,
+    settle,
+    target,
+)
 
 FOR_GOOD = TargetWords(leaving_s=math.inf)
 
@@ -57,13 +62,8 @@
 
 def test_a_service_that_is_dropped_and_back_remembers_it():
     holds = TargetHolds()
-    for now in (1.0, 1.5):
-        policy = ServicePolicy(
-            SERVICE, "near", random.Random(3), settings_for("ask-first"), holds=holds
-        )
-        policy.update(SERVICE, near(2), now)
-        if now == 1.0:
-            leave(policy, "n0")
+    leave(made_anew(*near(2), holds=holds, now=1.0), "n0")
+    policy = made_anew(*near(2), holds=holds, now=1.5)
     assert "n0" not in chosen(policy, 1.6)
 
 
--- a/tests/policy/usable/test_resting.py
+++ b/tests/policy/usable/test_resting.py
@@ -1,7 +1,5 @@
 """Targets that ask for rest: nothing is sent to them until it is over."""
 
-import random
-
 import pytest
 
 from cairnferry.policy import (
@@ -14,15 +12,24 @@
     NotRun,
     Refuse,
     Send,
-    ServicePolicy,
     TargetHolds,
     TargetRefused,
     TargetWords,
     Wait,
-    settings_for,
 )
 from cairnferry.records import Lifecycle
-from policy._asking import SERVICE, call, earned, far, near, policy_of, settle, target
+from policy._asking import (
+    SERVICE,
+    call,
+    earned,
+    ejected,
+    far,
+    made_anew,
+    near,
+    policy_of,
+    settle,
+    target,
+)
 from policy._helpers import make_call, make_policy, make_target
 
 REST = TargetWords(rest_s=3.0)
@@ -137,13 +144,8 @@
 def test_a_service_that_is_dropped_and_back_remembers_a_rest():
     """Guards against a reload or a new configuration that puts an end to a rest."""
     holds = TargetHolds()
-    for now in (1.0, 1.5):
-        policy = ServicePolicy(
-            SERVICE, "near", random.Random(3), settings_for("ask-first"), holds=holds
-        )
-        policy.update(SERVICE, near(2), now)
-        if now == 1.0:
-            rest(policy, "n0", now)
+    rest(made_anew(*near(2), holds=holds, now=1.0), "n0", 1.0)
+    policy = made_anew(*near(2), holds=holds, now=1.5)
     assert "n0" not in chosen(policy, 1.6)
 
 
@@ -165,13 +167,7 @@
 
 def test_an_ejected_target_is_not_tried_while_it_rests():
     """Guards against trials, which pass over what targets ask for."""
-    policy = policy_of(*near(3))
-    for index in range(4):
-        now = 1.0 + index / 10
-        busy = dict.fromkeys(["n1", "n2"], LoadReport(3))
-        decision, _ = settle(policy, call(now=now), now=now, **busy)
-        policy.finished(decision.attempt, Answered(failed=True), now + 0.01)
-    assert policy._targets._usable.ejected
+    policy = ejected(policy_of(*near(3)))
     rest(policy, "n0", now=1.5)
     assert "n0" not in chosen(policy, 4.4)
     assert "n0" in chosen(policy, 30.0)
