--- a/bench/model/_disruptions.py
+++ b/bench/model/_disruptions.py
@@ -3,8 +3,9 @@
 import math
 from bisect import bisect_left
 
+from bench.model._instance import Instance
 from bench.model._result import Outcome
-from bench.model._world import Instance, World
+from bench.model._world import World
 
 # Seconds after which instances know how many there are.
 VIEW_S = 1.5
--- a/bench/model/_world.py
+++ b/bench/model/_world.py
@@ -1,13 +1,10 @@
 """Instances, targets and callers of one service in simulated time."""
 
-import heapq
-import itertools
 import math
 import random
-from collections.abc import Callable
-
-import attrs
 
+from bench.model._clock import Clock
+from bench.model._instance import Caller, Instance
 from bench.model._loads import SIX_SLOTS, Load, Site
 from bench.model._result import Outcome, Result
 from bench.model._target import Job, ModelTarget
@@ -38,63 +35,6 @@
 RETRY_WINDOW_S = 10.0
 
 
-class Clock:
-    """Simulated time and what is to happen."""
-
-    def __init__(self):
-        self.now = 0.0
-        self._events = []
-        self._order = itertools.count()
-
-    def after(self, seconds: float, event: Callable[[], None]) -> None:
-        """Let something happen later."""
-        heapq.heappush(self._events, (self.now + seconds, next(self._order), event))
-
-    def run(self, until: float) -> None:
-        """Let everything happen up to a time."""
-        while self._events and self._events[0][0] <= until:
-            self.now, _, event = heapq.heappop(self._events)
-            event()
-
-
-@attrs.define(eq=False)
-class _Caller:
-    """One caller with its request."""
-
-    kind: object
-    began: float
-    tries_left: int
-
-
-@attrs.define(eq=False)
-class Instance:
-    """One start of an entry instance.
-
-    Attributes
-    ----------
-    policy : ServicePolicy
-        Its decisions.
-    zone : str
-        Availability zone.
-    place : float
-        Where among those of its zone it stands, 0 to 1.
-    held_until : float
-        Time in seconds up to which its process does not run.
-    open : dict of Call to _Caller
-        Requests that it has taken and not ended.
-    waiting : dict of Call to _Caller
-        Those of them that wait for room.
-    """
-
-    policy: ServicePolicy
-    zone: str
-    place: float
-    is_up: bool = True
-    held_until: float = 0.0
-    open: dict = attrs.field(factory=dict)
-    waiting: dict = attrs.field(factory=dict)
-
-
 class World:
     """One service.
 
@@ -222,7 +162,7 @@
         self.clock.after(self.rng.expovariate(rate), self._arrive)
         kinds = self.site.kinds
         (kind,) = self.rng.choices(kinds, [kind.share for kind in kinds])
-        self._try(_Caller(kind, now, self.load.retries))
+        self._try(Caller(kind, now, self.load.retries))
 
     def _try(self, caller):
         now = self.clock.now
