--- a/tests/adapter/test_leaving_targets.py
+++ b/tests/adapter/test_leaving_targets.py
@@ -13,8 +13,7 @@
 
 DAEMONS = ("hall", "yard")
 TARGETS = 4
-# The contract: so many seconds after a daemon has passed on such an answer it sends the
-# target nothing more.
+# Seconds after an answer that says so for which its daemon may still send requests.
 DRAIN_S = 2.0
 
 
--- a/tests/adapter/test_resting_targets.py
+++ b/tests/adapter/test_resting_targets.py
@@ -15,7 +15,7 @@
 TARGETS = 4
 CALLERS_EACH = 4
 REST_S = 3.0
-# The contract: so many requests may reach the target from one daemon, from so many
+# Allowed: so many requests may reach the target from one daemon, from so many
 # seconds after it asked to the end of what it asked for.
 GRACE_S = 0.5
 ALLOWED = 2
