A closing listener resets no connection that the kernel has accepted

Cause: closing a listening socket resets its queue. `finish` gave the event loop one turn and closed; handshakes that completed in that turn, or that a stalled process had not accepted (a turn accepts 100, the queue holds 128), were reset. A connection just accepted, whose request had not arrived, was closed as idle.

Change: the listener first binds to an interface that does not exist. The kernel then refuses new connections at once, and keeps the queue and the handshakes in progress. It accepts for 0.2 s more, then until the queue is empty without a switch to another task, and closes. New connections have 0.5 s for their first request. Listeners of pages finish at the same time, so that the waits do not add up.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -56,6 +56,8 @@
 # Seconds before a task is restarted after an unexpected error, so that a task that
 # fails at each start fills neither the CPU nor the log.
 TASK_RETRY_S = 1.0
+# Seconds for which the listeners of pages finish their requests when the daemon leaves.
+PAGES_FINISH_S = 1.0
 
 log = logging.getLogger(__name__)
 
@@ -333,9 +335,8 @@
             self.spawn(hook)
         gevent.sleep(self.cfg.leaving.serve_s)
         all_answered = self.callers_server.finish(self.cfg.leaving.limit_s)
-        for server in self._listeners:
-            if server is not self.callers_server:
-                server.finish(1.0)
+        others = [each for each in self._listeners if each is not self.callers_server]
+        gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
         self.stop()
         log.info("left", extra={"every_request_answered": all_answered})
         return 0 if all_answered else 1
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import re
+import time
 from socket import SHUT_RDWR
 
 import attrs
@@ -12,10 +13,16 @@
 
 from cairnferry.entry.http._answers import Problem, encode_raw
 from cairnferry.entry.http._head_fields import MalformedField, read_fields
-from cairnferry.wire import is_quiet, set_no_delay
+from cairnferry.wire import is_quiet, refuse_connections, set_no_delay
 
 MAX_HEAD_BYTES = 32 * 1024
 HANDLER_KEY = "cairnferry.handler"
+# Seconds for which a closing listener accepts connections whose handshakes were in
+# progress when it began to refuse new ones: many round trips between zones.
+HANDSHAKE_S = 0.2
+# Seconds for which a closing listener waits for the first request of a connection that
+# it has just accepted.
+FIRST_REQUEST_S = 0.5
 _LENGTH = re.compile(r"^[0-9]{1,15}\Z")
 
 log = logging.getLogger(__name__)
@@ -74,6 +81,7 @@
     """Handler of one connection."""
 
     busy = False
+    accepted_at = 0.0
 
     def MessageClass(self, *args):  # noqa: N802 - name set by gevent
         """Parse the header lines and reject ambiguous framing.
@@ -230,6 +238,7 @@
             self._refuse(sock)
             return
         handler = self.handler_class(sock, address, self)
+        handler.accepted_at = time.monotonic()
         self._handlers.add(handler)
         try:
             handler.handle()
@@ -280,27 +289,44 @@
             Whether every request in progress was answered.
         """
         self.start_closing()
-        # Connections that the kernel has accepted are served. One accepted later would
-        # wait for an answer that never comes. The listener is therefore closed, so that
-        # callers are refused and try another instance.
-        gevent.sleep(0)
-        self.close()
-        with gevent.Timeout(seconds, False):
+        ends_at = time.monotonic() + seconds
+        self._close_listener(min(HANDSHAKE_S, seconds))
+        with gevent.Timeout(max(0.0, ends_at - time.monotonic()), False):
             while self._close_idle():
                 gevent.sleep(0.01)
         unanswered = self.busy
         self.stop(timeout=0)
         return unanswered == 0
 
+    def _close_listener(self, handshake_s):
+        """Close the listener without resetting connections in its queue."""
+        if not refuse_connections(self.socket):
+            log.warning(
+                "the listener cannot refuse connections before it closes",
+                extra={"address": str(self.address)},
+            )
+        gevent.sleep(handshake_s)
+        # A stalled process may find the wait over before it has accepted anything. No
+        # other task runs between the last accept and the close.
+        try:
+            while (accepted := self.do_read()) is not None:
+                self.do_handle(*accepted)
+        except OSError as exc:
+            log.warning("queued connections are lost", extra={"why": str(exc)})
+        self.close()
+
     def _close_idle(self):
         """Close idle connections; return the number of connections left.
 
         Tasks are counted instead of handlers: a task that was just started for a
         connection has no handler yet, and would be killed in the middle of its request.
         """
+        newest = time.monotonic() - FIRST_REQUEST_S
         for handler in list(self._handlers):
             sock = handler.socket
-            # A connection on which a request is arriving stays open.
+            # A connection on which a request is arriving or due stays open.
+            if handler.accepted_at > newest:
+                continue
             if not handler.busy and sock is not None and is_quiet(sock):
                 # `close` has no effect while the reader still uses the socket, and the
                 # daemon would wait for the connection until the time limit.
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -20,7 +20,7 @@
 )
 from cairnferry.wire._pool import ConnectionPool
 from cairnferry.wire._request import HeaderInvalid, encode_request
-from cairnferry.wire._sockets import is_quiet, set_no_delay
+from cairnferry.wire._sockets import is_quiet, refuse_connections, set_no_delay
 
 __all__ = [
     "BODILESS_STATUSES",
@@ -41,5 +41,6 @@
     "exchange",
     "find_header",
     "is_quiet",
+    "refuse_connections",
     "set_no_delay",
 ]
--- a/packages/wire/src/cairnferry/wire/_sockets.py
+++ b/packages/wire/src/cairnferry/wire/_sockets.py
@@ -43,6 +43,36 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+# Linux socket option that is missing in the standard library, and an index that no
+# network interface has.
+SO_BINDTOIFINDEX = 62
+NO_INTERFACE = 2**31 - 1
+
+
+def refuse_connections(listener) -> bool:
+    """Let the kernel refuse new connections, and keep those that it has accepted.
+
+    Closing a listener resets the connections in its queue, although their callers may
+    have sent a request. A listener that is bound to an interface that does not exist
+    receives no new connections, while its queue and handshakes in progress remain.
+
+    Parameters
+    ----------
+    listener : socket.socket
+        A listening socket that is not bound to an interface.
+
+    Returns
+    -------
+    bool
+        Whether new connections are refused; the option needs Linux 5.7 or later.
+    """
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_BINDTOIFINDEX, NO_INTERFACE)
+    except OSError:
+        return False
+    return True
+
+
 def is_quiet(sock) -> bool:
     """Return whether the remote side has neither closed nor sent anything.
 
--- a/tests/adapter/test_instance_failures.py
+++ b/tests/adapter/test_instance_failures.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from cairnferry.standins import unique_loopback_host, wait_for
-from cairnferry.wire import Client, NotSent, Reply
+from cairnferry.wire import Client, Incomplete, NotSent, Reply
 from hosting._settings import read_host_settings
 
 from ._standins import configuration, rule
@@ -174,6 +174,29 @@
     assert leaving.logged("left")[0]["every_request_answered"] is True
 
 
+def test_many_callers_of_a_leaving_instance_are_served_or_refused(three):
+    """Guards against connections that a closing listener resets.
+
+    Thirty callers connect to an instance from its SIGTERM until it has exited.
+    """
+    _, leaving, _ = three
+    leaving.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: leaving.logged("leaving"))
+
+    def call_until_refused():
+        while True:
+            outcome = leaving.call()
+            if not isinstance(outcome, Reply) or outcome.status != 200:
+                return outcome
+
+    callers = [gevent.spawn(call_until_refused) for _ in range(30)]
+    outcomes = [caller.get() for caller in callers]
+    assert not [each for each in outcomes if isinstance(each, Incomplete)]
+    assert all(each.status == 503 for each in outcomes if isinstance(each, Reply))
+    leaving.process.wait()
+    assert leaving.logged("left")[0]["every_request_answered"] is True
+
+
 def test_leaving_instance_serves_for_three_steering_answer_lifetimes(daemon):
     """Guards against callers that keep a steering answer three times its lifetime."""
     cfg = daemon.core.cfg
