Refused and rejected callers that still send receive their answers

Callers that were refused for too many connections, or rejected for their framing or the size of their body, saw a broken pipe or a reset while they were still sending, and not the answer which says that nothing ran.

Cause: the connection was closed right after the answer. Input that arrives later makes the kernel reset it. Input was discarded after pipelined requests only.

Change: the listener ends its output and discards input for up to 0.5 s or 1 MB; at most 64 refused connections are kept so, as a flood would exhaust the file descriptors.

--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -13,6 +13,7 @@
 
 from cairnferry.entry.http._answers import Problem, encode_raw
 from cairnferry.entry.http._head_fields import MalformedField, read_fields
+from cairnferry.entry.http._lingering import linger
 from cairnferry.wire import is_quiet, refuse_connections, set_no_delay
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -23,6 +24,9 @@
 # Seconds for which a closing listener waits for the first request of a connection that
 # it has just accepted.
 FIRST_REQUEST_S = 0.5
+# Refused connections that are kept until their callers have read the answer. Without a
+# limit, a flood of connections would exhaust the file descriptors.
+MAX_LINGERING = 64
 _LENGTH = re.compile(r"^[0-9]{1,15}\Z")
 
 log = logging.getLogger(__name__)
@@ -82,6 +86,7 @@
 
     busy = False
     accepted_at = 0.0
+    has_unread_body = False
 
     def MessageClass(self, *args):  # noqa: N802 - name set by gevent
         """Parse the header lines and reject ambiguous framing.
@@ -108,6 +113,13 @@
             raise BadRequest(Problem.AMBIGUOUS_FRAMING)
         return message
 
+    def handle_one_request(self):
+        """Answer one request; return whether to continue, or an error to send."""
+        result = super().handle_one_request()
+        if self.has_unread_body:
+            linger(self.socket)
+        return result
+
     def read_requestline(self):
         """Wait for the next request, for at most the idle time."""
         self.busy = False
@@ -174,6 +186,7 @@
     def _skip_body(self):
         """Close the connection after the answer instead of reading the body."""
         self.close_connection = True
+        self.has_unread_body = True
         self.wsgi_input = Input(self.rfile, 0)
 
     def is_last(self) -> bool:
@@ -230,6 +243,7 @@
         self.closing = False
         self.refused_connections = 0
         self._handlers = set()
+        self._lingering = 0
 
     def handle(self, sock, address):
         """Serve one connection."""
@@ -248,12 +262,17 @@
     def _refuse(self, sock):
         # A caller that stays in the backlog would wait without an answer.
         self.refused_connections += 1
+        self._lingering += 1
         try:
             sock.settimeout(self.limits.head_s)
             sock.sendall(encode_raw(Problem.TOO_MANY_CONNECTIONS))
+            if self._lingering <= MAX_LINGERING:
+                linger(sock)
         except OSError:
+            # The caller is gone.
             pass
         finally:
+            self._lingering -= 1
             sock.close()
 
     @property
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -3,7 +3,6 @@
 import contextlib
 import copy
 import time
-from socket import SHUT_WR
 
 import gevent
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
@@ -16,6 +15,11 @@
     Handler,
     HttpServer,
 )
+from cairnferry.entry.http._lingering import (
+    DISCARD_READ_BYTES,
+    MAX_DISCARDED_BYTES,
+    linger,
+)
 from cairnferry.entry.http._pipeline import (
     AnswerNotSent,
     CallerGone,
@@ -25,14 +29,6 @@
     Pipeline,
 )
 
-# Bytes that are read at once, and in total, of the input after a caller's last request.
-DISCARD_READ_BYTES = 16 * 1024
-MAX_DISCARDED_BYTES = 1024 * 1024
-# Seconds for which input is discarded after the last answer, longer than a round trip.
-# A connection that is closed with unread input is reset, and the caller may see the
-# reset before the answer.
-LINGER_S = 0.5
-
 
 class PipelinedHandler(Handler):
     """Reads the requests of a connection, and runs each in a separate task.
@@ -181,13 +177,9 @@
         return self._pipeline.wait_until_idle()
 
     def _linger(self):
-        """Discard, for a short time, pipelined input that the caller has to resend."""
-        if not self._pipeline.was_pipelined:
-            return
-        with contextlib.suppress(OSError), gevent.Timeout(LINGER_S, False):
-            self.socket.shutdown(SHUT_WR)
-            while self.rfile.read1(DISCARD_READ_BYTES):
-                pass
+        """Discard, for a short time, input that may follow the last answer."""
+        if self._pipeline.was_pipelined or self.problem is not None:
+            linger(self.socket)
 
     # -- answering ----------------------------------------------------------------
 
--- a/tests/entry/http/test_http_server.py
+++ b/tests/entry/http/test_http_server.py
@@ -4,7 +4,9 @@
 
 import gevent
 import pytest
+from gevent.socket import SHUT_WR, create_connection
 
+from cairnferry.entry.http import _http_server, _lingering
 from cairnferry.standins import wait_for
 from cairnferry.wire import connect
 
@@ -150,3 +152,59 @@
     assert entry.call().status == 200
     wait_for(lambda: entry.server.connections <= 1)
     assert entry.policy().in_flight == 0
+
+
+def send_late_body(conn, read_until):
+    """Send a body in two parts once its request was answered; return what follows."""
+    answer = read_until(conn, b"}")
+    for _ in range(2):
+        conn.sendall(b"x" * 2000)
+        gevent.sleep(0)
+    conn.shutdown(SHUT_WR)
+    return answer, conn.recv(1000)
+
+
+@pytest.mark.parametrize(
+    ("head", "cause"),
+    [
+        (b"Content-Length: 4000\r\n\r\n", b"body-too-large"),
+        (b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", b"ambiguous-framing"),
+    ],
+)
+def test_rejected_request_may_still_be_sent(
+    entry, read_until, monkeypatch, head, cause
+):
+    """Guards against a reset that hides the answer from a caller still sending."""
+    monkeypatch.setattr(_lingering, "LINGER_S", 30.0)
+    with create_connection(("127.0.0.1", entry.port)) as conn:
+        conn.sendall(POST + head)
+        answer, rest = send_late_body(conn, read_until)
+    assert cause in answer
+    assert rest == b""
+
+
+def test_refused_connection_may_still_be_used_to_send(
+    start_entry, records_for, target, read_until, monkeypatch
+):
+    """Guards against a reset that hides from a caller that it was refused."""
+    monkeypatch.setattr(_lingering, "LINGER_S", 30.0)
+    full = start_entry(*records_for(target), max_connections=0)
+    with create_connection(("127.0.0.1", full.port)) as conn:
+        answer, rest = send_late_body(conn, read_until)
+    assert b"too-many-connections" in answer
+    assert rest == b""
+
+
+def test_refused_connections_that_are_kept_are_limited(
+    start_entry, records_for, target, monkeypatch
+):
+    """Guards against refused connections that exhaust the file descriptors."""
+    monkeypatch.setattr(_lingering, "LINGER_S", 30.0)
+    monkeypatch.setattr(_http_server, "MAX_LINGERING", 2)
+    full = start_entry(*records_for(target), max_connections=0)
+    conns = [create_connection(("127.0.0.1", full.port)) for _ in range(5)]
+    wait_for(lambda: full.server.refused_connections == 5)
+    wait_for(lambda: len(full.server.pool) == 2)
+    for conn in conns:
+        conn.close()
+    wait_for(lambda: not full.server.pool)
