The first rules come into force together with all tables

Cause: rules, evacuations, targets and instances arrive in calls of their own, from the store and from peers, and rules came into force on arrival. The handover client stopped as soon as rules were in force, and a handover whose rules were known was dropped with its targets.

Change: the first rules wait until the state of each exchanged table is known, possibly empty, or until a handover was applied. Until then the daemon answers not-ready, is not steered to, offers nothing to others, and goes on requesting a handover.

--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -59,7 +59,9 @@
     behind : DecodeFault or None
         Reason for which a newer revision could not be applied.
     in_force : Event
-        Set once rules are in force.
+        Set once rules are in force. The first rules come into force together with a
+        known state of every table. A daemon with rules alone would send requests to
+        evacuated zones, or refuse requests for want of targets.
     tables : dict of str to FollowedTable
         Tables that daemons exchange; others may be added before the start.
     """
@@ -72,6 +74,7 @@
     behind: DecodeFault | None = None
     in_force: Event = attrs.field(factory=Event)
     _rules: Rules | None = None
+    _has_handover: bool = False
     _document: bytes = b""
     _exchange: RulesExchange = attrs.field(init=False)
     _handovers: HandoverPages = attrs.field(init=False)
@@ -100,7 +103,9 @@
         evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
         # Listed before the targets, so that a starting daemon has the evacuated zones
         # before it has targets.
-        secondary = FollowedTable(EVACUATIONS, evacuations.apply_rows)
+        secondary = FollowedTable(
+            EVACUATIONS, evacuations.apply_rows, self._install_when_complete
+        )
         self.tables[EVACUATIONS] = secondary
         self._rules_follower.split(secondary, lambda key: key == self.rules_key)
         self.follow_shared_table(
@@ -148,14 +153,30 @@
             self._is_watcher,
             self._report_failure,
         )
+        follower.table.on_known = self._install_when_complete
         self._followers.append(follower)
         self.tables[name] = follower.table
 
     @property
     def revision(self) -> int:
         """Revision of the rules in force; 0 before the first."""
+        return self._rules.revision if self.in_force.is_set() else 0
+
+    @property
+    def _held_revision(self):
+        """Revision of the rules that are in force or wait for tables."""
         return self._rules.revision if self._rules else 0
 
+    @property
+    def awaited_tables(self) -> list[str]:
+        """Names of the tables without which the first rules do not come into force.
+
+        A handover holds what a daemon needs; it omits the table of instances.
+        """
+        if self._has_handover:
+            return []
+        return sorted(name for name, each in self.tables.items() if not each.is_known)
+
     def tasks(self) -> list[Callable[[], None]]:
         """Return the functions to run for the daemon's lifetime."""
         for follower in self._followers:
@@ -179,10 +200,11 @@
             self.apply(row.value)
 
     def apply(self, document: bytes) -> bool:
-        """Put a document in force if it is newer; return whether it was.
+        """Accept a document if it is newer; return whether it was.
 
         A document that cannot be read has no effect. Older rules are ignored, as they
-        may come from a late answer or from a peer that lags behind.
+        may come from a late answer or from a peer that lags behind. The first rules
+        come into force once all tables are known.
 
         Parameters
         ----------
@@ -199,18 +221,39 @@
             )
             return False
         rules = decoded.ok
-        if rules.revision <= self.revision:
+        if rules.revision <= self._held_revision:
             return False
         before = self.revision
         self._rules = rules
         self._document = document
         self._exchange.history.add(rules.revision, document)
         self.behind = None
+        if before:
+            self._install(before)
+        else:
+            self._install_when_complete()
+        return True
+
+    def _install_when_complete(self):
+        """Put the first rules in force once all tables are known."""
+        if self._rules is None or self.in_force.is_set():
+            return
+        awaited = self.awaited_tables
+        if awaited:
+            log.info(
+                "rules wait for tables",
+                extra={"revision": self._rules.revision, "awaited": awaited},
+            )
+            return
+        self.in_force.set()
+        self._install(before=0)
+
+    def _install(self, before):
+        rules = self._rules
         services = self.core.services
         services.install_rules(rules.revision, rules.services, rules.routes)
         self._install_targets()
         self.core.apply_caller_limits(rules.limits)
-        self.in_force.set()
         log.info(
             "in force",
             extra={
@@ -221,7 +264,6 @@
             },
         )
         self.core.gossip.trigger_round()
-        return True
 
     def redecode_rules(self) -> None:
         """Decode the rules in force again, after settings of the decoder changed."""
@@ -229,9 +271,10 @@
         if self._rules is None or decoded.is_error():
             return
         self._rules = decoded.ok
-        self.core.services.install_rules(
-            self._rules.revision, self._rules.services, self._rules.routes
-        )
+        if self.in_force.is_set():
+            self.core.services.install_rules(
+                self._rules.revision, self._rules.services, self._rules.routes
+            )
 
     # -- targets ----------------------------------------------------------------
 
@@ -240,7 +283,7 @@
         self._install_targets()
 
     def _install_targets(self):
-        if self._rules is None:
+        if not self.in_force.is_set():
             return
         paths = {service.name: service.health_path for service in self._rules.services}
         targets = [
@@ -276,20 +319,24 @@
         return self._exchange.update_since(revision)
 
     def handover(self) -> Handover:
-        """Return the records in force, for a daemon that starts in an outage."""
+        """Return the records in force, for a daemon that starts in an outage.
+
+        It has no rules if none are in force.
+        """
+        document = self._document if self.in_force.is_set() else b""
         targets, evacuations = (
             self.tables[name].copy.news_since(0) for name in (TARGETS, EVACUATIONS)
         )
-        return Handover(self._document, targets, evacuations)
+        return Handover(document, targets, evacuations)
 
     def handover_page(self, url: str) -> Page:
         """Answer a daemon's request for the records in force."""
         return self._handovers.page(url)
 
     def apply_handover(self, handover: Handover, source: str) -> bool:
-        """Put another daemon's records in force; return whether they were applied.
+        """Apply another daemon's records; return whether rules are in force then.
 
-        Newer records from the store take precedence.
+        Newer records from the store or from peers take precedence.
 
         Parameters
         ----------
@@ -299,9 +346,16 @@
             Address of the other daemon, for logs.
         """
         self.tables[EVACUATIONS].apply_update(handover.evacuations)
-        if not self.apply(handover.rules):
-            return False
         self.tables[TARGETS].apply_update(handover.targets)
+        if not self.tables[TARGETS].is_known:
+            # A daemon of an earlier release hands over rules before it has targets.
+            log.info("handover without targets", extra={"from": source})
+            return False
+        self._has_handover = True
+        self.apply(handover.rules)
+        self._install_when_complete()
+        if not self.in_force.is_set():
+            return False
         log.info(
             "applied a handover from another daemon",
             extra={"from": source, "revision": self.revision},
@@ -326,10 +380,11 @@
             If the peer did not answer.
         """
         slots = self._exchange.slots
-        if self.revision >= offered or not slots.begin(link.address, time.monotonic()):
+        held = self._held_revision
+        if held >= offered or not slots.begin(link.address, time.monotonic()):
             return
         try:
-            document = self._exchange.fetch(link, self.revision)
+            document = self._exchange.fetch(link, held)
         finally:
             slots.end(link.address)
         if document is not None:
--- a/packages/entry/src/cairnferry/entry/following/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -2,8 +2,9 @@
 
 A daemon has no persistent state. One that is restarted during an outage of the
 platform's store would refuse every request until its end, although the other daemons
-hold all records. A handover contains no shared key: the daemon serves callers, and
-joins the others once the store is reachable again.
+hold all records. It usually joins through a seed and fetches them from its peers. A
+handover also serves a daemon that cannot join, or whose peers are lost before it has
+fetched everything. It contains no shared key.
 """
 
 import base64
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -17,6 +17,10 @@
 log = logging.getLogger(__name__)
 
 
+def _do_nothing():
+    """Ignore that the copy holds a first state."""
+
+
 @attrs.frozen
 class _RevertedRow:
     """A row that a restore of the store from a copy set back to an earlier state.
@@ -43,12 +47,15 @@
         Name of the table in logs and in messages between daemons.
     on_change : callable
         Called with all rows by key, including retained ones, whenever they change.
+    on_known : callable, optional
+        Called once the copy holds a first state of the table, which may be empty.
     copy : TableReplica, optional
         Rows according to the store, without retained ones.
     """
 
     name: str
     on_change: Callable[[dict[str, Row]], None]
+    on_known: Callable[[], None] = _do_nothing
     copy: TableReplica = attrs.field(factory=TableReplica)
     _grace_until: float = 0.0
     _retained: dict[str, Row] = attrs.field(factory=dict)
@@ -67,6 +74,11 @@
         """Apply an update sent by another daemon; return whether it was newer."""
         return self._apply(lambda: self.copy.apply_update(update))
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the copy holds a state of the table, which may be empty."""
+        return bool(self.copy.version)
+
     # -- rows retained after an outage ----------------------------------------------
 
     @property
@@ -80,13 +92,15 @@
 
     def _apply(self, apply_to_copy):
         era, removed = era_of(self.copy.version), self.copy.removed
-        is_known = bool(self.copy.version)
+        was_known = self.is_known
         is_newer = apply_to_copy()
-        if is_newer and is_known and era_of(self.copy.version) > era:
+        if is_newer and was_known and era_of(self.copy.version) > era:
             self._retain_reverted(removed)
         if is_newer:
             self._retain_removed()
             self._publish()
+        if is_newer and not was_known:
+            self.on_known()
         return is_newer
 
     def _retain_reverted(self, removed):
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -29,7 +29,8 @@
     `faults` maps a path to the faults of its next calls: a status, or one of "lost"
     (done, but the connection is closed), "cut" (not done, the connection is closed),
     "slow" (answered once `resume` is set) and "words" (an answer that is not JSON).
-    `down` is a fault of all calls.
+    `down` is a fault of all calls. `held` maps a table to an event without which it is
+    not listed.
 
     `copy` and `restore` simulate a recovery drill: the store is restored from a copy of
     itself, and names its era in each answer from then on.
@@ -45,6 +46,7 @@
         self.calls = collections.Counter()
         self.faults = collections.defaultdict(list)
         self.down = None
+        self.held = {}
         self.resume = Event()
         self._changed = Event()
         self._server = WSGIServer((HOST, port), self._app, log=None, error_log=None)
@@ -138,6 +140,8 @@
     def _get(self, query):
         start = query.get("from", "")
         table = query["table"]
+        if table in self.held:
+            self.held[table].wait()
         keys = sorted(
             key
             for key, row in self.rows[table].items()
--- /dev/null
+++ b/tests/adapter/test_complete_state.py
@@ -0,0 +1,124 @@
+"""Daemons that start put rules in force together with all that belongs to them."""
+
+import json
+
+import gevent
+import pytest
+
+from cairnferry.coordination import Row, TableUpdate
+from cairnferry.entry.following import _handover
+from cairnferry.entry.following._handover import Handover
+from cairnferry.standins import wait_for
+
+from ._standins import configuration, target_row
+
+EVACUATION_KEY = "evacuate/hall"
+RULES = json.dumps(configuration()).encode()
+TARGETS = TableUpdate(True, (Row("i-1", json.dumps(target_row(1)).encode(), 5),), 5)
+EVACUATIONS = TableUpdate(True, (Row(EVACUATION_KEY, b"{}", 6),), 6)
+
+
+@pytest.fixture
+def complete(store, daemon):
+    """Return a daemon that has rules, a target and an evacuated zone."""
+    store.put("servers", "i-1", target_row(1))
+    store.put("op", EVACUATION_KEY, {})
+    wait_for(lambda: has_all(daemon))
+    return daemon
+
+
+def has_all(daemon):
+    services = daemon.core.services
+    names = [target.name for target in services.targets()]
+    return services.evacuated == {"hall"} and names == ["i-1"]
+
+
+def start_and_wait_for_rules(start_daemon, *seeds):
+    """Start a daemon; return it in the turn after it puts its first rules in force."""
+    starting = start_daemon("front-2", wait=False, seeds=seeds)
+    starting.core.cluster.configuration.in_force.wait()
+    return starting
+
+
+def test_rules_from_peers_come_into_force_with_targets_and_evacuations(
+    complete, store, start_daemon, monkeypatch
+):
+    """Guards against a ready daemon without targets and evacuations in an outage.
+
+    It gets its rules from peers alone.
+    """
+    monkeypatch.setattr(_handover, "INITIAL_DELAY_S", 1000.0)
+    store.down = 503
+    starting = start_and_wait_for_rules(start_daemon, complete.cfg.handover)
+    assert has_all(starting)
+    assert starting.core.is_ready
+
+
+@pytest.mark.parametrize("table", ["servers", "cairnferry-entries"])
+def test_rules_from_the_store_wait_for_each_table(complete, store, start_daemon, table):
+    """Guards against a ready daemon if the store lists one table later than others."""
+    event = store.held[table] = gevent.event.Event()
+    starting = start_daemon("front-2", wait=False)
+    records = starting.core.cluster.configuration
+    wait_for(lambda: records.tables["evacuations"].is_known)
+    assert records.revision == 0
+    assert not starting.core.is_ready
+    assert starting.call().status == 503
+    event.set()
+    records.in_force.wait()
+    assert has_all(starting)
+
+
+def test_daemon_whose_peer_is_lost_after_the_rules_gets_a_handover(
+    complete, store, start_daemon, monkeypatch
+):
+    """Guards against a daemon that keeps rules without targets through an outage.
+
+    Its only peer has sent the rules and is lost. The handover must not stop for them.
+    """
+    monkeypatch.setattr(_handover, "INITIAL_DELAY_S", 0.0)
+    store.down = 503
+    complete.core.peer_server.stop()
+    starting = start_daemon("front-2", wait=False, seeds=[complete.cfg.handover])
+    starting.core.cluster.configuration.apply(RULES)
+    assert not starting.core.is_ready
+    starting.core.cluster.configuration.in_force.wait()
+    assert has_all(starting)
+
+
+def test_handover_is_applied_although_the_rules_are_known(store, start_daemon):
+    """Guards against a handover whose targets are dropped with its rules."""
+    store.down = 503
+    starting = start_daemon(wait=False)
+    records = starting.core.cluster.configuration
+    assert records.apply(RULES)
+    assert records.revision == 0
+    assert records.apply_handover(Handover(RULES, TARGETS, EVACUATIONS), "peer")
+    assert has_all(starting)
+
+
+def test_handover_without_targets_is_not_enough(store, start_daemon):
+    """Guards against a handover of an earlier release that waits for targets itself."""
+    store.down = 503
+    starting = start_daemon(wait=False)
+    records = starting.core.cluster.configuration
+    handover = Handover(RULES, TableUpdate(True, (), 0), EVACUATIONS)
+    assert not records.apply_handover(handover, "peer")
+    assert not starting.core.is_ready
+    assert records.apply_handover(Handover(RULES, TARGETS, EVACUATIONS), "peer")
+
+
+def test_daemon_whose_rules_wait_offers_no_handover(store, start_daemon):
+    """Guards against incomplete records that daemons pass on to each other."""
+    store.down = 503
+    starting = start_daemon(wait=False)
+    starting.core.cluster.configuration.apply(RULES)
+    assert starting.get(starting.cfg.handover, "/handover").status == 503
+
+
+def test_empty_table_of_targets_is_known(store, start_daemon):
+    """Guards against a daemon that is never ready where no target is listed."""
+    store.put("op", "config", configuration())
+    starting = start_and_wait_for_rules(start_daemon)
+    assert starting.core.is_ready
+    assert starting.core.services.targets() == []
