A daemon that starts is told all notes in effect

Requests that crash targets were sent on by daemons that had started after the block, and limits and targets that are leaving by their own word were unknown to them.

Cause: notes are gossiped for three seconds and told to nobody later. Rows in the store close the gap only where it can be written and read, which is not so in an outage. The own interface's daemon read them beside its configuration.

Change: first heartbeats between two daemons, and answers to a daemon without rules, carry the blocks in force and the other notes, at most 256 of a kind. The own interface reads stored blocks before its configuration.

--- a/packages/entry/src/cairnferry/entry/callers/_guard.py
+++ b/packages/entry/src/cairnferry/entry/callers/_guard.py
@@ -396,6 +396,14 @@
             for ref, block in self.quarantine.blocks(now).items()
         ]
 
+    def block_notes(self) -> list[Note]:
+        """Return a note for each block in effect, for daemons that start."""
+        now = time.monotonic()
+        return [
+            quarantine_note(BlockMessage(ref, block), now)
+            for ref, block in self.quarantine.blocks(now).items()
+        ]
+
     def _note_block(self, ref, block, by):
         self.metrics.quarantine["blocked"] += 1
         self._log("request blocked", ref.content, ref.scope, by=by, trials=block.trials)
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -135,6 +135,7 @@
         self.cluster.tables = records.tables
         self.cluster.on_listed = self.update_shares
         self.cluster.suspicions = quarantine_note_registry(self.guard.receive)
+        self.cluster.block_notes = self.guard.block_notes
         self.cluster.limits = limit_note_registry(self.limiter.receive)
         self.watcher_role = WatcherRole(self.cluster)
         links = PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S)
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -169,9 +169,12 @@
         return self.core.run(tasks)
 
     def _acquire_configuration(self):
-        """Get the first configuration from the platform or from peers."""
+        """Get the first configuration from the platform or from peers.
+
+        Blocked requests are read before, as they would be sent otherwise.
+        """
         while self.configuration.revision == 0:
-            if self.change_log_sync.refresh().is_ok():
+            if self._read_blocked() and self.change_log_sync.refresh().is_ok():
                 return
             # While the platform is unreachable, a peer sends the configuration after a
             # heartbeat.
@@ -199,17 +202,20 @@
 
     def _poll_blocked(self):
         """Read the requests that were blocked before this daemon started."""
-        guard = self.core.guard
         was_read = False
         while True:
-            if not was_read or guard.snapshot():
-                read = self.blocked.read()
-                if read.is_ok():
-                    was_read = True
-                    guard.apply_rows(read.ok)
+            if not was_read or self.core.guard.snapshot():
+                was_read = self._read_blocked() or was_read
             pause = BLOCKED_POLL_S if was_read else START_RETRY_S
             gevent.sleep(pause * (0.5 + self.core.rng.random()))
 
+    def _read_blocked(self):
+        """Apply the stored blocks; return whether they could be read."""
+        read = self.blocked.read()
+        if read.is_ok():
+            self.core.guard.apply_rows(read.ok)
+        return read.is_ok()
+
     def _probe(self):
         rounds = 0
         while True:
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -26,6 +26,9 @@
 FULL_SPARE = 1000
 # Spare capacity reported by a daemon to which callers must not be steered.
 STEER_AWAY = -1
+# Notes of each kind that a peer gets at its first heartbeat: several times what is in
+# effect at a time, and a few per cent of the size of the rules.
+MAX_FIRST_NOTES = 256
 
 log = logging.getLogger(__name__)
 
@@ -42,11 +45,14 @@
         Spare capacity of the peer in thousandths, or `STEER_AWAY`.
     confirmed_at : float
         Local monotonic time in seconds up to which the peer's head is confirmed.
+    incarnation : int
+        Incarnation of the peer that sent the heartbeat.
     """
 
     revision: int
     spare: int
     confirmed_at: float
+    incarnation: int
 
 
 @attrs.frozen
@@ -91,6 +97,8 @@
         Notes on requests that crashed targets.
     limits : NoteRegistry or None
         Notes on limits that targets advertise.
+    block_notes : callable
+        Returns a note for each blocked request.
     listed : dict of str to ListedInstance
         Instances listed by the platform or the registry, by name.
     tables : dict of str to SharedTable
@@ -109,6 +117,7 @@
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
     suspicions: NoteRegistry | None = None
     limits: NoteRegistry | None = None
+    block_notes: Callable[[], list[Note]] = list
     listed: dict[str, ListedInstance] = attrs.field(factory=dict)
     tables: dict[str, SharedTable] = attrs.field(factory=dict)
     reported_instances: int = 0
@@ -138,6 +147,36 @@
             limits=self.limits.next_notes(now) if self.limits else (),
         )
 
+    def has_heard_from(self, member: Member | None) -> bool:
+        """Return whether a member has sent a heartbeat since it started.
+
+        Parameters
+        ----------
+        member : Member or None
+            The member; None for a peer of unknown name.
+        """
+        health = member and self._health.get(member.name)
+        return health is not None and health.incarnation == member.incarnation
+
+    def first_heartbeat(self, zone: str) -> Heartbeat:
+        """Return the heartbeat for a peer that has just started, with all notes.
+
+        Notes are gossiped for a few seconds only. A daemon that starts later would send
+        a blocked request, or exceed a limit, until it observes the fact itself.
+
+        Parameters
+        ----------
+        zone : str
+            Availability zone of the peer.
+        """
+        now = time.monotonic()
+        return attrs.evolve(
+            self.heartbeat(zone),
+            notes=_latest_notes(self.notes, now),
+            suspicions=tuple(self.block_notes())[-MAX_FIRST_NOTES:],
+            limits=_latest_notes(self.limits, now) if self.limits else (),
+        )
+
     def _own_spare(self, now):
         """Return the spare capacity in thousandths, or STEER_AWAY if stale."""
         if not self.is_up_to_date(now):
@@ -157,7 +196,12 @@
         for note in received.limits:
             has_updates = self.post_limit(note) or has_updates
         confirmed_at = now - received.confirmed_age
-        health = PeerHealth(received.revision, received.spare, confirmed_at)
+        health = PeerHealth(
+            received.revision,
+            received.spare,
+            confirmed_at,
+            received.sender.incarnation,
+        )
         self._health[received.sender.name] = health
         if received.revision == self.configuration.revision:
             self.confirmation.confirm(now, received.confirmed_age)
@@ -299,6 +343,12 @@
         }
 
 
+def _latest_notes(registry, now):
+    """Return the notes in effect, at most the `MAX_FIRST_NOTES` that expire last."""
+    notes = sorted(registry.active_notes(now), key=lambda note: note.remaining)
+    return tuple(notes[-MAX_FIRST_NOTES:])
+
+
 def new_membership(name, zone, peer_address, caller_address) -> Membership:
     """Return the initial membership, which holds this daemon alone.
 
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -183,13 +183,19 @@
     def _call(self, name, address, zone):
         link = self.links.link_to(address, zone != self.cluster.membership.me.zone)
         try:
-            received = link.heartbeat(self.cluster.heartbeat(zone))
+            received = link.heartbeat(self._heartbeat_to(name, zone))
             self._apply_and_fetch(received, link)
         except PeerCallFailed as exc:
             if name is not None:
                 self.cluster.membership.suspect(name, time.monotonic())
             log.debug("heartbeat failed", extra={"peer": address, "why": exc.reason})
 
+    def _heartbeat_to(self, name, zone):
+        member = name and self.cluster.membership.get(name)
+        if self.cluster.has_heard_from(member):
+            return self.cluster.heartbeat(zone)
+        return self.cluster.first_heartbeat(zone)
+
     def _apply_and_fetch(self, received: Heartbeat, link):
         """Apply a heartbeat, and fetch newer rules and tables from its sender.
 
@@ -231,13 +237,17 @@
 
     def heartbeat(self, received: Heartbeat) -> Heartbeat:
         """Answer a peer's heartbeat."""
+        is_first = not self.cluster.has_heard_from(received.sender)
         has_updates = self.cluster.apply_heartbeat(received)
         if self._is_ahead(received):
             # The answer must not wait for the fetch.
             gevent.spawn(self._fetch, received)
         if has_updates:
             self.trigger_round()
-        return self.cluster.heartbeat(received.sender.zone)
+        zone = received.sender.zone
+        if is_first or not received.revision:
+            return self.cluster.first_heartbeat(zone)
+        return self.cluster.heartbeat(zone)
 
     def _is_ahead(self, received):
         if received.revision > self.cluster.configuration.revision:
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -1,6 +1,7 @@
 """Daemons that start put rules in force together with all that belongs to them."""
 
 import json
+import time
 
 import gevent
 import pytest
@@ -8,6 +9,7 @@
 from cairnferry.coordination import Row, TableUpdate
 from cairnferry.entry.following import _handover
 from cairnferry.entry.following._handover import Handover
+from cairnferry.policy import ALL_CALLERS, Block
 from cairnferry.standins import wait_for
 
 from ._standins import configuration, target_row
@@ -54,6 +56,22 @@
     assert starting.core.is_ready
 
 
+def test_blocked_requests_are_known_before_rules_come_into_force(
+    complete, store, start_daemon, monkeypatch
+):
+    """Guards against a blocked request that a newcomer in an outage sends to targets.
+
+    The block has no row, as the store is unreachable.
+    """
+    monkeypatch.setattr(_handover, "INITIAL_DELAY_S", 1000.0)
+    store.down = 503
+    now = time.monotonic()
+    block = Block(now, now - 1.0, 0)
+    complete.core.guard.quarantine.apply_block("digest", ALL_CALLERS, block)
+    starting = start_and_wait_for_rules(start_daemon, complete.cfg.handover)
+    assert [each["content"] for each in starting.core.guard.snapshot()] == ["digest"]
+
+
 @pytest.mark.parametrize("table", ["servers", "cairnferry-entries"])
 def test_rules_from_the_store_wait_for_each_table(complete, store, start_daemon, table):
     """Guards against a ready daemon if the store lists one table later than others."""
--- a/tests/entry/members/test_gossip.py
+++ b/tests/entry/members/test_gossip.py
@@ -5,9 +5,17 @@
 import attrs
 import pytest
 
-from cairnferry.coordination import Batch, MemberState, Row, TableReplica, TableUpdate
+from cairnferry.coordination import (
+    Batch,
+    MemberState,
+    Note,
+    NoteRegistry,
+    Row,
+    TableReplica,
+    TableUpdate,
+)
 from cairnferry.entry._ports import EntryRow
-from cairnferry.entry.members import _gossip
+from cairnferry.entry.members import _cluster, _gossip
 from cairnferry.entry.members._gossip import Gossip
 from cairnferry.peers import TableState
 
@@ -225,3 +233,85 @@
     joining._calls.join()
     assert joining.cluster.tables["targets"].copy.version == 5
     assert ("y1:1", True) in links.called
+
+
+@pytest.fixture
+def informed(start):
+    """Return a daemon whose notes are no longer gossiped, and one without rules."""
+    old, new = start("e1", [member("e2")]), start("e2", [member("e1")])
+    view = old.cluster
+    view.limits = NoteRegistry(lambda *note: None, spread_s=-1.0)
+    view.post_limit(Note("t-1", "limit 3.0", 30.0))
+    view.block_notes = lambda: [Note("digest", "blocked * 0 100", 30.0)]
+    view.heartbeat("hall")
+    new.cluster.configuration = NoRules()
+    return old, new
+
+
+class NoRules:
+    revision = 0
+    behind = None
+
+
+def notes_in(heartbeat):
+    return [note.subject for note in (*heartbeat.suspicions, *heartbeat.limits)]
+
+
+def test_a_daemon_without_rules_is_told_all_notes(informed):
+    """Guards against a newcomer that sends blocked requests or exceeds limits."""
+    old, new = informed
+    for _ in range(2):
+        answer = old.heartbeat(new.cluster.heartbeat("hall"))
+        assert notes_in(answer) == ["digest", "t-1"]
+
+
+def test_a_daemon_with_rules_is_told_all_notes_once(informed):
+    """Guards against a daemon that lacks notes as it got its rules in a handover."""
+    old, new = informed
+    new.cluster.configuration.revision = 1
+    told = [notes_in(old.heartbeat(new.cluster.heartbeat("hall"))) for _ in range(2)]
+    assert told == [["digest", "t-1"], []]
+    new.cluster.membership.me = member("e2", incarnation=2)
+    assert notes_in(old.heartbeat(new.cluster.heartbeat("hall")))
+
+
+def test_a_called_daemon_is_told_all_notes_until_it_answers(informed, links):
+    """Guards against a newcomer that gets rules, but no notes, as a peer calls it."""
+    old, new = informed
+    received = []
+    old.links = Recorder(links, received)
+    for _ in range(2):
+        old._call("e2", "e2:1", "hall")
+    assert [notes_in(each) for each in received] == [["digest", "t-1"], []]
+
+
+def test_the_notes_that_a_newcomer_is_told_are_limited(informed, monkeypatch):
+    """Guards against heartbeats that fill the links as all daemons start."""
+    old, new = informed
+    monkeypatch.setattr(_cluster, "MAX_FIRST_NOTES", 2)
+    old.cluster.block_notes = lambda: [Note(f"d{n}", "s", 30.0) for n in range(5)]
+    for seconds in (3.0, 1.0, 2.0):
+        old.cluster.post_limit(Note(f"t-{seconds}", "limit 3.0", seconds))
+    answer = old.heartbeat(new.cluster.heartbeat("hall"))
+    assert notes_in(answer) == ["d3", "d4", "t-3.0", "t-1"]
+
+
+@attrs.frozen
+class Recorder:
+    """Links that record the heartbeats sent on them."""
+
+    links: Links
+    sent: list
+
+    def link_to(self, address, is_cross_zone=False):
+        return RecordingLink(self.links.link_to(address, is_cross_zone), self.sent)
+
+
+@attrs.frozen
+class RecordingLink:
+    link: Link
+    sent: list
+
+    def heartbeat(self, mine):
+        self.sent.append(mine)
+        return self.link.heartbeat(mine)
