Of equal idle targets, the one idle for longest gets the next request

Cause: after a round of checks equal costs were decided by the place on the ring. Daemons that are first of their zones begin at the same place, and both left out the same target.

A unit test of eight requests one after the other finds all of them at one target.

Change: equal costs are decided by the time of the last request.

--- a/packages/policy/src/cairnferry/policy/choice/_status_checks.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_checks.py
@@ -197,13 +197,22 @@
         return list(itertools.islice(unchecked, count))
 
     def _cheapest(self, near, far, now, max_age):
+        """Return the lowest cost, and the target that has it and was idle longest.
+
+        If the first of several equal targets were chosen, the last ones on the ring
+        would get no requests until the others are busy, and operators would not notice
+        that a new one fails.
+        """
         best_cost, best = 0.0, None
         for targets, added in ((near, 0.0), (far, self.settings.far_cost)):
             for target in targets:
                 if now - target.reported_at > max_age:
                     continue
                 cost = self.cost(target, now) + added
-                if best is None or cost < best_cost:
+                if best is None or (cost, target.last_sent) < (
+                    best_cost,
+                    best.last_sent,
+                ):
                     best_cost, best = cost, target
         return best_cost, best
 
--- a/packages/policy/src/cairnferry/policy/targets/_target.py
+++ b/packages/policy/src/cairnferry/policy/targets/_target.py
@@ -86,6 +86,8 @@
         Consecutive refusals.
     sent : int
         Requests sent to the target.
+    last_sent : float
+        Time at which the last request was sent to the target.
     slowdown : float
         Duration of work at the last report, as a multiple of the usual duration.
     reported_in_use : float
@@ -121,6 +123,7 @@
     draining_until: dict[DrainSource, float] = attrs.field(factory=dict)
     refusals: int = 0
     sent: int = 0
+    last_sent: float = -math.inf
     slowdown: float = 1.0
     reported_in_use: float = 0.0
     warm_at: float = -math.inf
@@ -213,6 +216,7 @@
         """Record that a request is sent."""
         self.in_flight += 1
         self.sent += 1
+        self.last_sent = now
         self.starts.append(now)
 
     def note_finished(self, started: float) -> None:
--- a/tests/policy/choice/test_status_checks.py
+++ b/tests/policy/choice/test_status_checks.py
@@ -73,6 +73,18 @@
     assert rounds == []
 
 
+def test_requests_one_after_the_other_use_all_idle_targets():
+    """Guards against idle targets that get no requests as they are last on the ring."""
+    policy = policy_of(*near(4))
+    chosen = []
+    for second in range(1, 9):
+        decision, _ = decide(policy, call(now=second), now=second)
+        policy.finished(decision.attempt, Answered(), second + 0.1)
+        chosen.append(decision.attempt.target_name)
+    assert len(set(chosen[:4])) == 4
+    assert chosen[4:] == chosen[:4]
+
+
 def test_own_requests_since_the_report_are_added_to_it():
     """Guards against a group of concurrent requests that all go to one idle target.
 
