An instance's row is restored if the followed table never held it

Cause: the enrolment's own read of the registry and the followed table both set the list by which a daemon decides whether its row is there. If the table was listed before the row was written, and the store is restored before the next call for changes, the table never changes, and the read stays.

--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -112,6 +112,9 @@
     _entries: dict[str, EntryRow] = attrs.field(factory=dict)
     _pending: dict[str, EntryRow] = attrs.field(factory=dict)
     _is_writing: bool = False
+    # Whether the followed table lists this instance. Its own read at the enrolment does
+    # not tell what the store still holds later.
+    _is_in_table: bool = False
     _listed_at: float = attrs.field(factory=time.monotonic)
 
     def run(self) -> None:
@@ -208,6 +211,7 @@
     def apply_all_entries(self, entries: Collection[EntryRow]) -> None:
         """Apply the complete list of instances."""
         self.cluster.reported_instances = 0
+        self._is_in_table = any(entry.name == self.me.name for entry in entries)
         self.apply_entries(entries)
 
     # -- instances that join through this one --------------------------------------
@@ -335,7 +339,7 @@
 
     def _is_listed(self):
         """Return whether the table of instances is followed and lists this one."""
-        return self.joiner is not None and self.me.name in self._entries
+        return self.joiner is not None and self._is_in_table
 
     def _is_missing(self, now):
         """Return whether this instance's row appears to be missing in the store."""
--- a/tests/adapter/test_eras.py
+++ b/tests/adapter/test_eras.py
@@ -9,13 +9,14 @@
 import time
 
 import pytest
+from gevent.event import Event
 
 from cairnferry.coordination import era_of, version_of
 from cairnferry.entry._ports import FeedUnavailable, HistoryLost
 from cairnferry.policy import ALL_CALLERS, Block, BlockRef
 from cairnferry.standins import wait_for
-from hosting._registry import KEY_ROW, TABLE
-from hosting._store import Conflict, RowRef, Store
+from hosting._registry import KEY_ROW, TABLE, StoreRegistry
+from hosting._store import Conflict, RowRef, Store, TableFeed
 
 from ._standins import configuration, rule, target_row
 
@@ -156,6 +157,42 @@
     assert store.rows[TABLE][KEY_ROW.key].value == key
 
 
+def test_lost_rows_are_written_again_if_the_followed_table_never_held_them(
+    store, start_daemon, monkeypatch
+):
+    """Guards against a row that only its writer has read, and that is never restored.
+
+    The table is listed before the daemon writes its row, and the store is restored
+    before the next call for changes.
+    """
+    monkeypatch.setattr("cairnferry.entry.members._enrolment.MAINTENANCE_S", 0.2)
+    monkeypatch.setattr("cairnferry.entry.members._enrolment.ROW_MISSING_S", 0.5)
+    monkeypatch.setattr("hosting.command.INSTANCES_COALESCE_S", 3.0)
+    listed = Event()
+    list_all, write_first = TableFeed.list_all, StoreRegistry.write_first
+
+    def list_and_report(feed):
+        listing = list_all(feed)
+        if feed.table == TABLE:
+            listed.set()
+        return listing
+
+    def write_after_listing(registry, *row_and_key):
+        listed.wait()
+        return write_first(registry, *row_and_key)
+
+    monkeypatch.setattr(TableFeed, "list_all", list_and_report)
+    monkeypatch.setattr(StoreRegistry, "write_first", write_after_listing)
+    store.put("op", "config", configuration())
+    copy = store.copy()
+    daemon = start_daemon("front-1")
+    wait_for(lambda: daemon.core.cluster.listed)
+    store.restore(copy)
+    assert "front-1" not in store.rows[TABLE]
+    wait_for(lambda: "front-1" in store.rows[TABLE])
+    wait_for(lambda: KEY_ROW.key in store.rows[TABLE])
+
+
 def test_block_lost_by_store_stays_in_effect_and_is_written_again(
     store, start_daemon, monkeypatch
 ):
