--- a/packages/standins/src/cairnferry/standins/_processes.py
+++ b/packages/standins/src/cairnferry/standins/_processes.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cairnferry.settings import parse_address
+from cairnferry.standins._description import describe_process
 from cairnferry.standins._ports import HOST, free_port
 from cairnferry.standins._relay import Relay
 from cairnferry.standins._target import read_journal
@@ -348,6 +349,12 @@
         """
         return read_journal(self.journal_path(name))
 
+    def describe(self) -> str:
+        """Return the state of all processes and the ends of their logs."""
+        return "\n".join(
+            describe_process(process, self.folder) for process in self._processes
+        )
+
     # -- stopping ---------------------------------------------------------------
 
     def kill_all(self) -> None:
--- a/packages/standins/src/cairnferry/standins/_scenario.py
+++ b/packages/standins/src/cairnferry/standins/_scenario.py
@@ -49,7 +49,8 @@
         Raises
         ------
         ScenarioFault
-            If a step fails; the message has its line. Later steps are not run.
+            If a step fails; the message has its line, and a note describes the system.
+            Later steps are not run.
         """
         for step in scenario.steps:
             action = _STEPS.get(step.verb)
@@ -59,7 +60,9 @@
                 action(self, *step.arguments, **step.settings)
             except Exception as exc:
                 text = " ".join([step.verb, *step.arguments])
-                raise ScenarioFault(f"line {step.line}: {text}: {exc!r}") from exc
+                fault = ScenarioFault(f"line {step.line}: {text}: {exc!r}")
+                fault.add_note(self.system.describe())
+                raise fault from exc
 
     def process(self, name: str) -> Process:
         """Return the process with this name: the platform, a target or a daemon."""
--- a/tests/adapter/_processes.py
+++ b/tests/adapter/_processes.py
@@ -10,6 +10,7 @@
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
+from ._started import STARTED
 from .conftest import settings_text
 from .test_process import ROOT
 
@@ -41,6 +42,7 @@
                     "CAIRNFERRY_CONFIG": str(settings),
                 },
             )
+        STARTED.add(self.process, self.log)
 
     def call(self, path, method="GET", body=b"", request_id="r"):
         headers = [
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -14,6 +14,7 @@
 from hosting.command import build
 
 from ._standins import HOST, HostedTarget, StoreStandin, configuration, rule, target_row
+from ._started import STARTED
 
 SETTINGS = """\
 node_name={name}
@@ -57,6 +58,13 @@
     )
 
 
+@pytest.fixture(autouse=True)
+def started_processes():
+    """Collect the processes of a test, whose logs its failure shows."""
+    STARTED.clear()
+    return STARTED
+
+
 @pytest.fixture(autouse=True)
 def long_answer_wait(monkeypatch):
     """Let status checks wait for all answers, also on a busy machine."""
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -18,6 +18,7 @@
 from hosting._settings import read_host_settings
 
 from ._standins import configuration
+from ._started import STARTED
 from .conftest import settings_text
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -49,6 +50,7 @@
                 "CAIRNFERRY_CONFIG": str(self.settings),
             },
         )
+        STARTED.add(self.process, folder / "out")
 
     def text(self):
         self.output.flush()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -59,6 +59,18 @@
     config.hook.pytest_deselected(items=deselected)
 
 
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Add the state of a failed test's processes to its report."""
+    report = (yield).get_result()
+    if call.when != "call" or not report.failed:
+        return
+    for system in item.funcargs.values():
+        describe = getattr(system, "describe", None)
+        if describe is not None:
+            report.sections.append(("processes", describe()))
+
+
 @pytest.fixture(autouse=True)
 def guard():
     """Fail a test that runs longer than TEST_TIMEOUT_S seconds."""
