--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -15,15 +15,15 @@
 from cairnferry.entry.following._following import Follower
 from cairnferry.entry.following._handover import Handover, HandoverPages
 from cairnferry.entry.following._rules_exchange import (
-    BUSY_RETRY_S,
-    MAX_BUSY_RETRIES,
     DocumentRateLimit,
     RulesExchange,
 )
+from cairnferry.entry.following._rules_puller import RulesPuller
 from cairnferry.entry.following._table import FollowedTable
+from cairnferry.entry.following._target_installer import TargetInstaller
 from cairnferry.entry.following._target_rows import TargetRows
 from cairnferry.entry.http import Page
-from cairnferry.peers import PeerCallFailed, PeerLink
+from cairnferry.peers import PeerLink
 
 # Pause in seconds between two calls for targets. Without it, targets that start one
 # after the other would cause one update each at every daemon. A target that leaves may
@@ -77,8 +77,10 @@
     _has_handover: bool = False
     _document: bytes = b""
     _exchange: RulesExchange = attrs.field(init=False)
+    _puller: RulesPuller = attrs.field(init=False)
     _handovers: HandoverPages = attrs.field(init=False)
     _targets: TargetRows = attrs.field(init=False)
+    _installer: TargetInstaller = attrs.field(init=False)
     tables: dict[str, FollowedTable] = attrs.field(factory=dict)
     _rules_follower: Follower = attrs.field(init=False)
     _followers: list[Follower] = attrs.field(factory=list)
@@ -86,10 +88,14 @@
     def __attrs_post_init__(self):
         rate_limit = DocumentRateLimit(self.core.cfg.peers.link_bytes_per_s)
         self._exchange = RulesExchange(rate_limit)
+        self._puller = RulesPuller(
+            self._exchange, lambda: self._held_revision, self.apply, self.core.rng
+        )
         self._handovers = HandoverPages(self.handover, rate_limit.admit)
         self._targets = TargetRows(
             self.decoders.target, self.core.faulty_rows, self._apply_targets
         )
+        self._installer = TargetInstaller(self.core, self._targets)
         self._rules_follower = Follower(
             "rules",
             self.rules_feed,
@@ -252,7 +258,7 @@
         rules = self._rules
         services = self.core.services
         services.install_rules(rules.revision, rules.services, rules.routes)
-        self._install_targets()
+        self._installer.install(rules.services)
         self.core.apply_caller_limits(rules.limits)
         log.info(
             "in force",
@@ -280,29 +286,8 @@
 
     def _apply_targets(self, rows):
         self._targets.apply_rows(rows)
-        self._install_targets()
-
-    def _install_targets(self):
-        if not self.in_force.is_set():
-            return
-        paths = {service.name: service.health_path for service in self._rules.services}
-        targets = [
-            attrs.evolve(target, health_path=paths[target.service])
-            for target in self._targets.in_force.values()
-            if paths.get(target.service)
-        ]
-        self.core.services.install_targets(targets)
-        self._record_cold()
-        self.core.upstreams.keep_only(targets)
-        self.core.update_shares()
-
-    def _record_cold(self):
-        services = {service.name: service for service in self._rules.services}
-        for key, warm_at in self._targets.warm_at.items():
-            target = self._targets.in_force[key]
-            service = services.get(target.service)
-            if service is not None:
-                self.core.limiter.cold.note_row(target, service, warm_at)
+        if self.in_force.is_set():
+            self._installer.install(self._rules.services)
 
     # -- peers ------------------------------------------------------------------
 
@@ -362,8 +347,8 @@
         )
         return True
 
-    def pull_from(self, link: PeerLink, offered: int, retries: int = 0) -> None:
-        """Fetch newer rules from a peer and put them in force.
+    def pull_from(self, link: PeerLink, offered: int) -> None:
+        """Fetch newer rules from a peer.
 
         Parameters
         ----------
@@ -371,36 +356,13 @@
             Connection to the peer.
         offered : int
             Revision in force at the peer.
-        retries : int, optional
-            Number of earlier calls that the peer's rate limit rejected.
 
         Raises
         ------
         PeerCallFailed
             If the peer did not answer.
         """
-        slots = self._exchange.slots
-        held = self._held_revision
-        if held >= offered or not slots.begin(link.address, time.monotonic()):
-            return
-        try:
-            document = self._exchange.fetch(link, held)
-        finally:
-            slots.end(link.address)
-        if document is not None:
-            self.apply(document)
-        elif retries < MAX_BUSY_RETRIES:
-            pause = BUSY_RETRY_S * (0.5 + self.core.rng.random())
-            gevent.spawn_later(pause, self._retry_pull, link, offered, retries + 1)
-
-    def _retry_pull(self, link, offered, retries):
-        try:
-            self.pull_from(link, offered, retries)
-        except PeerCallFailed as exc:
-            log.info(
-                "pull from a peer failed",
-                extra={"peer": exc.address, "why": exc.reason},
-            )
+        self._puller.pull(link, offered)
 
     def dump(self) -> dict:
         """Return the state for a dump, as plain values."""
