A listener that a fatal error has closed can still finish

Since a closing listener serves its queue, finish() used the socket of a listener that a fatal error of accept may have closed, and a leaving daemon would have failed. Found on reading the change; the new case failed with an AttributeError before.

--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -319,6 +319,9 @@
 
     def _close_listener(self, handshake_s):
         """Close the listener without resetting connections in its queue."""
+        if self.closed:
+            # A fatal error of `accept` closes the listener.
+            return
         if not refuse_connections(self.socket):
             log.warning(
                 "the listener cannot refuse connections before it closes",
--- a/tests/entry/http/test_closing.py
+++ b/tests/entry/http/test_closing.py
@@ -157,3 +157,9 @@
     monkeypatch.setattr(_http_server, "refuse_connections", lambda listener: False)
     assert server.finish(30.0)
     assert "cannot refuse connections before it closes" in caplog.text
+
+
+def test_listener_that_is_closed_already_can_finish(server):
+    """Guards against a daemon that fails to leave after a fatal error of a listener."""
+    server.close()
+    assert server.finish(30.0)
