First heartbeats keep the notes that are gossiped

A first heartbeat sent the blocks in force in place of the gossip about requests, whose notes counted as sent: evidence of crashes could reach fewer daemons while many start. Found on reading the change; the new case fails before. The choice among equal targets compares one key.

--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -170,11 +170,13 @@
             Availability zone of the peer.
         """
         now = time.monotonic()
+        heartbeat = self.heartbeat(zone)
+        limits = self.limits.active_notes(now) if self.limits else []
         return attrs.evolve(
-            self.heartbeat(zone),
-            notes=_latest_notes(self.notes, now),
-            suspicions=tuple(self.block_notes())[-MAX_FIRST_NOTES:],
-            limits=_latest_notes(self.limits, now) if self.limits else (),
+            heartbeat,
+            notes=_with_latest(heartbeat.notes, self.notes.active_notes(now)),
+            suspicions=_with_latest(heartbeat.suspicions, self.block_notes()),
+            limits=_with_latest(heartbeat.limits, limits),
         )
 
     def _own_spare(self, now):
@@ -343,10 +345,11 @@
         }
 
 
-def _latest_notes(registry, now):
-    """Return the notes in effect, at most the `MAX_FIRST_NOTES` that expire last."""
-    notes = sorted(registry.active_notes(now), key=lambda note: note.remaining)
-    return tuple(notes[-MAX_FIRST_NOTES:])
+def _with_latest(gossiped, in_effect):
+    """Add the notes in effect that expire last, at most `MAX_FIRST_NOTES` of them."""
+    latest = sorted(in_effect, key=lambda note: note.remaining)[-MAX_FIRST_NOTES:]
+    notes = {(note.subject, note.source): note for note in (*latest, *gossiped)}
+    return tuple(notes.values())
 
 
 def new_membership(name, zone, peer_address, caller_address) -> Membership:
--- a/packages/policy/src/cairnferry/policy/choice/_status_checks.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_checks.py
@@ -203,18 +203,15 @@
         would get no requests until the others are busy, and operators would not notice
         that a new one fails.
         """
-        best_cost, best = 0.0, None
+        lowest, best = (0.0, 0.0), None
         for targets, added in ((near, 0.0), (far, self.settings.far_cost)):
             for target in targets:
                 if now - target.reported_at > max_age:
                     continue
-                cost = self.cost(target, now) + added
-                if best is None or (cost, target.last_sent) < (
-                    best_cost,
-                    best.last_sent,
-                ):
-                    best_cost, best = cost, target
-        return best_cost, best
+                key = (self.cost(target, now) + added, target.last_sent)
+                if best is None or key < lowest:
+                    lowest, best = key, target
+        return lowest[0], best
 
     def cost(self, target: TargetState, now: float) -> float:
         """Estimate the time of a request at a target as a multiple of the usual one."""
--- a/tests/entry/members/test_gossip.py
+++ b/tests/entry/members/test_gossip.py
@@ -265,6 +265,15 @@
         assert notes_in(answer) == ["digest", "t-1"]
 
 
+def test_notes_that_are_gossiped_are_not_lost_to_a_newcomer(informed):
+    """Guards against evidence that counts as sent and is left out for the blocks."""
+    old, new = informed
+    old.cluster.suspicions = NoteRegistry(lambda *note: None)
+    old.cluster.post_suspicion(Note("evidence", "ended * 10 t-1", 30.0))
+    answer = old.heartbeat(new.cluster.heartbeat("hall"))
+    assert notes_in(answer) == ["digest", "evidence", "t-1"]
+
+
 def test_a_daemon_with_rules_is_told_all_notes_once(informed):
     """Guards against a daemon that lacks notes as it got its rules in a handover."""
     old, new = informed
