Workspaces: callers authenticate by keys, targets learn the workspace

Cause: a deployment with workspaces was served as if it had none. Keys were forwarded to targets, unknown and revoked keys were served, and no target learned whose request it ran.

Change: the record kind `workspace` (name, digests of keys, rank, limit), anonymous routes, authentication by the head before the body is read and again before the request is forwarded, the workspace's header set by the daemon alone, and its rank before that of the route.

A deployment without workspaces takes none of these paths.

--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -13,7 +13,7 @@
 
 from cairnferry.coordination import Batch, DocumentNews, TableReplica, TableUpdate
 from cairnferry.peers import PeerLink
-from cairnferry.records import Route, Service, Target
+from cairnferry.records import Route, Service, Target, Workspace
 
 
 class RulesStatus(typing.Protocol):
@@ -130,7 +130,7 @@
 
 @attrs.frozen
 class Rules:
-    """Services and routes of one revision.
+    """Services, routes and workspaces of one revision.
 
     Attributes
     ----------
@@ -142,12 +142,15 @@
         All routes.
     limits : CallerLimits
         Limits of callers' requests.
+    workspaces : tuple of Workspace or None
+        All workspaces; None if callers do not authenticate.
     """
 
     revision: int
     services: tuple[Service, ...]
     routes: tuple[Route, ...]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
     def check_references(self) -> Result["Rules", "DecodeFault"]:
         """Return the rules if every service that a route names exists."""
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -45,6 +45,7 @@
     PagesApp,
     RequestHead,
     read_request_head,
+    without_identity,
 )
 from cairnferry.entry.members import JOIN_PATH, Enrolment, Joiner, Steering
 from cairnferry.entry.targets import (
@@ -112,4 +113,5 @@
     "read_request_head",
     "stamp",
     "version_of",
+    "without_identity",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -10,6 +10,7 @@
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
+    AUTHORIZATION,
     HANDLER_KEY,
     Answer,
     BadDeadline,
@@ -28,13 +29,20 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
+from cairnferry.entry.workspaces import KeyFault, WorkspaceRegistry, authenticate
 from cairnferry.policy import Call, Relay, RequestIdentity
-from cairnferry.records import Priority, Route
+from cairnferry.records import Priority, Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
 MS_PER_S = 1000
 CALLER_GONE_STATUS = "499 Caller Gone"
+_PROBLEMS = {
+    KeyFault.MISSING: Problem.KEY_MISSING,
+    KeyFault.MALFORMED: Problem.KEY_MALFORMED,
+    KeyFault.REPEATED: Problem.KEY_REPEATED,
+    KeyFault.UNKNOWN: Problem.KEY_UNKNOWN,
+}
 
 
 @attrs.define
@@ -77,6 +85,8 @@
         Header conventions of callers.
     startup_retry : StartupRetry, optional
         Determines Retry-After while this daemon has no rules.
+    workspaces : WorkspaceRegistry, optional
+        Workspaces by whose keys callers authenticate.
     """
 
     services: Services
@@ -86,6 +96,7 @@
     limits: BodyLimits
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
+    workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
     _request_log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -104,6 +115,26 @@
             return []
         return self._write(handler, answer, start_response)
 
+    def check_head(self, handler: PipelinedHandler) -> Problem | None:
+        """Return the problem for which a request is rejected before its body is read.
+
+        Parameters
+        ----------
+        handler : PipelinedHandler
+            Request whose head was read.
+        """
+        if not self.workspaces.is_required or not self.services.revision:
+            return None
+        route = self.services.route(handler.path, handler.headers.get("host"))
+        if route is None:
+            return None
+        found = self._authenticate(handler, route)
+        return _PROBLEMS[found.error] if found.is_error() else None
+
+    def _authenticate(self, handler, route):
+        values = handler.headers.get_all(AUTHORIZATION)
+        return authenticate(values, route.anonymous, self.workspaces)
+
     def may_run_concurrently(self, handler: PipelinedHandler) -> bool:
         """Return whether a request may run concurrently with others of its connection.
 
@@ -141,18 +172,33 @@
         runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
-        return self._forward(handler, route, runtime)
+        return self._forward(handler, route, runtime, self._workspace(handler, route))
+
+    def _workspace(self, handler, route) -> Workspace | None:
+        """Return the caller's workspace.
+
+        The key is checked again, as it may have been revoked while the body arrived.
+        """
+        if not self.workspaces.is_required:
+            return None
+        found = self._authenticate(handler, route)
+        if found.is_error():
+            raise BadRequest(_PROBLEMS[found.error])
+        return found.ok
 
-    def _forward(self, handler: PipelinedHandler, route: Route, runtime):
+    def _forward(self, handler: PipelinedHandler, route: Route, runtime, workspace):
         try:
             head = self.convention.read_head(handler.header_pairs())
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        headers = [*head.forwarded, ("Via", head.via)]
+        forwarded = head.forwarded
+        if self.workspaces.is_required:
+            forwarded = self.convention.without_identity(forwarded)
+        headers = [*forwarded, ("Via", head.via)]
         req = OutboundRequest(
             handler.command, handler.path, headers, handler.body, head
         )
-        call = _build_call(handler, route, head, runtime.policy.service)
+        call = _build_call(handler, route, head, runtime.policy.service, workspace)
         try:
             with handler.cancellable():
                 forwarded = self.forwarder.forward(req, call, runtime)
@@ -204,7 +250,7 @@
             return None
 
 
-def _build_call(handler, route, head: RequestHead, service):
+def _build_call(handler, route, head: RequestHead, service, workspace):
     arrived = handler.arrived
     timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
     if route.max_deadline_ms is not None:
@@ -221,17 +267,26 @@
         may_retry=not head.is_retry,
         max_attempts=route.max_attempts,
         objective=objective,
-        rank=route.rank,
+        rank=_rank(route, workspace),
         route=route.name,
-        identity=_identity(handler, route, head),
+        identity=_identity(handler, route, head, workspace),
+        workspace=workspace.name if workspace else "",
     )
 
 
-def _identity(handler, route: Route, head: RequestHead):
+def _rank(route, workspace):
+    if workspace is None or workspace.rank is None:
+        return route.rank
+    return workspace.rank
+
+
+def _identity(handler, route: Route, head: RequestHead, workspace):
     # Uses the host of the route. For a route that matches any host, callers put the
     # daemon's address into Host, and the same request would have a different identity
     # at each daemon.
     caller = head.credentials or handler.client_address[0]
+    if workspace is not None:
+        caller = workspace.name
     return RequestIdentity(
         handler.command, route.host or "", handler.path, handler.body, caller
     )
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -42,6 +42,7 @@
     limit_note_registry,
 )
 from cairnferry.entry.telemetry import FaultyRowLog, Metrics
+from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
@@ -83,6 +84,7 @@
         self.metrics = Metrics()
         self.faulty_rows = FaultyRowLog(self.metrics)
         self.services = Services(cfg.zone, self.rng, self._apply_notes, cfg.policy)
+        self.workspaces = WorkspaceRegistry()
         self.upstreams = Upstreams(
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets
         )
@@ -186,6 +188,7 @@
             cfg.bodies,
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
+            self.workspaces,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -229,6 +229,8 @@
 
     def _install(self, records):
         services = self.core.services
+        # A deployment without any workspace serves callers without keys.
+        self.core.workspaces.install(records.of_kind(Kind.WORKSPACE) or None)
         services.install(records)
         zones = records.of_kind(Kind.ZONE)
         evacuated = frozenset(zone.name for zone in zones if zone.evacuated)
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -257,6 +257,7 @@
     def _install(self, before):
         rules = self._rules
         services = self.core.services
+        self.core.workspaces.install(rules.workspaces)
         services.install_rules(rules.revision, rules.services, rules.routes)
         self._installer.install(rules.services)
         self.core.apply_caller_limits(rules.limits)
@@ -278,6 +279,7 @@
             return
         self._rules = decoded.ok
         if self.in_force.is_set():
+            self.core.workspaces.install(self._rules.workspaces)
             self.core.services.install_rules(
                 self._rules.revision, self._rules.services, self._rules.routes
             )
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -9,12 +9,15 @@
 )
 from cairnferry.entry.http._headers import (
     ATTEMPT_HEADER,
+    AUTHORIZATION,
     TIMEOUT_HEADER,
+    WORKSPACE_HEADER,
     BadDeadline,
     FieldNames,
     RequestHead,
     answer_headers,
     read_request_head,
+    without_identity,
 )
 from cairnferry.entry.http._http_server import (
     HANDLER_KEY,
@@ -28,6 +31,7 @@
 
 __all__ = [
     "ATTEMPT_HEADER",
+    "AUTHORIZATION",
     "Answer",
     "BadDeadline",
     "BadRequest",
@@ -45,9 +49,11 @@
     "RequestHead",
     "TEXT",
     "TIMEOUT_HEADER",
+    "WORKSPACE_HEADER",
     "answer_headers",
     "not_run_answer",
     "problem_answer",
     "read_request_head",
     "unknown_answer",
+    "without_identity",
 ]
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -68,6 +68,10 @@
         "http_request_error",
         1,
     )
+    KEY_MISSING = (401, "Unauthorized", "key-missing", "http_request_denied", None)
+    KEY_MALFORMED = (401, "Unauthorized", "key-malformed", "http_request_denied", None)
+    KEY_REPEATED = (401, "Unauthorized", "key-repeated", "http_request_denied", None)
+    KEY_UNKNOWN = (401, "Unauthorized", "key-unknown", "http_request_denied", None)
     BAD_DEADLINE = (400, "Bad Request", "bad-deadline", "http_request_error", None)
     NO_ROUTE = (404, "Not Found", "no-route", "destination_not_found", None)
     NOT_READY = (
@@ -121,6 +125,9 @@
         return len(self.body)
 
 
+# Headers that the status of an answer requires (RFC 9110, section 11.6.1).
+_HEADERS_BY_STATUS = {"401": [("WWW-Authenticate", "Bearer")]}
+
 _NOT_RUN_CAUSES = {
     Cause.DEADLINE: "http_response_timeout",
     Cause.OVERLOAD: "connection_limit_reached",
@@ -132,7 +139,12 @@
     Cause.TARGET_LIMIT: "connection_limit_reached",
     Cause.EVACUATED: "destination_unavailable",
     Cause.BACKING_OFF: "destination_unavailable",
+    Cause.WORKSPACE_LIMIT: "http_request_denied",
+    Cause.LIMIT_UNVERIFIED: "proxy_internal_error",
+    Cause.BODIES_FULL: "connection_limit_reached",
 }
+_NOT_RUN_STATUSES = {Cause.WORKSPACE_LIMIT: "429 Too Many Requests"}
+_NOT_RUN_DEFAULT = "503 Service Unavailable"
 
 _UNKNOWN_CAUSES = {
     Cause.DEADLINE: ("504 Gateway Timeout", "http_response_timeout"),
@@ -143,7 +155,7 @@
 def not_run_answer(cause: Cause, retry_after: float) -> Answer:
     """Return the answer for a request that no target has run."""
     error = _NOT_RUN_CAUSES[cause]
-    status = "503 Service Unavailable"
+    status = _NOT_RUN_STATUSES.get(cause, _NOT_RUN_DEFAULT)
     return _make_answer(status, str(cause), error, RequestOutcome.NOT_RUN, retry_after)
 
 
@@ -184,6 +196,7 @@
         ("Content-Type", PROBLEM_TYPE),
         (OUTCOME_HEADER, str(outcome)),
         ("Proxy-Status", f"{PROXY_NAME}; error={error}"),
+        *_HEADERS_BY_STATUS.get(status[:3], ()),
     ]
     if retry_after is not None:
         seconds = int(retry_after)
--- a/packages/entry/src/cairnferry/entry/http/_headers.py
+++ b/packages/entry/src/cairnferry/entry/http/_headers.py
@@ -9,6 +9,8 @@
 TIMEOUT_HEADER = "cairnferry-timeout"
 ATTEMPT_HEADER = "cairnferry-attempt"
 OUTCOME_HEADER = "cairnferry-outcome"
+WORKSPACE_HEADER = "cairnferry-workspace"
+AUTHORIZATION = "authorization"
 PRIORITY_HEADER = "priority"
 VIA = "1.1 cairnferry"
 MAX_TIMEOUT_MS = 600_000
@@ -88,11 +90,14 @@
         Header with the number of the attempt by a layer above.
     request_id : str or None
         Header that identifies the request.
+    workspace : str
+        Header that tells targets the workspace of the caller.
     """
 
     timeout: str
     attempt: str | None = None
     request_id: str | None = None
+    workspace: str = WORKSPACE_HEADER
 
 
 DEFAULT_FIELDS = FieldNames(TIMEOUT_HEADER, ATTEMPT_HEADER)
@@ -134,6 +139,22 @@
     )
 
 
+def without_identity(
+    pairs: list[tuple[str, str]], names: FieldNames = DEFAULT_FIELDS
+) -> list[tuple[str, str]]:
+    """Return headers without credentials and without a caller's claim of a workspace.
+
+    Some servers treat ``_`` and ``-`` in names alike, so that a target might accept
+    the claim in either form.
+    """
+    replaced = (AUTHORIZATION, names.workspace)
+    return [
+        (name, value)
+        for name, value in pairs
+        if name.lower().replace("_", "-") not in replaced
+    ]
+
+
 def answer_headers(pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers of a target's answer to relay to the caller."""
     dropped = _connection_options(pairs)
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -123,6 +123,10 @@
         self.headers = HeadFields([])
         try:
             self._read_head()
+            problem = self.server.application.check_head(self)
+            if problem is not None:
+                self._reject_by_head(problem)
+                return
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
                 # would otherwise take it for the answer to an earlier request.
@@ -143,6 +147,14 @@
             self.read_request(line)
         self.open_body()
 
+    def _reject_by_head(self, problem):
+        """Reject a request without reading its body, if it has one."""
+        if self.content_length or self.headers.get("transfer-encoding") is not None:
+            self._skip_body()
+            self._reject(problem)
+        else:
+            self.problem = problem
+
     def _reject(self, problem):
         self.problem = problem
         self.request_version = "HTTP/1.1"
@@ -213,9 +225,11 @@
 class PipelinedServer(HttpServer):
     """Listener for callers.
 
-    Its application has `limits`, the limits of request bodies, and a method
-    `may_run_concurrently`, which is called with each request that was read and returns
-    whether the request may run while others of its connection do.
+    Its application has `limits`, the limits of request bodies, and two methods.
+    `check_head` is called when a head was read; it returns the problem for which the
+    request is rejected before its body is read, or None. `may_run_concurrently` is
+    called with each request that was read; it returns whether the request may run while
+    others of its connection do.
     """
 
     handler_class = PipelinedHandler
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -12,8 +12,10 @@
 from cairnferry.entry.http import (
     ATTEMPT_HEADER,
     TIMEOUT_HEADER,
+    WORKSPACE_HEADER,
     RequestHead,
     read_request_head,
+    without_identity,
 )
 from cairnferry.entry.targets._advisory import read_advisory
 from cairnferry.entry.targets._exchange_result import (
@@ -94,6 +96,9 @@
     def local_answer_headers(self, head: RequestHead | None) -> list[tuple[str, str]]:
         """Return extra headers for an answer that the daemon generates itself."""
 
+    def without_identity(self, pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return headers without credentials and without a claim of a workspace."""
+
 
 class TargetConvention(typing.Protocol):
     """Header conventions between the daemon and its targets."""
@@ -153,6 +158,10 @@
         """Return no extra headers."""
         return []
 
+    def without_identity(self, pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return headers without credentials and without a claim of a workspace."""
+        return without_identity(pairs)
+
 
 @attrs.frozen
 class DefaultTargetConvention:
@@ -173,6 +182,8 @@
         headers = [(TIMEOUT_HEADER, str(max(1, int(remaining * MS_PER_S))))]
         if attempt.kind is not AttemptKind.FIRST:
             headers.append((ATTEMPT_HEADER, str(len(attempt.call.attempts))))
+        if attempt.call.workspace:
+            headers.append((WORKSPACE_HEADER, attempt.call.workspace))
         return headers
 
     def classify(self, outcome: Outcome, attempt: Attempt) -> AttemptResult:
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -84,7 +84,7 @@
         if not self._targets or self._targets.are_evacuated:
             return self._refusals.refuse(self._targets.no_target_cause)
         self._budget.earn(now)
-        self._work.note_arrival(call.route, call.rank)
+        self._work.note_arrival(call.route, call.rank, call.workspace)
         if self.limits:
             self._demand.record_arrival(now)
         if self.settings.status_checks is not None:
--- a/packages/policy/src/cairnferry/policy/choice/_work.py
+++ b/packages/policy/src/cairnferry/policy/choice/_work.py
@@ -19,13 +19,24 @@
     """
 
     _seconds: dict[str, float] = attrs.field(factory=dict)
-    _ranks: dict[str, int] = attrs.field(factory=dict)
+    _ranks: dict[tuple[str, int | None], int] = attrs.field(factory=dict)
     _most_urgent_rank: int | None = None
 
-    def note_arrival(self, route: str, rank: int) -> None:
-        """Record the arrival of a request, and the rank of its route."""
-        if self._ranks.get(route) != rank:
-            self._ranks[route] = rank
+    def note_arrival(self, route: str, rank: int, workspace: str = "") -> None:
+        """Record the arrival of a request and its rank.
+
+        Parameters
+        ----------
+        route : str
+            Name of its route.
+        rank : int
+            Its rank, which is that of the route or of the workspace.
+        workspace : str, optional
+            Name of its workspace. Requests of one route then have several ranks.
+        """
+        key = (route, rank if workspace else None)
+        if self._ranks.get(key) != rank:
+            self._ranks[key] = rank
             self._most_urgent_rank = min(self._ranks.values())
 
     def is_urgent(self, rank: int) -> bool:
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -22,6 +22,9 @@
     TARGET_LIMIT = "target-limit"
     EVACUATED = "zones-evacuated"
     BACKING_OFF = "targets-resting"
+    WORKSPACE_LIMIT = "workspace-limit"
+    LIMIT_UNVERIFIED = "limit-unverified"
+    BODIES_FULL = "bodies-full"
 
 
 class AttemptKind(enum.StrEnum):
@@ -69,6 +72,8 @@
         Whether no identical request runs at this daemon at the same time.
     is_trial : bool
         Whether the request tests if targets no longer crash under requests like it.
+    workspace : str
+        Name of the caller's workspace; empty if it has none.
     """
 
     arrived: float
@@ -87,6 +92,7 @@
     is_suspect: bool = False
     is_isolated: bool = False
     is_trial: bool = False
+    workspace: str = ""
 
     def tried(self, target: TargetState) -> bool:
         """Return whether an attempt was sent to this run of a target."""
--- a/packages/records/src/cairnferry/records/__init__.py
+++ b/packages/records/src/cairnferry/records/__init__.py
@@ -21,7 +21,9 @@
     Route,
     Service,
     Target,
+    Workspace,
     Zone,
+    digest_key,
 )
 from cairnferry.records._parse import parse_record
 from cairnferry.records._recordset import Draft, Entry, RecordSet
@@ -52,6 +54,8 @@
     "UnknownReference",
     "UnknownSchemaVersion",
     "Withdraw",
+    "Workspace",
     "Zone",
+    "digest_key",
     "parse_record",
 ]
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -1,6 +1,7 @@
 """Internal form of records, common to all schema versions."""
 
 import enum
+import hashlib
 
 import attrs
 
@@ -12,6 +13,7 @@
     TARGET = "target"
     ROUTE = "route"
     ZONE = "zone"
+    WORKSPACE = "workspace"
 
 
 class Lifecycle(enum.StrEnum):
@@ -215,6 +217,8 @@
         Rank among requests that wait for the same service; 0 is served first.
     max_deadline_ms : int or None
         Maximum deadline of a request in milliseconds, even if its caller allows more.
+    anonymous : bool
+        Whether a request needs no key although workspaces are configured.
     """
 
     name: str
@@ -230,6 +234,7 @@
     objective_ms: int | None = None
     rank: int = 0
     max_deadline_ms: int | None = None
+    anonymous: bool = False
 
     def service_names(self) -> list[str]:
         """List the services that may receive the requests."""
@@ -268,4 +273,43 @@
         return RecordKey(Kind.ZONE, self.name)
 
 
-Record = Service | Target | Route | Zone
+@attrs.frozen
+class Workspace:
+    """Customer whose callers authenticate by API keys.
+
+    Attributes
+    ----------
+    name : str
+        Name of the workspace.
+    key_digests : frozenset of str
+        Digests of its keys, as `digest_key` returns them.
+    rank : int or None
+        Rank of its requests; None leaves the rank of the route.
+    rate_per_s : float
+        Requests per second that all entry instances together accept; 0 if unlimited.
+    burst : float
+        Requests that may exceed that rate at once.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def key(self):
+        """Key of the record."""
+        return RecordKey(Kind.WORKSPACE, self.name)
+
+
+def digest_key(key: str) -> str:
+    """Return the digest under which an API key is stored and looked up.
+
+    A fast digest is sufficient because keys are long random strings, which cannot be
+    guessed from it.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+Record = Service | Target | Route | Zone | Workspace
