The last round of status checks goes to other zones if the own zone is busy

Cause: three rounds check 4, 4 and 6 targets, first those of the own zone. Other zones were checked only with rounds that were left when the own zone had no more targets. A zone with 14 targets or more never had any left, so that it queued and refused while targets elsewhere were idle.

Change: if no target of the own zone is within `near_share` after the second round, the last one checks targets of other zones. Switched off by `StatusCheckSettings.spill_round`. It answers the load of a zone with more callers than its share of the targets.

--- a/bench/model/__init__.py
+++ b/bench/model/__init__.py
@@ -5,6 +5,8 @@
 deadlines and retries. Each instance drives its own `ServicePolicy`, as the daemon does.
 """
 
+from bench.model._crest import CrestResult, play_crest
+from bench.model._crest_sites import CREST_SITES, CrestSite
 from bench.model._disruptions import DisruptedWorld, excess_retries
 from bench.model._dissemination import Dissemination, TransferOptions
 from bench.model._fleet import Fleet
@@ -15,6 +17,9 @@
 from bench.model._world import World, play
 
 __all__ = [
+    "CREST_SITES",
+    "CrestResult",
+    "CrestSite",
     "DisruptedWorld",
     "Fleet",
     "LOADS",
@@ -31,4 +36,5 @@
     "World",
     "excess_retries",
     "play",
+    "play_crest",
 ]
--- a/packages/policy/src/cairnferry/policy/choice/_status_checks.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_checks.py
@@ -37,6 +37,9 @@
         Share of the time left to the objective, as for `good_share`, beyond which
         targets of other zones are checked as well. Each of these checks costs traffic
         between zones.
+    spill_round : bool
+        Whether the last round checks targets of other zones in place of further ones
+        of the own zone, if none that was checked so far is within `near_share`.
     good_costs, near_costs : tuple of float
         Lower bound, default and upper bound of the cost that these shares correspond
         to; 1 is the cost of an idle target at its usual speed. The default, in the
@@ -89,6 +92,7 @@
     max_report_age_s: float = 0.15
     good_share: float = 0.5
     near_share: float = 0.68
+    spill_round: bool = True
     good_costs: tuple[float, float, float] = (1.2, 1.6, 2.0)
     near_costs: tuple[float, float, float] = (1.4, 2.2, 3.0)
     load_cost: float = 0.1
@@ -156,14 +160,25 @@
             cfg.good_share, max_cost, cfg.good_costs
         ):
             return best
-        check = self._next_round(call, near)
-        if check is None and (
-            best is None
-            or cost > _share_within(cfg.near_share, max_cost, cfg.near_costs)
-        ):
+        are_near_busy = best is None or cost > _share_within(
+            cfg.near_share, max_cost, cfg.near_costs
+        )
+        check = None
+        if not (are_near_busy and far and self._is_spill_round(call)):
+            check = self._next_round(call, near)
+        if check is None and are_near_busy:
             check = self._next_round(call, far)
         return check or self.choose_without_checks(near, far, now)
 
+    def _is_spill_round(self, call):
+        """Return whether only the last round of checks is left.
+
+        Without this rule, a zone with more targets than all rounds together check
+        would never send a request to another zone, however many of them are idle.
+        """
+        cfg = self.settings
+        return cfg.spill_round and call.search.rounds == len(cfg.rounds) - 1
+
     def choose_without_checks(
         self, near: list[TargetState], far: list[TargetState], now: float
     ) -> TargetState | None:
--- a/tests/policy/choice/test_status_checks.py
+++ b/tests/policy/choice/test_status_checks.py
@@ -27,6 +27,7 @@
     near,
     policy_of,
     target,
+    train_route,
     with_retry_tokens,
 )
 
@@ -58,6 +59,31 @@
     assert decision.attempt.target_name.startswith("f")
 
 
+def test_other_zones_are_checked_by_the_last_round_if_a_large_zone_is_busy():
+    """Guards against a zone that queues while targets of other zones are idle.
+
+    All rounds together check 14 targets. In a zone of 14 targets or more, no round was
+    left for the other zones.
+    """
+    busy = {f"n{index}": LoadReport(4) for index in range(20)}
+    policy = policy_of(*near(20), *far(20))
+    train_route(policy, "r", 0.1)
+    req = call(now=2.0, objective=2.25, route="r")
+    decision, rounds = decide(policy, req, now=2.0, **busy)
+    assert [names[0][0] for names in rounds] == ["n", "n", "f"]
+    assert decision.attempt.target_name.startswith("f")
+
+
+def test_last_round_stays_in_the_own_zone_if_a_target_there_is_in_time():
+    crowded = {f"n{index}": LoadReport(3) for index in range(20)}
+    policy = policy_of(*near(20), *far(20))
+    train_route(policy, "r", 0.1)
+    req = call(now=2.0, objective=2.35, route="r")
+    decision, rounds = decide(policy, req, now=2.0, **crowded)
+    assert all(name.startswith("n") for names in rounds for name in names)
+    assert decision.attempt.target_name.startswith("n")
+
+
 def test_no_target_is_checked_twice_for_one_attempt():
     busy = {f"n{index}": LoadReport(5) for index in range(20)}
     _, rounds = decide(policy_of(*near(20)), call(), **busy)
