A request is refused only after free slots and other zones were looked for

Cause: the target of lowest cost was chosen first, and then refused if its queue was too long for the request. A fast target with a queue costs less than a slow one with a free slot, so that requests were refused although a target that had just been checked could start them. And where the own zone's best target was within `near_share` but not worth sending to, no other zone was checked before the refusal.

Change: targets at which the request would be refused come last in the choice, and other zones are checked, while rounds are left, before a refusal. Switched off by `StatusCheckSettings.search_before_refusal`.

--- a/bench/model/_crest_sites.py
+++ b/bench/model/_crest_sites.py
@@ -92,6 +92,8 @@
     swing=0.55,
     zone_lag=1.2,
 )
+# Half of the callers of the second zone have moved to the zone with the fewest targets.
+READS_MOVED = attrs.evolve(READS, caller_shares=(435 / 813, 126 / 813, 252 / 813))
 REFUNDS = attrs.evolve(
     READS,
     site=attrs.evolve(
@@ -137,6 +139,7 @@
 )
 CREST_SITES = {
     "reads": READS,
+    "reads moved": READS_MOVED,
     "refunds": REFUNDS,
     "lookups": LOOKUPS,
     "uploads": UPLOADS,
--- a/packages/policy/src/cairnferry/policy/choice/_status_checks.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_checks.py
@@ -8,6 +8,7 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -40,6 +41,9 @@
     spill_round : bool
         Whether the last round checks targets of other zones in place of further ones
         of the own zone, if none that was checked so far is within `near_share`.
+    search_before_refusal : bool
+        Whether a request is refused only if it would be refused at each target that
+        was checked, and if targets of other zones were checked while rounds are left.
     good_costs, near_costs : tuple of float
         Lower bound, default and upper bound of the cost that these shares correspond
         to; 1 is the cost of an idle target at its usual speed. The default, in the
@@ -93,6 +97,7 @@
     good_share: float = 0.5
     near_share: float = 0.68
     spill_round: bool = True
+    search_before_refusal: bool = True
     good_costs: tuple[float, float, float] = (1.2, 1.6, 2.0)
     near_costs: tuple[float, float, float] = (1.4, 2.2, 3.0)
     load_cost: float = 0.1
@@ -110,6 +115,10 @@
     unhealthy_cost: float = 4.0
 
 
+def _never(target):
+    return False
+
+
 @attrs.frozen
 class StatusCheckChooser:
     """Selects targets to check, and chooses among them by their reports.
@@ -131,6 +140,7 @@
         near: list[TargetState],
         far: list[TargetState],
         work: float,
+        urgent: bool,
         now: float,
     ) -> TargetState | CheckStatus | None:
         """Choose a target, or return the targets to check first.
@@ -143,6 +153,8 @@
             Targets in the own zone and in other zones that the request may be sent to.
         work : float
             Time in seconds of such a request at an idle target; 0 if unknown.
+        urgent : bool
+            Whether no other requests of the service are more urgent.
         now : float
             Time in seconds.
 
@@ -154,21 +166,29 @@
         if not near and not far:
             return None
         cfg = self.settings
-        cost, best = self._cheapest(near, far, now, cfg.fresh_s)
+
+        def refuses(target):
+            return cfg.search_before_refusal and not self.is_worth_sending(
+                call, target, work, urgent, now
+            )
+
+        cost, best = self._cheapest(near, far, now, cfg.fresh_s, refuses)
         max_cost = _max_cost(call, work, now)
         if best is not None and cost <= _share_within(
             cfg.good_share, max_cost, cfg.good_costs
         ):
             return best
-        are_near_busy = best is None or cost > _share_within(
-            cfg.near_share, max_cost, cfg.near_costs
+        are_near_busy = (
+            best is None
+            or cost > _share_within(cfg.near_share, max_cost, cfg.near_costs)
+            or refuses(best)
         )
         check = None
         if not (are_near_busy and far and self._is_spill_round(call)):
             check = self._next_round(call, near)
         if check is None and are_near_busy:
             check = self._next_round(call, far)
-        return check or self.choose_without_checks(near, far, now)
+        return check or self.choose_without_checks(near, far, now, refuses)
 
     def _is_spill_round(self, call):
         """Return whether only the last round of checks is left.
@@ -180,10 +200,31 @@
         return cfg.spill_round and call.search.rounds == len(cfg.rounds) - 1
 
     def choose_without_checks(
-        self, near: list[TargetState], far: list[TargetState], now: float
+        self,
+        near: list[TargetState],
+        far: list[TargetState],
+        now: float,
+        refuses: Callable[[TargetState], bool] = _never,
     ) -> TargetState | None:
-        """Choose by recent reports, or at random if there are none."""
-        _, best = self._cheapest(near, far, now, self.settings.max_report_age_s)
+        """Choose by recent reports, or at random if there are none.
+
+        Parameters
+        ----------
+        near, far : list of TargetState
+            Targets in the own zone and in other zones that the request may be sent to.
+        now : float
+            Time in seconds.
+        refuses : callable, optional
+            Returns whether the request would be refused rather than sent to a target;
+            such a target is chosen only if there is no other.
+
+        Returns
+        -------
+        TargetState or None
+            None if there is no target.
+        """
+        max_age = self.settings.max_report_age_s
+        _, best = self._cheapest(near, far, now, max_age, refuses)
         if best is None and (near or far):
             # Status checks can be lost while requests still succeed.
             return self.rng.choice(near or far)
@@ -211,22 +252,26 @@
         unchecked = (target for target in targets if target.identity not in checked)
         return list(itertools.islice(unchecked, count))
 
-    def _cheapest(self, near, far, now, max_age):
+    def _cheapest(self, near, far, now, max_age, refuses):
         """Return the lowest cost, and the target that has it and was idle longest.
 
+        A slow target with a free slot costs more than a fast one whose queue is too
+        long for the request. The request would be refused although it can start.
+
         If the first of several equal targets were chosen, the last ones on the ring
         would get no requests until the others are busy, and operators would not notice
         that a new one fails.
         """
-        lowest, best = (0.0, 0.0), None
+        lowest, best = (False, 0.0, 0.0), None
         for targets, added in ((near, 0.0), (far, self.settings.far_cost)):
             for target in targets:
                 if now - target.reported_at > max_age:
                     continue
-                key = (self.cost(target, now) + added, target.last_sent)
+                cost = self.cost(target, now) + added
+                key = (refuses(target), cost, target.last_sent)
                 if best is None or key < lowest:
                     lowest, best = key, target
-        return lowest[0], best
+        return lowest[1], best
 
     def cost(self, target: TargetState, now: float) -> float:
         """Estimate the time of a request at a target as a multiple of the usual one."""
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -188,7 +188,9 @@
             None if no target can be used.
         """
         usable = self._candidates(call, now, urgent)
-        found = self.check_chooser.choose(call, usable.near, usable.far, work, now)
+        found = self.check_chooser.choose(
+            call, usable.near, usable.far, work, urgent, now
+        )
         if self.limits:
             self._limited.note_search_result(found, now)
         return found
--- a/tests/policy/test_crests.py
+++ b/tests/policy/test_crests.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from bench.model import CREST_SITES, LOADS, SITES, Outcome, play, play_crest
+from bench.model import CREST_SITES, LOADS, SITES, Load, Outcome, play, play_crest
 from cairnferry.policy import settings_for
 
 SEEDS = (1, 2, 3)
@@ -50,6 +50,38 @@
         assert in_time_of_zone(zone, now) > in_time_of_zone(zone, before) - 0.04
 
 
+def test_callers_that_move_to_a_zone_with_few_targets_are_served_in_time():
+    """Guards against a zone that queues after callers of another one have moved to it.
+
+    The zone z0 has 0.54 of the callers then, and 0.31 of the targets.
+    """
+    before = replay("reads moved", 1.0, with_checks(spill_round=False))
+    now = replay("reads moved", 1.0, SETTINGS)
+    assert in_time_at("crest", before) < 0.92
+    assert in_time_at("crest", now) > 0.94
+
+
+def share(outcome, results):
+    return sum(result.share(outcome) for result in results) / len(results)
+
+
+def test_fewer_requests_are_refused_while_targets_have_free_slots():
+    """Guards against refusals although a checked target could start the request.
+
+    Of a slow target with a free slot and a fast one with a long queue, the fast one was
+    chosen, and the request was then refused for its queue.
+    """
+    before, now = (
+        [
+            play(LOADS["burst"], settings, seed, site=SITES["two slots"])
+            for seed in range(1, 9)
+        ]
+        for settings in (with_checks(search_before_refusal=False), SETTINGS)
+    )
+    assert share(Outcome.REFUSED, now) < share(Outcome.REFUSED, before) - 0.01
+    assert share(Outcome.IN_TIME, now) > share(Outcome.IN_TIME, before) - 0.01
+
+
 @pytest.mark.parametrize("load", ["steady", "wave", "burst"])
 @pytest.mark.parametrize("site", SITES)
 def test_zones_with_few_targets_are_served_as_without_the_spill_round(site, load):
@@ -58,6 +90,16 @@
     assert play(LOADS[load], SETTINGS, 1, 6.0, SITES[site]).times == before.times
 
 
+@pytest.mark.parametrize("site", SITES)
+def test_search_before_refusal_changes_nothing_without_a_shortage(site):
+    """Guards against a change of deployments that refuse no request."""
+    calm = Load(rate=0.2, swing=0.0)
+    old = with_checks(search_before_refusal=False)
+    before = play(calm, old, 1, 6.0, SITES[site])
+    assert not before.outcomes[Outcome.REFUSED]
+    assert play(calm, SETTINGS, 1, 6.0, SITES[site]).times == before.times
+
+
 def test_zones_are_not_left_at_usual_demand():
     """Guards against traffic between zones without a shortage."""
     for name in ("reads", "lookups"):
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -4,6 +4,7 @@
 
 from cairnferry.policy import (
     Cause,
+    LoadReport,
     Refuse,
     Send,
     TargetRefused,
@@ -13,6 +14,7 @@
     busy,
     call,
     decide,
+    far,
     near,
     policy_of,
     train_route,
@@ -27,6 +29,34 @@
     assert isinstance(decision, Send)
 
 
+def test_free_slot_of_a_slow_target_precedes_a_refusal():
+    """Guards against a refusal for the queue of a fast target.
+
+    The queue of the fast target costs less than the slow target's free slot, but is too
+    long to be worth sending.
+    """
+    policy = policy_of(*near(2, slots=2))
+    train_route(policy, "r", 0.1)
+    reports = {"n0": LoadReport(2), "n1": LoadReport(0, slowdown=4.0)}
+    req = call(now=2.0, objective=2.5, route="r")
+    decision, _ = decide(policy, req, now=2.0, **reports)
+    assert decision.attempt.target_name == "n1"
+
+
+def test_other_zones_are_checked_before_a_refusal():
+    """Guards against a refusal while targets of other zones are idle.
+
+    The queues of the own zone are within `near_share`, and too long to be sent to.
+    """
+    policy = policy_of(*near(3), *far(3))
+    train_route(policy, "r", 0.1)
+    train_route(policy, "urgent", 0.1, rank=0, start=1.0)
+    req = call(now=2.0, objective=2.8, route="r", rank=1)
+    decision, rounds = decide(policy, req, now=2.0, **busy(5))
+    assert [names[0][0] for names in rounds] == ["n", "f"]
+    assert decision.attempt.target_name.startswith("f")
+
+
 @pytest.mark.parametrize("slots", [1, 2, 4])
 def test_free_slot_is_used_at_targets_with_few_slots(slots):
     """Guards against refusals while slots are idle.
