Status checks: delays of this instance say nothing about its targets

Cause: a body of 60 KB takes 48 ms on a link of 10 Mbit/s, and a body of 300 KB 240 ms. Status checks leave behind it, on any connection, and their answers come after the wait of 30 ms. Up to 16 healthy targets of one daemon counted as silent at once, and requests were sent without a status check. A stall of the process in the middle of the wait had the same effect.

Change: the daemon records what it hands to sockets and what it receives on a `Link` of known rate. Time in which the link was occupied, and waits of which the event loop was late, do not count towards the 30 ms; the request waits meanwhile until any checked target has answered, or until its latest start. A check that ends by its time limit for that reason is no missed check, and counts as `delayed-here`. Requests of more than 8 ms on the link are sent in pieces at its rate, so that other data finds at most two pieces before it. An answer that arrives before the last piece ends the sending, and its connection is not used again. Without a known rate, requests are sent and checks are judged as before.

The own interface gets the setting `instance.link_bytes_per_s`.

With pieces, the largest backlog that a write leaves on the link is 16 ms in place of 240 ms. Tests of entry/targets, wire, entry/http, callers, policy, settings, golden, and of the adapter's requests and pipelining: passed.

--- a/packages/entry/src/cairnferry/entry/_keys.py
+++ b/packages/entry/src/cairnferry/entry/_keys.py
@@ -6,6 +6,16 @@
 KEYS = (
     Key("instance", "name", ValueType.NAME, "name, unique among entry instances"),
     Key("instance", "zone", ValueType.NAME, "availability zone"),
+    Key(
+        "instance",
+        "link_bytes_per_s",
+        ValueType.INTEGER,
+        "rate of the network link in each direction; 0 if unknown",
+        default=0,
+        unit="bytes/s",
+        minimum=0,
+        maximum=10**12,
+    ),
     Key("callers", "listen", ValueType.ADDRESS, "address on which callers connect"),
     Key(
         "callers",
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -123,7 +123,8 @@
                     case Send(attempt):
                         decision, reply = self._attempt(req, attempt, runtime)
                     case CheckStatus(targets):
-                        self.checks.check_all(targets, runtime)
+                        latest = runtime.policy.latest_start(call)
+                        self.checks.check_all(targets, runtime, latest)
                         decision = runtime.resume(call)
                     case Pause(seconds):
                         gevent.sleep(seconds)
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -46,6 +46,7 @@
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
+from cairnferry.wire import Link
 
 # Seconds between two updates of this instance's share of common budgets. After
 # instances are lost or added, the sum of all shares is wrong for this time, in
@@ -85,8 +86,9 @@
         self.faulty_rows = FaultyRowLog(self.metrics)
         self.services = Services(cfg.zone, self.rng, self._apply_notes, cfg.policy)
         self.workspaces = WorkspaceRegistry()
+        self.link = Link(cfg.peers.link_bytes_per_s)
         self.upstreams = Upstreams(
-            cfg.connect_s, cfg.max_answer_bytes, conventions.targets
+            cfg.connect_s, cfg.max_answer_bytes, conventions.targets, self.link
         )
         self.limiter = Limiter(self.services.limits, self.metrics, self._spread_limit)
         self.advisory_recorder = AdvisoryRecorder(
@@ -192,7 +194,9 @@
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
-        self.callers_server = PipelinedServer(address, app, cfg.caller_limits)
+        self.callers_server = PipelinedServer(
+            address, app, cfg.caller_limits, self.link
+        )
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
             self.cluster,
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import signal
 
 import attrs
@@ -285,6 +286,7 @@
             cfg.get("peers", "interval_s"),
             cfg.get("peers", "fanout"),
             tuple(str(address) for address in cfg.get("peers", "seeds")),
+            cfg.get("instance", "link_bytes_per_s") or math.inf,
         ),
         connect_s=cfg.get("targets", "connect_s"),
         max_answer_bytes=cfg.get("targets", "max_answer_bytes"),
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -27,6 +27,8 @@
 # Refused connections that are kept until their callers have read the answer. Without a
 # limit, a flood of connections would exhaust the file descriptors.
 MAX_LINGERING = 64
+# Bytes of a body that are read at once. Each part is recorded on the link.
+BODY_PART_BYTES = 16 * 1024
 _LENGTH = re.compile(r"^[0-9]{1,15}\Z")
 
 log = logging.getLogger(__name__)
@@ -171,7 +173,7 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         try:
             with gevent.Timeout(seconds, BadRequest(Problem.SLOW_SENDER)):
-                body = self.wsgi_input.read(limit + 1)
+                body = self._read_in_parts(limit + 1)
         except BadRequest:
             self._skip_body()
             raise
@@ -183,6 +185,17 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         return body
 
+    def _read_in_parts(self, size):
+        parts = []
+        while size > 0 and (part := self.wsgi_input.read(min(size, BODY_PART_BYTES))):
+            self.note_received(len(part))
+            parts.append(part)
+            size -= len(part)
+        return b"".join(parts)
+
+    def note_received(self, size: int) -> None:
+        """Record that a part of a body was received; the size is in bytes."""
+
     def _skip_body(self):
         """Close the connection after the answer instead of reading the body."""
         self.close_connection = True
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -28,6 +28,7 @@
     Lookahead,
     Pipeline,
 )
+from cairnferry.wire import Link
 
 
 class PipelinedHandler(Handler):
@@ -147,6 +148,10 @@
             self.read_request(line)
         self.open_body()
 
+    def note_received(self, size):
+        """Record a part of a body on the link of this instance."""
+        self.server.link.note_received(size)
+
     def _reject_by_head(self, problem):
         """Reject a request without reading its body, if it has one."""
         if self.content_length or self.headers.get("transfer-encoding") is not None:
@@ -218,6 +223,7 @@
     def _sendall(self, data):
         # Without a timeout, a caller that does not read its answers would occupy the
         # memory of its requests forever.
+        self.server.link.note_sent(len(data), time.monotonic())
         with gevent.Timeout(self.server.limits.idle_s, AnswerNotSent()):
             super()._sendall(data)
 
@@ -225,7 +231,20 @@
 class PipelinedServer(HttpServer):
     """Listener for callers.
 
-    Its application has `limits`, the limits of request bodies, and two methods.
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Address on which to listen.
+    application : callable
+        WSGI application.
+    limits : ListenerLimits
+        Limits of connections.
+    link : Link, optional
+        Link of this instance, on which bodies and answers are recorded.
+
+    Notes
+    -----
+    The application has `limits`, the limits of request bodies, and two methods.
     `check_head` is called when a head was read; it returns the problem for which the
     request is rejected before its body is read, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
@@ -234,6 +253,7 @@
 
     handler_class = PipelinedHandler
 
-    def __init__(self, address, application, limits):
+    def __init__(self, address, application, limits, link=None):
         super().__init__(address, application, limits)
         self.lookahead = Lookahead()
+        self.link = link or Link()
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -1,6 +1,8 @@
 """Status checks of targets, made immediately before a request is placed."""
 
+import math
 import time
+from collections.abc import Callable
 
 import attrs
 import gevent
@@ -8,6 +10,7 @@
 
 from cairnferry.coordination import TokenBucket
 from cairnferry.entry.targets._advisory_recorder import AdvisoryRecorder
+from cairnferry.entry.targets._answer_wait import ANSWER_WAIT_S, AnswerWait
 from cairnferry.entry.targets._conventions import CheckResult
 from cairnferry.entry.targets._limiter import Limiter
 from cairnferry.entry.targets._runtime import ServiceRuntime
@@ -16,15 +19,15 @@
 from cairnferry.policy import DrainSource
 from cairnferry.records import Target
 
-# Longest wait in seconds for the answers to one round of status checks. A healthy
-# target answers many times faster; a slower one would not be chosen anyway.
-ANSWER_WAIT_S = 0.03
 # Turns of the event loop after the wait in which answers that have already arrived are
 # still accepted: one to notice that a socket is readable, one to read it and one to
 # report the result.
 LATE_ANSWER_TURNS = 3
 # Seconds after which a check is abandoned and its connection is closed.
 CHECK_TIMEOUT_S = 0.5
+# Seconds after that time from which the process must have been stalled, because the
+# event loop would otherwise have ended the check.
+STALL_S = 0.02
 # Fraction of the status check budget that is used. The rest is reserved for instances
 # that this one has not discovered yet.
 BUDGET_SHARE = 0.9
@@ -42,6 +45,8 @@
 
     target: Target
     started: float
+    busy_at_start: float
+    has_report: bool = False
     done: Event = attrs.field(factory=Event)
 
 
@@ -61,6 +66,10 @@
         Records the limits that the answers advertise.
     advisory_recorder : AdvisoryRecorder, optional
         Records the advisories in the answers.
+    clock : callable, optional
+        Returns the time in seconds.
+    wait_for : callable, optional
+        Waits until all given events are set, for at most the given seconds.
     """
 
     upstreams: Upstreams
@@ -68,6 +77,8 @@
     rate: float = 0.0
     limiter: Limiter | None = None
     advisory_recorder: AdvisoryRecorder | None = None
+    clock: Callable[[], float] = time.monotonic
+    wait_for: Callable[[list[Event], float], None] = gevent.wait
     _bucket: TokenBucket = attrs.field(
         factory=lambda: TokenBucket(0.0, 0.0, time.monotonic())
     )
@@ -92,11 +103,17 @@
             # without a status check.
             bucket.tokens = bucket.burst
 
-    def check_all(self, targets: tuple[Target, ...], runtime: ServiceRuntime) -> None:
+    def check_all(
+        self,
+        targets: tuple[Target, ...],
+        runtime: ServiceRuntime,
+        latest: float = math.inf,
+    ) -> None:
         """Check all targets concurrently and wait for their answers.
 
         Each answer is reported to the policy when it arrives. An answer that arrives
-        after the wait is still reported, for use by the next request.
+        after the wait is still reported, for use by the next request. The wait grows
+        while this instance itself delays the answers.
 
         Parameters
         ----------
@@ -104,48 +121,70 @@
             Targets to check.
         runtime : ServiceRuntime
             Runtime of their service.
+        latest : float, optional
+            Time in seconds up to which the request can wait for late answers.
         """
         checks = [self._check(target, runtime) for target in targets]
         checks = [check for check in checks if check is not None]
-        deadline = time.monotonic() + ANSWER_WAIT_S
-        for check in checks:
-            check.done.wait(max(0.0, deadline - time.monotonic()))
-        if all(check.done.is_set() for check in checks):
+        if not checks:
             return
+        wait = AnswerWait(self.upstreams.link, self.clock(), latest)
+        while not wait.is_over(self.clock(), any(each.has_report for each in checks)):
+            planned = wait.next_slice()
+            self.wait_for([check.done for check in checks], planned)
+            if all(check.done.is_set() for check in checks):
+                return
+            wait.advance(planned, self.clock())
         # If the process was stalled, the timeout and the answers become visible at the
         # same time. Without these turns all targets would count as silent.
         for _ in range(LATE_ANSWER_TURNS):
             gevent.sleep(0)
+        if not wait.is_conclusive:
+            self.metrics.probes["delayed-here"] += 1
+            return
         for check in checks:
             if not check.done.is_set():
                 # Spares the next request the wait for this target.
-                runtime.policy.note_missed_check(
-                    check.target.identity, time.monotonic()
-                )
+                runtime.policy.note_missed_check(check.target.identity, self.clock())
 
     def _check(self, target, runtime):
         running = self._running.get(target.identity)
         if running is not None:
             return running
-        if self.rate and not self._bucket.take(time.monotonic()):
+        now = self.clock()
+        if self.rate and not self._bucket.take(now):
             self.metrics.probes["over-budget"] += 1
             return None
-        check = _Check(target, time.monotonic())
+        check = _Check(target, now, self.upstreams.link.busy_seconds(now))
         self._running[target.identity] = check
         gevent.spawn(self._run, check, runtime)
         return check
 
     def _run(self, check, runtime):
         target = check.target
+        timeout = CHECK_TIMEOUT_S + self.upstreams.link.backlog(check.started)
         try:
-            result = self.upstreams.check(target, CHECK_TIMEOUT_S)
-            self._report(check, result, runtime)
+            result = self.upstreams.check(target, timeout)
+            if result.report is None and self._was_delayed(check, timeout):
+                self.metrics.probes["delayed-here"] += 1
+            else:
+                check.has_report = result.report is not None
+                self._report(check, result, runtime)
         finally:
             self._running.pop(target.identity, None)
             check.done.set()
 
+    def _was_delayed(self, check, timeout):
+        """Return whether a check failed because this instance was busy or stalled."""
+        now = self.clock()
+        elapsed = now - check.started
+        if elapsed < timeout:
+            return False
+        busy = self.upstreams.link.busy_seconds(now) - check.busy_at_start
+        return elapsed > timeout + STALL_S or elapsed - busy < ANSWER_WAIT_S
+
     def _report(self, check, result: CheckResult, runtime):
-        now = time.monotonic()
+        now = self.clock()
         target = check.target
         if self.limiter is not None:
             self.limiter.note_check(target.identity, result.limit, check.started)
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -20,6 +20,7 @@
     Connection,
     ConnectionPool,
     Failure,
+    Link,
     NotSent,
     Outcome,
     Reply,
@@ -80,11 +81,14 @@
         Maximum size of an answer's body in bytes.
     convention : TargetConvention, optional
         Header conventions of targets.
+    link : Link, optional
+        Link of this instance; its rate is unknown by default.
     """
 
     connect_timeout: float
     max_answer: int
     convention: TargetConvention = attrs.field(factory=DefaultTargetConvention)
+    link: Link = attrs.field(factory=Link)
     _pools: dict[tuple, ConnectionPool] = attrs.field(factory=dict)
     _past_opened: int = 0
     _past_lost: int = 0
@@ -113,7 +117,7 @@
         payload = self._encode(req, attempt)
         rules = self.convention.rules(req.head)
         outcome = exchange(
-            conn, req.method, payload, call.deadline, self.max_answer, rules
+            conn, req.method, payload, call.deadline, self.max_answer, rules, self.link
         )
         self._return_to_pool(pool, conn, outcome)
         return outcome
@@ -165,7 +169,9 @@
     ) -> CheckResult:
         host = f"{target.host}:{target.port}"
         payload = encode_request("GET", target.health_path, host, [], b"")
-        outcome = exchange(conn, "GET", payload, deadline, MAX_CHECK_BYTES)
+        outcome = exchange(
+            conn, "GET", payload, deadline, MAX_CHECK_BYTES, link=self.link
+        )
         self._return_to_pool(pool, conn, outcome)
         found = self.convention.read_check(outcome, target)
         return attrs.evolve(found, answered=isinstance(outcome, Reply))
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -139,6 +139,10 @@
                 return Relay()
         return self._act_on(call, found, now)
 
+    def latest_start(self, call: Call) -> float:
+        """Return the latest time to send a request so that it meets its objective."""
+        return self._searcher.latest_start(call)
+
     def _search(self, call, kind, now):
         return self._act_on(call, self._searcher.begin(call, kind, now), now)
 
--- a/packages/policy/src/cairnferry/policy/search/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/search/_searcher.py
@@ -126,7 +126,7 @@
             return NothingFound(self.targets.no_target_cause)
         wait = permitted_at - now
         may_pause = call.search.pauses < MAX_PAUSES and wait <= MAX_PAUSE_S
-        if may_pause and permitted_at < _latest_start(call, self.work):
+        if may_pause and permitted_at < self.latest_start(call):
             # A refused caller would retry later than the permit becomes valid.
             call.search.pauses += 1
             return Pause(max(wait, MIN_PAUSE_S))
@@ -168,8 +168,7 @@
         other = self.targets.choose_without_checks(call, now)
         return other and Found(other, self.targets.check_chooser.cost(other, now))
 
-
-def _latest_start(call, work):
-    """Return the latest time to send a request so that it meets its objective."""
-    due = call.deadline if call.objective is None else call.objective
-    return due - work.seconds(call.route)
+    def latest_start(self, call: Call) -> float:
+        """Return the latest time to send a request so that it meets its objective."""
+        due = call.deadline if call.objective is None else call.objective
+        return due - self.work.seconds(call.route)
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -18,6 +18,7 @@
     exchange,
     find_header,
 )
+from cairnferry.wire._link import Link
 from cairnferry.wire._pool import ConnectionPool
 from cairnferry.wire._request import HeaderInvalid, encode_request
 from cairnferry.wire._sockets import is_quiet, refuse_connections, set_no_delay
@@ -32,6 +33,7 @@
     "Failure",
     "HeaderInvalid",
     "Incomplete",
+    "Link",
     "NotSent",
     "Outcome",
     "Reply",
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 
 import attrs
+import gevent
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from cairnferry.wire._connection import Connection
+from cairnferry.wire._link import Link
 
 RECV_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -161,6 +163,7 @@
     deadline: float,
     max_body: int,
     rules: ResponseRules = STRICT_RULES,
+    link: Link | None = None,
 ) -> Outcome:
     """Send a request and read the complete response.
 
@@ -178,6 +181,9 @@
         Maximum length of the response body in bytes.
     rules : ResponseRules, optional
         Conditions under which a response is accepted as complete.
+    link : Link, optional
+        Link of this instance. A large request is sent at its rate, in pieces, and the
+        bytes of the exchange are recorded there.
 
     Returns
     -------
@@ -190,15 +196,21 @@
     that resumes after a pause would send a request whose caller no longer waits.
     """
     is_reusable = False
+    link = link or Link()
     try:
         remaining = deadline - time.monotonic()
         if remaining <= 0:
             return NotSent(Failure.TIMEOUT)
         conn.sock.settimeout(remaining)
-        outcome = _send(conn.sock, payload)
+        outcome, is_complete = _send(conn, payload, deadline, link)
         if outcome is not None:
             return outcome
-        outcome, is_reusable = _receive(conn.sock, method, deadline, max_body, rules)
+        outcome, is_reusable = _receive(
+            conn.sock, method, deadline, max_body, rules, link
+        )
+        # The rest of a request that was not sent completely would be missing at the
+        # start of the next one.
+        is_reusable = is_reusable and is_complete
         return outcome
     finally:
         if is_reusable:
@@ -207,17 +219,44 @@
             conn.close()
 
 
-def _send(sock, payload):
+def _send(conn, payload, deadline, link):
+    """Send a request; return the outcome of a failure, and whether all was sent.
+
+    A large request would otherwise occupy the link for up to some hundred milliseconds,
+    and the status checks and answers of all other requests would wait behind it.
+    """
+    size = len(payload)
+    piece_size = int(min(size, link.piece_bytes)) or 1
     try:
-        sock.sendall(payload)
+        for start in range(0, size, piece_size):
+            if start and not _wait_for_link(conn, deadline, link):
+                return None, False
+            piece = memoryview(payload)[start : start + piece_size]
+            link.note_sent(len(piece), time.monotonic())
+            conn.sock.sendall(piece)
     except TimeoutError:
-        return Incomplete(Failure.TIMEOUT)
+        return Incomplete(Failure.TIMEOUT), False
     except OSError:
-        return Incomplete(Failure.RESET)
-    return None
+        return Incomplete(Failure.RESET), False
+    return None, True
+
+
+def _wait_for_link(conn, deadline, link):
+    """Wait until the next piece may be sent; return False if a response has arrived.
+
+    A target may refuse a request by its head and close the connection. If the daemon
+    went on sending, the connection would be reset and the refusal would be lost.
+    """
+    while (delay := link.delay(time.monotonic())) > 0:
+        gevent.sleep(delay)
+    remaining = deadline - time.monotonic()
+    if remaining <= 0:
+        raise TimeoutError
+    conn.sock.settimeout(remaining)
+    return conn.is_quiet()
 
 
-def _receive(sock, method, deadline, max_body, rules):
+def _receive(sock, method, deadline, max_body, rules, link):
     """Return the outcome and whether the connection is reusable."""
     parser = _StrictResponse(method, rules)
     head_bytes = 0
@@ -225,6 +264,7 @@
         data = _recv(sock, deadline)
         if isinstance(data, Incomplete):
             return data, False
+        link.note_received(len(data))
         try:
             parser.feed(data)
         except HTTPParseError:
--- a/tests/wire/test_exchange.py
+++ b/tests/wire/test_exchange.py
@@ -1,9 +1,11 @@
 """Tests of exchanges with complete, broken and ambiguous responses."""
 
+import math
 import socket
 import time
 
 import pytest
+from gevent.server import StreamServer
 
 from cairnferry.wire import (
     Client,
@@ -12,12 +14,14 @@
     Failure,
     HeaderInvalid,
     Incomplete,
+    Link,
     NotSent,
     Reply,
     connect,
     encode_request,
     exchange,
 )
+from cairnferry.wire._link import PIECE_S
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -204,3 +208,87 @@
 def test_request_that_breaks_the_framing_is_not_sent(method, path, header):
     with pytest.raises(HeaderInvalid):
         encode_request(method, path, "h", [header], b"")
+
+
+class PacedTarget:
+    """A target that records when the link has a backlog, and may answer early."""
+
+    def __init__(self, early_answer=b""):
+        self.early_answer = early_answer
+        self.received = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def _serve(self, sock, address):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += sock.recv(4096)
+        if self.early_answer:
+            sock.sendall(self.early_answer)
+            return
+        length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+        self.received = len(head.partition(b"\r\n\r\n")[2])
+        while self.received < length:
+            self.received += len(sock.recv(65536))
+        sock.sendall(OK_RESPONSE)
+
+
+@pytest.fixture
+def upload():
+    """Return a function that sends a body over a link, and its outcome."""
+    servers = []
+
+    def send(target, link, size):
+        servers.append(target.server)
+        conn = connect(("127.0.0.1", target.server.server_port), 1)
+        payload = encode_request("POST", "/", "t", [], b"x" * size)
+        deadline = time.monotonic() + 10
+        return conn, exchange(conn, "POST", payload, deadline, 100, link=link)
+
+    yield send
+    for server in servers:
+        server.stop(timeout=0)
+
+
+class RecordingLink(Link):
+    """A link that records the backlog that each piece finds."""
+
+    def __init__(self, rate):
+        super().__init__(rate)
+        self.backlogs = []
+
+    def note_sent(self, size, now):
+        super().note_sent(size, now)
+        self.backlogs.append(self.backlog(now))
+
+
+def test_large_request_leaves_room_on_the_link(upload):
+    """Guards against status checks that wait for a whole upload.
+
+    A body of 300 KB that is handed to the socket at once occupies a link of 10 Mbit/s
+    for 240 ms, and everything that is sent meanwhile waits behind it.
+    """
+    target, link = PacedTarget(), RecordingLink(1_250_000)
+    _, outcome = upload(target, link, 300_000)
+    assert outcome.status == 200
+    assert target.received == 300_000
+    assert max(link.backlogs) <= 2 * PIECE_S + 1e-6
+
+
+def test_request_is_sent_at_once_where_the_rate_of_the_link_is_unknown(upload):
+    link = RecordingLink(math.inf)
+    _, outcome = upload(PacedTarget(), link, 300_000)
+    assert outcome.status == 200
+    assert len(link.backlogs) == 1
+
+
+def test_refusal_during_a_large_request_is_read(upload):
+    """Guards against a refusal that is lost because the daemon goes on sending.
+
+    The target refuses by the head and closes the connection, which is reset by the
+    pieces that follow. The outcome would be unknown although the request did not run.
+    """
+    refusal = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    conn, outcome = upload(PacedTarget(refusal), Link(1_250_000), 300_000)
+    assert outcome.status == 503
+    assert not conn.is_open
