Hanging targets: requests go to further targets, queues are bounded

Cause: some targets never answer a request that they cannot queue, nor anything further on its connection. An idempotent request was sent to one second target; if that one hung too, it waited up to its deadline. Nothing kept requests from targets whose queue was full, and nothing counted such requests.

Change: an attempt counts as hanging if its target has responded to a status check since the attempt began, and the attempt has taken six times its expected time, by the work of the route and the current slowdown of the target. Once another attempt of the request is open, the hanging one is cancelled, its connection is closed and its place at the target is released; the request may then go to a third target, within the retry budget. The targets of a hedged request are checked until it is known whether they respond. A request that is not idempotent waits to its deadline and is reported as unknown, as before.

A target is sent no more requests than its slots and the queue of known length have room for, by its last report and what this daemon has sent since. The length is the largest number of waiting requests that a target of the service has reported while it did not hang. Until a target of the service has hung, a queue as long as the number of slots is assumed: with none, the existing tests of full targets that meet the objective fail, and the length would not be learned. Services whose full targets refuse requests are not bounded.

--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -292,15 +292,25 @@
 
     def _hedge(self, call, delay):
         """Send a hedge if it is due; return the seconds until the next check."""
+        self._retire_hanging(call)
         decision = self.runtime.policy.hedge(call, time.monotonic())
         match decision:
             case Send(attempt):
                 self._start(attempt)
-                return None
             case CheckStatus(targets):
                 gevent.spawn(self.forwarder.checks.check_all, targets, self.runtime)
         return delay if self.runtime.policy.repeats_hedge_check else None
 
+    def _retire_hanging(self, call):
+        """Cancel attempts that hang, so that the request may go elsewhere.
+
+        The connection is closed: such a target answers nothing further on it.
+        """
+        policy = self.runtime.policy
+        for attempt in policy.hanging_attempts(call, time.monotonic()):
+            self._running.pop(attempt).kill(block=False)
+            self.runtime.retire(attempt)
+
     def _cancel_running(self):
         """Cancel the attempts that still run and close their connections.
 
--- a/packages/entry/src/cairnferry/entry/targets/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/targets/_runtime.py
@@ -74,6 +74,12 @@
         self.policy.cancelled(attempt, time.monotonic())
         self.release_waiting()
 
+    def retire(self, attempt: Attempt) -> None:
+        """Record that this daemon cancelled an attempt because it hangs."""
+        self.policy.retire(attempt, time.monotonic())
+        self.release_waiting()
+        self._log_events()
+
     def wait(self, call: Call) -> Decision:
         """Wait for the decision on a queued request and return it."""
         # If this is interrupted, the decision stays in place for `abandon` to undo,
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -97,6 +97,7 @@
     yield "attempts_total", "counter", _attempts(document["services"])
     services = document["services"]
     yield "repeats_denied_total", "counter", _by_service(services, "repeats_denied")
+    yield "hung_attempts_total", "counter", _by_service(services, "hung")
     yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
     yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
     yield "target_connections_lost_total", "counter", [Sample(targets["lost"])]
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -1,6 +1,7 @@
 """Request policy of one service at one daemon."""
 
 from cairnferry.policy._attempts import Attempts
+from cairnferry.policy._hangs import Hangs
 from cairnferry.policy._service_state import ServiceState
 from cairnferry.policy.admission import (
     PRIORITIES,
@@ -54,6 +55,7 @@
         self._attempts = Attempts(
             self._targets, self.limits, self._work, self._capacity
         )
+        self._hangs = Hangs(self.settings.status_checks, self._targets, self._work)
         self._admission = Admission(self.settings, self._targets, self._capacity)
         self._waiting = self._admission.waiting
 
@@ -108,6 +110,8 @@
             Time in seconds.
         """
         call = attempt.call
+        if isinstance(result, Lost):
+            self._hangs.note_unanswered(attempt, now)
         self._attempts.end(attempt)
         self._targets.record_result(attempt, result, now)
         if isinstance(result, Answered) and not result.failed:
@@ -187,6 +191,7 @@
 
     def cancelled(self, attempt: Attempt, now: float) -> None:
         """Record that an attempt was cancelled because it was no longer needed."""
+        self._hangs.note_unanswered(attempt, now)
         self._attempts.end(attempt)
         self._targets.record_cancellation(attempt, now)
 
@@ -194,6 +199,23 @@
         """Remove a waiting request whose caller disconnected."""
         self._waiting.remove(call)
 
+    def hanging_attempts(self, call: Call, now: float) -> list[Attempt]:
+        """Return the attempts of a request that are to be cancelled, as they hang.
+
+        The last open attempt is kept, because its response may still arrive.
+        """
+        hanging = [
+            attempt
+            for attempt in call.attempts
+            if not attempt.ended and self._hangs.is_hanging(attempt, now)
+        ]
+        return hanging[: call.open_attempts - 1]
+
+    def retire(self, attempt: Attempt, now: float) -> None:
+        """Record that an attempt that hangs was cancelled; the request may have run."""
+        attempt.call.possibly_run = True
+        self.cancelled(attempt, now)
+
     def hedge_delay(self) -> float | None:
         """Return the delay in seconds before `hedge` is called; None if it never is."""
         if self.settings.status_checks is not None:
@@ -228,8 +250,11 @@
         Send, CheckStatus or None
             None if the request is not hedged now.
         """
-        if not call.idempotent or call.open_attempts != 1 or now >= call.deadline:
+        if not call.idempotent or now >= call.deadline:
             return None
+        if call.open_attempts != 1:
+            checks_status = self.settings.status_checks is not None
+            return self._hangs.check_due(call, now) if checks_status else None
         if call.is_suspect:
             return None
         if self.settings.status_checks is not None:
@@ -381,6 +406,8 @@
             "reported_load": round(self._targets.reported_load, 3),
             "retry_tokens": round(self._budget.tokens, 2),
             "repeats_denied": self.retries_denied,
+            "hung": self._hangs.count,
+            "known_queue": self._targets.check_chooser.queues.length,
             "usual_latency_ms": round(latency.usual * 1000, 3),
             "high_latency_ms": round(latency.high * 1000, 3),
             "attempts": {str(kind): n for kind, n in self.attempts.items()},
--- a/packages/policy/src/cairnferry/policy/choice/__init__.py
+++ b/packages/policy/src/cairnferry/policy/choice/__init__.py
@@ -9,6 +9,7 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy.choice._queue_bound import QueueBound
 from cairnferry.policy.choice._status_checks import (
     StatusCheckChooser,
     StatusCheckSettings,
@@ -19,6 +20,7 @@
     "Chooser",
     "LeastInFlight",
     "LoadAware",
+    "QueueBound",
     "RandomChoice",
     "RoundRobin",
     "StatusCheckSettings",
--- a/packages/policy/src/cairnferry/policy/choice/_status_checks.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_checks.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cairnferry.policy.choice._queue_bound import QueueBound
 from cairnferry.policy.requests import Call, CheckStatus
 from cairnferry.policy.targets import TargetState
 
@@ -73,6 +74,10 @@
         Multiple of the expected time from which the request is sent to a second
         target even if the first one still responds to status checks. Beyond it the
         objective is missed; the retry budget bounds the number of such hedges.
+    hang_factor : float
+        Multiple of the expected time from which an attempt counts as never answered,
+        if its target responds to status checks. The speed of a machine may fall by a
+        factor of four after the request was sent.
     far_cost : float
         Added cost of another availability zone, for its latency and traffic price.
     warmup_cost : float
@@ -101,6 +106,7 @@
     hedge_check_interval_s: float = 0.03
     overdue_factor: float = 1.3
     stuck_factor: float = 3.0
+    hang_factor: float = 6.0
     far_cost: float = 0.06
     warmup_cost: float = 1.6
     unhealthy_cost: float = 4.0
@@ -116,10 +122,13 @@
         Settings of status checks.
     rng : random.Random
         Source of randomness.
+    queues : QueueBound
+        Length of the queues of the targets.
     """
 
     settings: StatusCheckSettings
     rng: random.Random
+    queues: QueueBound = attrs.field(factory=QueueBound)
 
     def choose(
         self,
@@ -145,7 +154,7 @@
         Returns
         -------
         TargetState, CheckStatus or None
-            None if there is no target.
+            None if there is no target, or if none has room for a request.
         """
         if not near and not far:
             return None
@@ -171,9 +180,14 @@
         _, best = self._cheapest(near, far, now, self.settings.max_report_age_s)
         if best is None and (near or far):
             # Status checks can be lost while requests still succeed.
-            return self.rng.choice(near or far)
+            found = self._with_room(near, now) or self._with_room(far, now)
+            return self.rng.choice(found) if found else None
         return best
 
+    def _with_room(self, targets, now):
+        max_age = self.settings.max_report_age_s
+        return [each for each in targets if self.queues.has_room(each, now, max_age)]
+
     def _next_round(self, call, targets):
         search = call.search
         if search.rounds >= len(self.settings.rounds):
@@ -208,6 +222,8 @@
             for target in targets:
                 if now - target.reported_at > max_age:
                     continue
+                if not self.queues.has_room(target, now, max_age):
+                    continue
                 key = (self.cost(target, now) + added, target.last_sent)
                 if best is None or key < lowest:
                     lowest, best = key, target
--- a/packages/policy/src/cairnferry/policy/search/_results.py
+++ b/packages/policy/src/cairnferry/policy/search/_results.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cairnferry.policy._settings import PolicySettings
-from cairnferry.policy.choice import Chooser
+from cairnferry.policy.choice import Chooser, QueueBound
 from cairnferry.policy.requests import (
     Answered,
     Attempt,
@@ -47,6 +47,8 @@
         Receives the state changes of targets.
     invalidate_usable : callable
         Called when the set of usable targets may have changed.
+    queues : QueueBound
+        Learns the length of the queues of targets.
 
     Attributes
     ----------
@@ -61,6 +63,7 @@
     ejector: Ejector
     events: EventLog
     invalidate_usable: Callable[[], None]
+    queues: QueueBound
     latency: LatencyEstimate = attrs.field(init=False)
     reported_load: float = 0.0
 
@@ -131,6 +134,7 @@
         self, target: TargetState, report: LoadReport, now: float
     ) -> None:
         """Record the load that a target reports."""
+        self.queues.note_report(target, report, now)
         target.note_report(report, now)
         chooser = self.chooser
         difference = target.others_load - chooser.mean_others_load
@@ -165,4 +169,6 @@
         target.paused_until = now + self.settings.refusal_pause_s * 2**doublings
         if report is not None:
             self.record_report(target, report, now)
+        if not draining:
+            self.queues.note_refusal(target)
         self.invalidate_usable()
--- a/packages/policy/src/cairnferry/policy/search/_searcher.py
+++ b/packages/policy/src/cairnferry/policy/search/_searcher.py
@@ -118,6 +118,8 @@
                 return self._accept_or_refuse(call, target, work, urgent, now)
 
     def _pause_or_give_up(self, call, urgent, now):
+        if self.targets.has_candidates(call, urgent, now):
+            return NothingFound(Cause.OVERLOAD)
         permitted_at = self.targets.next_permit(call, urgent, now)
         if permitted_at is None:
             back_off_end = self.targets.back_off_end(now)
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -95,7 +95,12 @@
         )
 
         self._results = ResultRecorder(
-            settings, self._chooser, self._ejector, self.events, self._usable.invalidate
+            settings,
+            self._chooser,
+            self._ejector,
+            self.events,
+            self._usable.invalidate,
+            self.check_chooser.queues,
         )
 
     @property
@@ -198,6 +203,11 @@
         usable = self._candidates(call, now)
         return self.check_chooser.choose_without_checks(usable.near, usable.far, now)
 
+    def has_candidates(self, call: Call, urgent: bool, now: float) -> bool:
+        """Return whether any target could be used if it had room for the request."""
+        usable = self._admissible_for(call, now, urgent)
+        return bool(usable.near or usable.far)
+
     def _candidates(self, call, now, urgent=True):
         """List the usable targets; unresponsive ones only if there are no others."""
         usable = self._admissible_for(call, now, urgent)
--- a/packages/policy/src/cairnferry/policy/targets/_events.py
+++ b/packages/policy/src/cairnferry/policy/targets/_events.py
@@ -15,6 +15,7 @@
     EJECTED = "ejected"
     RETURNED = "returned"
     SILENT = "silent"
+    HANGING = "hangs"
     RESPONSIVE = "heard again"
     BACKING_OFF = "asks for rest"
     LEAVING = "is leaving"
--- a/packages/policy/src/cairnferry/policy/targets/_target.py
+++ b/packages/policy/src/cairnferry/policy/targets/_target.py
@@ -104,6 +104,8 @@
         Time until which no status checks are made after a missed one.
     back_off_until : float
         Time until which the target requested a back-off.
+    hanging_until : float
+        Time until which the target counts as not answering all of its requests.
     """
 
     record: Target
@@ -132,6 +134,7 @@
     missed_checks: int = 0
     checks_suspended_until: float = -math.inf
     back_off_until: float = -math.inf
+    hanging_until: float = -math.inf
 
     @property
     def name(self) -> str:
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -10,7 +10,7 @@
 
 
 def service(**attempts):
-    return {"attempts": attempts, "repeats_denied": 2, "retry_tokens": 1.5}
+    return {"attempts": attempts, "repeats_denied": 2, "hung": 3, "retry_tokens": 1.5}
 
 
 @pytest.fixture
@@ -75,6 +75,7 @@
         ("store_calls_total", "nothing", "rules-feed"): 1,
         ("attempts_total", "hedge", "svc"): 1,
         ("repeats_denied_total", "svc"): 2,
+        ("hung_attempts_total", "svc"): 3,
         ("repeats_left", "svc"): 1.5,
         ("target_connections_opened_total",): 2,
         ("target_connections_lost_total",): 3,
