Request bodies: a limit on their sum, and refusals before they are read

Cause: bodies are held whole, up to 64 MB each on the users' platform. Three of them exhaust an instance of 152 MB. A body was copied when its parts were joined, again for each attempt when it was joined with the head, and its connection kept it until the next request. A request without a route or a target was answered only after its body had been read.

A body counts by its declared length before a byte is read, a chunked one as it arrives, until its request is finished. A request over the limit is refused by its head: 503, not run, cause `bodies-full`, Retry-After of 0.2 to 0.6 s, and no 100 Continue. With a body of 64 KB or more, or with Expect, a request that is known to be refused is answered before the body is read. Smaller bodies are read as before, since the answer would otherwise close the connection. Large bodies are collected in place and sent apart from the head.

--- a/packages/entry/src/cairnferry/entry/_keys.py
+++ b/packages/entry/src/cairnferry/entry/_keys.py
@@ -55,6 +55,16 @@
         minimum=0,
         maximum=67108864,
     ),
+    Key(
+        "callers",
+        "bodies_bytes",
+        ValueType.INTEGER,
+        "maximum size of all request bodies that are held; 0 for a fifth of the memory",
+        default=0,
+        unit="bytes",
+        minimum=0,
+        maximum=10**12,
+    ),
     Key(
         "callers",
         "idle_s",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -1,12 +1,13 @@
 """WSGI application for callers: forwarded requests and steering answers."""
 
 import json
+import random
 import time
 import urllib.parse
 
 import attrs
 
-from cairnferry.entry.callers._forward import Forwarder
+from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
@@ -19,6 +20,7 @@
     PipelinedHandler,
     Problem,
     RequestHead,
+    not_run_answer,
     problem_answer,
 )
 from cairnferry.entry.members import Steering
@@ -30,13 +32,16 @@
 )
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.entry.workspaces import KeyFault, WorkspaceRegistry, authenticate
-from cairnferry.policy import Call, Relay, RequestIdentity
+from cairnferry.policy import Call, Cause, Relay, RequestIdentity
 from cairnferry.records import Priority, Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
 MS_PER_S = 1000
 CALLER_GONE_STATUS = "499 Caller Gone"
+# Bounds in seconds of Retry-After if the bodies that are held leave no room. A large
+# body takes about this time on its way to a target.
+BODIES_RETRY_S = (0.2, 0.6)
 _PROBLEMS = {
     KeyFault.MISSING: Problem.KEY_MISSING,
     KeyFault.MALFORMED: Problem.KEY_MALFORMED,
@@ -131,6 +136,32 @@
         found = self._authenticate(handler, route)
         return _PROBLEMS[found.error] if found.is_error() else None
 
+    def check_body(self, handler: PipelinedHandler) -> Problem | Cause | None:
+        """Return why a request is refused before its large body is read.
+
+        Parameters
+        ----------
+        handler : PipelinedHandler
+            Request whose head was read.
+        """
+        path = handler.path
+        if self.steering is not None and path.startswith(STEERING_PATH):
+            return None
+        if not path.startswith("/"):
+            return Problem.MALFORMED
+        if self.services.revision == 0:
+            return Problem.NOT_READY
+        route = self.services.route(path, handler.headers.get("host"))
+        runtime = route and self.services.runtime(self.services.service_for(route))
+        if runtime is None:
+            return Problem.NO_ROUTE
+        try:
+            head = self.convention.read_head(handler.header_pairs())
+        except BadDeadline:
+            return Problem.BAD_DEADLINE
+        call = _build_call(handler, route, head, runtime.policy.service, None)
+        return runtime.policy.refusal_cause(call, time.monotonic())
+
     def _authenticate(self, handler, route):
         values = handler.headers.get_all(AUTHORIZATION)
         return authenticate(values, route.anonymous, self.workspaces)
@@ -159,7 +190,7 @@
         return [answer.body] if handler.command != "HEAD" and answer.body else []
 
     def _answer(self, handler):
-        if handler.problem is not None:
+        if isinstance(handler.problem, Problem):
             raise BadRequest(handler.problem)
         path = handler.path
         if self.steering is not None and path.startswith(STEERING_PATH):
@@ -201,7 +232,7 @@
         call = _build_call(handler, route, head, runtime.policy.service, workspace)
         try:
             with handler.cancellable():
-                forwarded = self.forwarder.forward(req, call, runtime)
+                forwarded = self._forward_or_refuse(handler, req, call, runtime)
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
         except CallerGone:
@@ -217,6 +248,12 @@
             forwarded.answer, headers=[*forwarded.answer.headers, *local_headers]
         )
 
+    def _forward_or_refuse(self, handler, req, call, runtime):
+        if handler.problem is None:
+            return self.forwarder.forward(req, call, runtime)
+        refused = runtime.policy.refuse(handler.problem)
+        return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
+
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
 
@@ -240,6 +277,8 @@
         if problem is Problem.NOT_READY:
             now = time.monotonic()
             return problem_answer(problem, self.startup_retry.retry_after(now))
+        if problem is Problem.BODIES_FULL:
+            return problem_answer(problem, random.uniform(*BODIES_RETRY_S))
         return problem_answer(problem)
 
     def _request_id(self, handler):
--- a/packages/entry/src/cairnferry/entry/core/__init__.py
+++ b/packages/entry/src/cairnferry/entry/core/__init__.py
@@ -6,6 +6,7 @@
     CoreSettings,
     LeavingTimes,
     PeerSettings,
+    default_bodies_bytes,
 )
 from cairnferry.entry.core._ephemeral import ephemeral_instance_settings
 from cairnferry.entry.core._settings_watch import SettingsWatch
@@ -17,5 +18,6 @@
     "LeavingTimes",
     "PeerSettings",
     "SettingsWatch",
+    "default_bodies_bytes",
     "ephemeral_instance_settings",
 ]
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -20,7 +20,12 @@
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
-from cairnferry.entry.http import HttpServer, ListenerLimits, PipelinedServer
+from cairnferry.entry.http import (
+    BodyBudget,
+    HttpServer,
+    ListenerLimits,
+    PipelinedServer,
+)
 from cairnferry.entry.members import (
     STORE_UNREACHABLE,
     Cluster,
@@ -87,6 +92,7 @@
         self.services = Services(cfg.zone, self.rng, self._apply_notes, cfg.policy)
         self.workspaces = WorkspaceRegistry()
         self.link = Link(cfg.peers.link_bytes_per_s)
+        self.body_budget = BodyBudget(cfg.bodies_bytes)
         self.upstreams = Upstreams(
             cfg.connect_s, cfg.max_answer_bytes, conventions.targets, self.link
         )
@@ -195,7 +201,7 @@
         self.callers_app = app
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(
-            address, app, cfg.caller_limits, self.link
+            address, app, cfg.caller_limits, self.link, self.body_budget
         )
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -1,6 +1,7 @@
 """Settings and protocols of the daemon's core."""
 
 import math
+import os
 
 import attrs
 
@@ -15,6 +16,23 @@
 from cairnferry.policy import PolicySettings
 from cairnferry.settings import Address
 
+# Share of an instance's memory that request bodies may take. A body is held once, and
+# the rest is for the process itself, answers and the buffers of sockets.
+BODIES_SHARE = 0.2
+
+
+def default_bodies_bytes(memory_bytes: float | None) -> float:
+    """Return the largest sum of request bodies on an instance of a given memory.
+
+    Parameters
+    ----------
+    memory_bytes : float or None
+        Memory of the instance in bytes; None for all that the machine has.
+    """
+    if memory_bytes is None:
+        memory_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return BODIES_SHARE * memory_bytes
+
 
 @attrs.frozen
 class LeavingTimes:
@@ -93,6 +111,8 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    bodies_bytes : float
+        Largest sum in bytes of the request bodies that the daemon holds.
     seed : int or None
         Seed of the random number generator; None to use the time.
     """
@@ -111,6 +131,7 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    bodies_bytes: float = math.inf
     seed: int | None = None
 
 
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -5,6 +5,7 @@
     CoreSettings,
     LeavingTimes,
     PeerSettings,
+    default_bodies_bytes,
 )
 from cairnferry.entry.http import ListenerLimits
 from cairnferry.policy import settings_for
@@ -55,6 +56,7 @@
     max_files: int,
     checks_per_s: float,
     link_bytes_per_s: float,
+    memory_bytes: float | None = None,
 ) -> CoreSettings:
     """Return the settings of a daemon, derived from those of its platform.
 
@@ -74,6 +76,8 @@
         Status checks per second and target, over all instances.
     link_bytes_per_s : float
         Rate of the instance's link in bytes per second; infinite if unknown.
+    memory_bytes : float or None, optional
+        Memory of the instance in bytes; None for all that the machine has.
     """
     ttl = min(ANSWER_TTL_S, max_ttl_s)
     serve_s = STALE_ANSWER_FACTOR * ttl
@@ -101,4 +105,5 @@
         leaving=LeavingTimes(
             serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
         ),
+        bodies_bytes=default_bodies_bytes(memory_bytes),
     )
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -79,6 +79,7 @@
                 "requests_ahead": self.callers.lookahead.total,
                 "targets": self.upstreams.counts(),
             },
+            "bodies": attrs.asdict(self.callers.bodies),
             "peers": {
                 "sent_bytes": meter.sent,
                 "received_bytes": meter.received,
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -25,6 +25,7 @@
     CoreSettings,
     LeavingTimes,
     PeerSettings,
+    default_bodies_bytes,
 )
 from cairnferry.entry.daemon._blocked import TableBlocks
 from cairnferry.entry.daemon._listing import LeavingTargets, ListedRegistry
@@ -295,5 +296,6 @@
         leaving=LeavingTimes(
             ttl + cfg.get("drain", "margin_s"), cfg.get("drain", "limit_s")
         ),
+        bodies_bytes=cfg.get("callers", "bodies_bytes") or default_bodies_bytes(None),
         seed=cfg.get("policy", "seed"),
     )
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -7,6 +7,7 @@
     problem_answer,
     unknown_answer,
 )
+from cairnferry.entry.http._bodies import BodyBudget
 from cairnferry.entry.http._headers import (
     ATTEMPT_HEADER,
     AUTHORIZATION,
@@ -35,6 +36,7 @@
     "Answer",
     "BadDeadline",
     "BadRequest",
+    "BodyBudget",
     "CallerGone",
     "FieldNames",
     "HANDLER_KEY",
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -82,6 +82,14 @@
         # Retry-After depends on whether other instances are ready.
         None,
     )
+    BODIES_FULL = (
+        503,
+        "Service Unavailable",
+        "bodies-full",
+        "connection_limit_reached",
+        # Retry-After is spread over callers.
+        None,
+    )
     TOO_MANY_CONNECTIONS = (
         503,
         "Service Unavailable",
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from cairnferry.entry.http._answers import Problem, encode_raw
+from cairnferry.entry.http._bodies import read_parts
 from cairnferry.entry.http._head_fields import MalformedField, read_fields
 from cairnferry.entry.http._lingering import linger
 from cairnferry.wire import is_quiet, refuse_connections, set_no_delay
@@ -27,8 +28,6 @@
 # Refused connections that are kept until their callers have read the answer. Without a
 # limit, a flood of connections would exhaust the file descriptors.
 MAX_LINGERING = 64
-# Bytes of a body that are read at once. Each part is recorded on the link.
-BODY_PART_BYTES = 16 * 1024
 _LENGTH = re.compile(r"^[0-9]{1,15}\Z")
 
 log = logging.getLogger(__name__)
@@ -59,8 +58,8 @@
 
     Parameters
     ----------
-    problem : Problem
-        Fault that is reported to the caller.
+    problem : Problem or Cause
+        Fault that is reported to the caller, or cause for which it is refused.
     """
 
     def __init__(self, problem):
@@ -173,7 +172,9 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         try:
             with gevent.Timeout(seconds, BadRequest(Problem.SLOW_SENDER)):
-                body = self._read_in_parts(limit + 1)
+                body = read_parts(
+                    self.wsgi_input.read, self.content_length, limit, self.note_part
+                )
         except BadRequest:
             self._skip_body()
             raise
@@ -185,16 +186,8 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         return body
 
-    def _read_in_parts(self, size):
-        parts = []
-        while size > 0 and (part := self.wsgi_input.read(min(size, BODY_PART_BYTES))):
-            self.note_received(len(part))
-            parts.append(part)
-            size -= len(part)
-        return b"".join(parts)
-
-    def note_received(self, size: int) -> None:
-        """Record that a part of a body was received; the size is in bytes."""
+    def note_part(self, size: int) -> None:
+        """Record that a part of a body was read; the size is in bytes."""
 
     def _skip_body(self):
         """Close the connection after the answer instead of reading the body."""
--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -14,6 +14,8 @@
 import gevent
 from gevent.event import Event
 
+from cairnferry.entry.http._bodies import HeldBody
+
 # Requests of one connection that are read and not yet answered. Reading from a caller
 # that sends more, or that does not read its answers, stops until some are answered, so
 # that such a caller delays only itself.
@@ -92,6 +94,8 @@
         Whether it was read while an earlier request was unanswered.
     is_cancellable : bool
         Whether `CallerGone` may currently be raised in its task.
+    held : HeldBody or None
+        Memory of the body, which is released once the request is finished.
     turn : Event
         Set once all earlier requests are finished.
     task : Greenlet or None
@@ -103,9 +107,15 @@
     size: int
     is_ahead: bool = False
     is_cancellable: bool = False
+    held: HeldBody | None = None
     turn: Event = attrs.field(factory=Event)
     task: gevent.Greenlet | None = None
 
+    def release_body(self) -> None:
+        """Release the memory of the body; a second call does nothing."""
+        if self.held is not None:
+            self.held.release()
+
 
 class Pipeline:
     """The unanswered requests of one connection, in the order of their arrival.
@@ -200,6 +210,8 @@
         self._discard_unstarted()
         for exchange in self._exchanges:
             exchange.task.kill(block=False)
+            # A task that has not begun yet does not finish the exchange.
+            exchange.release_body()
 
     # -- called by the requests' tasks --------------------------------------------
 
@@ -257,6 +269,7 @@
 
     def _remove(self, exchange):
         self._exchanges.remove(exchange)
+        exchange.release_body()
         self._size -= exchange.size
         if exchange.is_ahead:
             self._lookahead.remove(exchange.size)
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -8,6 +8,7 @@
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
 
 from cairnferry.entry.http._answers import Problem
+from cairnferry.entry.http._bodies import LARGE_BYTES, BodyBudget, HeldBody
 from cairnferry.entry.http._head_fields import HeadFields
 from cairnferry.entry.http._http_server import (
     HANDLER_KEY,
@@ -39,8 +40,9 @@
 
     Attributes
     ----------
-    problem : Problem or None
-        Fault of the request that was found while it was read.
+    problem : Problem, Cause or None
+        Fault of the request that was found while it was read, or the cause for which
+        it is refused.
     body : bytes
         The whole body.
     arrived : float
@@ -52,6 +54,7 @@
     arrived = 0.0
     _exchange = None
     _is_reading = False
+    _held = None
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
@@ -78,11 +81,13 @@
             if not self._wait_for_input():
                 return self._cancel_and_wait()
             self._is_reading = True
+            self._held = HeldBody(self.server.bodies)
             try:
                 self._read_request()
                 self._enqueue_request()
             finally:
                 self._is_reading = False
+                self._forget_body()
             return self._discard_rest() if self.close_connection else True
         except ConnectionEnds:
             return self._linger()
@@ -128,6 +133,7 @@
             if problem is not None:
                 self._reject_by_head(problem)
                 return
+            self._admit_body()
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
                 # would otherwise take it for the answer to an earlier request.
@@ -148,13 +154,42 @@
             self.read_request(line)
         self.open_body()
 
-    def note_received(self, size):
-        """Record a part of a body on the link of this instance."""
+    @property
+    def _has_body(self):
+        is_chunked = self.headers.get("transfer-encoding") is not None
+        return bool(self.content_length) or is_chunked
+
+    def _admit_body(self):
+        """Refuse a request before its body is read, if that is known by its head."""
+        if not self._has_body:
+            return
+        length = self.content_length or 0
+        if length >= LARGE_BYTES or self.headers.get("expect") is not None:
+            problem = self.server.application.check_body(self)
+            if problem is not None:
+                self._skip_body()
+                raise BadRequest(problem)
+        # A longer body is rejected as too large, and is not read either.
+        is_allowed = length <= self.server.application.limits.size
+        if is_allowed and not self._held.add(length):
+            self._skip_body()
+            raise BadRequest(Problem.BODIES_FULL)
+
+    def note_part(self, size):
+        """Record a part of a body; a body without a length is counted by its parts."""
         self.server.link.note_received(size)
+        if self.content_length is None and not self._held.add(size):
+            raise BadRequest(Problem.BODIES_FULL)
+
+    def _forget_body(self):
+        """Forget the body that was read; only its exchange holds it from now on."""
+        self.body = b""
+        if self._held is not None:
+            self._held.release()
 
     def _reject_by_head(self, problem):
         """Reject a request without reading its body, if it has one."""
-        if self.content_length or self.headers.get("transfer-encoding") is not None:
+        if self._has_body:
             self._skip_body()
             self._reject(problem)
         else:
@@ -172,8 +207,10 @@
         request.environ = {HANDLER_KEY: request}
         request.application = self.server.application
         may_run_concurrently = self.server.application.may_run_concurrently(request)
-        request._exchange = Exchange(request, may_run_concurrently, self._size())
-        self._pipeline.add(request._exchange)
+        exchange = Exchange(request, may_run_concurrently, self._size())
+        request._exchange = exchange
+        exchange.held, self._held = self._held, None
+        self._pipeline.add(exchange)
 
     def _size(self):
         head = sum(len(name) + len(value) for name, value in self.header_pairs())
@@ -241,10 +278,12 @@
         Limits of connections.
     link : Link, optional
         Link of this instance, on which bodies and answers are recorded.
+    bodies : BodyBudget, optional
+        Limit on the sum of the bodies that are held; there is none by default.
 
     Notes
     -----
-    The application has `limits`, the limits of request bodies, and two methods.
+    The application has `limits`, the limits of request bodies, and three methods.
     `check_head` is called when a head was read; it returns the problem for which the
     request is rejected before its body is read, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
@@ -253,7 +292,8 @@
 
     handler_class = PipelinedHandler
 
-    def __init__(self, address, application, limits, link=None):
+    def __init__(self, address, application, limits, link=None, bodies=None):
         super().__init__(address, application, limits)
         self.lookahead = Lookahead()
         self.link = link or Link()
+        self.bodies = bodies or BodyBudget()
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -10,7 +10,7 @@
 
 from cairnferry.coordination import TokenBucket
 from cairnferry.entry.targets._advisory_recorder import AdvisoryRecorder
-from cairnferry.entry.targets._answer_wait import ANSWER_WAIT_S, AnswerWait
+from cairnferry.entry.targets._answer_wait import AnswerWait
 from cairnferry.entry.targets._conventions import CheckResult
 from cairnferry.entry.targets._limiter import Limiter
 from cairnferry.entry.targets._runtime import ServiceRuntime
@@ -28,6 +28,8 @@
 # Seconds after that time from which the process must have been stalled, because the
 # event loop would otherwise have ended the check.
 STALL_S = 0.02
+# Seconds of a free link without which the end of a check says nothing of its target.
+MIN_FREE_S = 0.03
 # Fraction of the status check budget that is used. The rest is reserved for instances
 # that this one has not discovered yet.
 BUDGET_SHARE = 0.9
@@ -181,7 +183,7 @@
         if elapsed < timeout:
             return False
         busy = self.upstreams.link.busy_seconds(now) - check.busy_at_start
-        return elapsed > timeout + STALL_S or elapsed - busy < ANSWER_WAIT_S
+        return elapsed > timeout + STALL_S or elapsed - busy < MIN_FREE_S
 
     def _report(self, check, result: CheckResult, runtime):
         now = self.clock()
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -24,6 +24,7 @@
     NotSent,
     Outcome,
     Reply,
+    encode_parts,
     encode_request,
     exchange,
 )
@@ -56,7 +57,7 @@
         Method and path of the request line.
     headers : list of (str, str)
         Headers that are the same for all attempts.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     head : RequestHead
         Parsed headers that the daemon itself uses.
@@ -65,7 +66,7 @@
     method: str
     path: str
     headers: list[tuple[str, str]]
-    body: bytes
+    body: bytes | bytearray
     head: RequestHead
 
 
@@ -196,7 +197,7 @@
         target = attempt.target.record
         headers = [*req.headers, *self.convention.attempt_headers(attempt, remaining)]
         host = self.convention.host(req.head, target)
-        return encode_request(req.method, req.path, host, headers, req.body)
+        return encode_parts(req.method, req.path, host, headers, req.body)
 
     def keep_only(self, targets: Iterable[Target]) -> None:
         """Close connections to other targets and to earlier starts of these targets.
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -106,6 +106,9 @@
     yield "caller_connections", "gauge", [Sample(callers)]
     ahead = document["connections"]["requests_ahead"]
     yield "requests_ahead_total", "counter", [Sample(ahead)]
+    bodies = document["bodies"]
+    yield "bodies_bytes", "gauge", [Sample(bodies["held"])]
+    yield "bodies_refused_total", "counter", [Sample(bodies["refused"])]
     yield "members", "gauge", _counted(_by_state(document["members"]), "state")
     for name, count in document["peers"].items():
         yield f"peer_{name}_total", "counter", [Sample(count)]
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -81,10 +81,9 @@
         now : float
             Time in seconds.
         """
-        if now >= call.deadline:
-            return self._refusals.refuse(Cause.DEADLINE)
-        if not self._targets or self._targets.are_evacuated:
-            return self._refusals.refuse(self._targets.no_target_cause)
+        cause = self.refusal_cause(call, now)
+        if cause is not None:
+            return self._refusals.refuse(cause)
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank, call.workspace)
         if self.limits:
@@ -97,6 +96,26 @@
                 return Send(attempt)
         return self._enqueue(call, now)
 
+    def refusal_cause(self, call: Call, now: float) -> Cause | None:
+        """Return why a request is refused before its body is read; None if it is not.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        now : float
+            Time in seconds.
+        """
+        if now >= call.deadline:
+            return Cause.DEADLINE
+        if not self._targets or self._targets.are_evacuated:
+            return self._targets.no_target_cause
+        return None
+
+    def refuse(self, cause: Cause) -> Refuse:
+        """Refuse a request that was not sent to any target."""
+        return self._refusals.refuse(cause)
+
     def finished(self, attempt: Attempt, result: AttemptResult, now: float) -> Decision:
         """Return the decision that follows the result of an attempt.
 
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -20,7 +20,7 @@
 )
 from cairnferry.wire._link import Link
 from cairnferry.wire._pool import ConnectionPool
-from cairnferry.wire._request import HeaderInvalid, encode_request
+from cairnferry.wire._request import HeaderInvalid, encode_parts, encode_request
 from cairnferry.wire._sockets import is_quiet, refuse_connections, set_no_delay
 
 __all__ = [
@@ -39,6 +39,7 @@
     "Reply",
     "connect",
     "describe_outcome",
+    "encode_parts",
     "encode_request",
     "exchange",
     "find_header",
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -159,7 +159,7 @@
 def exchange(
     conn: Connection,
     method: str,
-    payload: bytes,
+    payload: bytes | tuple[bytes | bytearray, ...],
     deadline: float,
     max_body: int,
     rules: ResponseRules = STRICT_RULES,
@@ -173,8 +173,8 @@
         Connection without another exchange. It is closed unless it is reusable.
     method : str
         Method of the request; determines whether a response has a body.
-    payload : bytes
-        Encoded request.
+    payload : bytes or tuple of bytes or bytearray
+        Encoded request, or its parts.
     deadline : float
         Monotonic time in seconds.
     max_body : int
@@ -225,13 +225,11 @@
     A large request would otherwise occupy the link for up to some hundred milliseconds,
     and the status checks and answers of all other requests would wait behind it.
     """
-    size = len(payload)
-    piece_size = int(min(size, link.piece_bytes)) or 1
+    parts = (payload,) if isinstance(payload, bytes) else payload
     try:
-        for start in range(0, size, piece_size):
-            if start and not _wait_for_link(conn, deadline, link):
+        for index, piece in enumerate(_pieces(parts, link.piece_bytes)):
+            if index and not _wait_for_link(conn, deadline, link):
                 return None, False
-            piece = memoryview(payload)[start : start + piece_size]
             link.note_sent(len(piece), time.monotonic())
             conn.sock.sendall(piece)
     except TimeoutError:
@@ -241,6 +239,14 @@
     return None, True
 
 
+def _pieces(parts, size):
+    """Yield the parts of a request, each cut into pieces of a size in bytes."""
+    for part in parts:
+        step = int(min(len(part), size)) or 1
+        for start in range(0, len(part), step):
+            yield memoryview(part)[start : start + step]
+
+
 def _wait_for_link(conn, deadline, link):
     """Wait until the next piece may be sent; return False if a response has arrived.
 
--- a/packages/wire/src/cairnferry/wire/_request.py
+++ b/packages/wire/src/cairnferry/wire/_request.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+# Size in bytes from which a body is not copied to be sent together with the head.
+LARGE_BODY_BYTES = 64 * 1024
 _TOKEN = re.compile(r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _INVALID_IN_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _INVALID_IN_PATH = re.compile(r"[^!-~]")
@@ -46,6 +48,22 @@
     HeaderInvalid
         If a part contains characters that break the framing.
     """
+    return _encode_head(method, path, host, headers, body) + body
+
+
+def encode_parts(method, path, host, headers, body) -> tuple[bytes | bytearray, ...]:
+    """Return an encoded request as parts that are to be sent one after the other.
+
+    A large body is a part of its own. Joined with the head, it would take its memory
+    once more for each attempt.
+
+    Parameters and exceptions are those of `encode_request`.
+    """
+    head = _encode_head(method, path, host, headers, body)
+    return (head + body,) if len(body) < LARGE_BODY_BYTES else (head, body)
+
+
+def _encode_head(method, path, host, headers, body):
     if not _TOKEN.match(method):
         raise HeaderInvalid("method")
     if not path or _INVALID_IN_PATH.search(path):
@@ -58,4 +76,4 @@
     if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"):
         lines.append(f"Content-Length: {len(body)}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + body
+    return head.encode("latin-1")
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cairnferry.entry.targets import _status_checks
+from cairnferry.entry.targets import _answer_wait
 from cairnferry.policy import Call
 from cairnferry.standins import free_port, wait_for
 from cairnferry.wire import Client
@@ -68,7 +68,7 @@
 @pytest.fixture(autouse=True)
 def long_answer_wait(monkeypatch):
     """Let status checks wait for all answers, also on a busy machine."""
-    monkeypatch.setattr(_status_checks, "ANSWER_WAIT_S", 10.0)
+    monkeypatch.setattr(_answer_wait, "ANSWER_WAIT_S", 10.0)
 
 
 @pytest.fixture
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 monkey.patch_all()
 
 import collections  # noqa: E402
+import math  # noqa: E402
 import random  # noqa: E402
 
 import gevent.socket  # noqa: E402
@@ -15,6 +16,7 @@
 from cairnferry.entry.callers._callers import BodyLimits, CallersApp  # noqa: E402
 from cairnferry.entry.callers._forward import Forwarder  # noqa: E402
 from cairnferry.entry.callers._guard import CrashGuard  # noqa: E402
+from cairnferry.entry.http._bodies import BodyBudget  # noqa: E402
 from cairnferry.entry.http._http_server import ListenerLimits  # noqa: E402
 from cairnferry.entry.http._pipelined_server import PipelinedServer  # noqa: E402
 from cairnferry.entry.targets._crash_detector import CrashDetector  # noqa: E402
@@ -181,7 +183,14 @@
 class EntryUnderTest:
     """Listener for callers, services and connections, without cluster or platform."""
 
-    def __init__(self, documents, max_body=65536, max_connections=100, body_s=5.0):
+    def __init__(
+        self,
+        documents,
+        max_body=65536,
+        max_connections=100,
+        body_s=5.0,
+        bodies=math.inf,
+    ):
         self.services = Services("z", random.Random(5), lambda policy: None)
         self.upstreams = Upstreams(1.0, 1024 * 1024)
         self.metrics = Metrics()
@@ -201,7 +210,7 @@
             BodyLimits(max_body, body_s),
         )
         limits = ListenerLimits(max_connections, idle_s=30.0, head_s=body_s)
-        self.server = PipelinedServer((HOST, 0), app, limits)
+        self.server = PipelinedServer((HOST, 0), app, limits, bodies=BodyBudget(bodies))
         self.server.start()
 
     @property
