Test runs take no ports of each other, and leave no processes behind

Cause: two test runs on one machine took ports from the same ranges, so that a daemon could end at its start; a run that was killed left its daemons and stand-ins running, with their ports.

Change: a process claims a block of 500 ports by a UDP socket, which ends with the process. Children are started with a parent death signal, also those of `scripts/run_tests.py`.

That the entries of KNOWN-RED.txt which are suspected of a clash of ports are gone is not shown by this.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -12,13 +12,17 @@
 import json  # noqa: E402
 import pathlib  # noqa: E402
 import statistics  # noqa: E402
-import subprocess  # noqa: E402
 import sys  # noqa: E402
 import tempfile  # noqa: E402
 
 from bench.cases import Size  # noqa: E402
 from bench.runner import SERVICE, Bench  # noqa: E402
-from cairnferry.standins import LocalSystem, free_port, wait_for  # noqa: E402
+from cairnferry.standins import (  # noqa: E402
+    LocalSystem,
+    free_port,
+    start_child,
+    wait_for,
+)
 from cairnferry.wire import Client, Reply  # noqa: E402
 
 # Requests a second.
@@ -58,7 +62,7 @@
     port = free_port()
     address = f"127.0.0.1:{port}"
     command = [sys.executable, "-m", "bench.forwarder", address, *targets]
-    process = subprocess.Popen(command)
+    process = start_child(command)
     client = Client("127.0.0.1", port)
     wait_for(lambda: isinstance(client.call("GET", "/", timeout=1), Reply))
     return process, address
--- a/packages/standins/src/cairnferry/standins/__init__.py
+++ b/packages/standins/src/cairnferry/standins/__init__.py
@@ -3,6 +3,7 @@
 The product does not import this package.
 """
 
+from cairnferry.standins._child_processes import start_child
 from cairnferry.standins._load import LoadPlan, LoadReport, Operation, run_load
 from cairnferry.standins._platform import Outage, PlatformStandin
 from cairnferry.standins._ports import free_port, unique_loopback_host
@@ -43,6 +44,7 @@
     "route_v2",
     "run_file",
     "run_load",
+    "start_child",
     "service_v1",
     "service_v2",
     "target_v1",
--- a/packages/standins/src/cairnferry/standins/_ports.py
+++ b/packages/standins/src/cairnferry/standins/_ports.py
@@ -1,6 +1,6 @@
 """Loopback ports and addresses for the processes of one test run."""
 
-import itertools
+import functools
 import os
 import socket
 
@@ -8,27 +8,64 @@
 # Below the ephemeral ports, which the system assigns to connections.
 FIRST_PORT = 12000
 LAST_PORT = 30000
+# Ports that a process claims together: several times what one test uses.
+BLOCK_PORTS = 500
 # Loopback subnets from which a process takes its own addresses, by process ID.
 FIRST_SUBNET = 32
 SUBNETS = 200
 PIDS_IN_SUBNET = 250
-# Environment variable with "INDEX/COUNT" of this process among the processes of one
-# test run, which divide the ports between them.
-PART_VARIABLE = "CAIRNFERRY_TEST_PART"
 
 
-def _ports_of_part(part: str) -> range:
-    """Return the ports that only this process of a test run uses.
+class NoFreePorts(RuntimeError):
+    """All blocks of ports are claimed by other processes."""
+
+
+class PortBlock:
+    """Ports that only one process of the machine uses.
 
     With a common range, another process could bind a port after it was found free and
     before the intended process listens there. The intended process would then exit at
     its start, in rare cases.
+
+    The claim is a UDP socket on the first port of the block. It ends with the process
+    that holds it, in whatever way that process ends.
+
+    Raises
+    ------
+    NoFreePorts
+        If no block is left.
     """
-    index, count = (int(number) for number in part.split("/"))
-    ports_per_part = (LAST_PORT - FIRST_PORT) // count
-    return range(
-        FIRST_PORT + index * ports_per_part, FIRST_PORT + (index + 1) * ports_per_part
-    )
+
+    def __init__(self):
+        blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+        for offset in range(blocks):
+            # Processes that start together begin at different blocks.
+            index = (os.getpid() + offset) % blocks
+            self.first = FIRST_PORT + index * BLOCK_PORTS
+            self._claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                self._claim.bind((HOST, self.first))
+            except OSError:
+                self._claim.close()
+                continue
+            self._next = 0
+            return
+        raise NoFreePorts(f"all {blocks} blocks of ports are claimed")
+
+    def next_port(self) -> int:
+        """Return the next port of the block, from the first again after the last."""
+        port = self.first + self._next
+        self._next = (self._next + 1) % BLOCK_PORTS
+        return port
+
+    def release(self) -> None:
+        """Release the block."""
+        self._claim.close()
+
+
+@functools.cache
+def _own_block():
+    return PortBlock()
 
 
 def free_port() -> int:
@@ -39,8 +76,9 @@
     assigned again before the process that is meant to listen there has started, which
     would exit at its start, in rare cases.
     """
+    block = _own_block()
     while True:
-        port = next(_ports)
+        port = block.next_port()
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
@@ -68,6 +106,3 @@
     """
     high, low = divmod(os.getpid(), PIDS_IN_SUBNET)
     return f"127.{FIRST_SUBNET + high % SUBNETS}.{low}.{number}"
-
-
-_ports = itertools.cycle(_ports_of_part(os.environ.get(PART_VARIABLE, "0/1")))
--- a/packages/standins/src/cairnferry/standins/_processes.py
+++ b/packages/standins/src/cairnferry/standins/_processes.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cairnferry.settings import parse_address
+from cairnferry.standins._child_processes import start_child
 from cairnferry.standins._description import describe_process
 from cairnferry.standins._ports import HOST, free_port
 from cairnferry.standins._relay import Relay
@@ -248,7 +249,7 @@
         arguments = ["load", "--set", f"load.outcomes={outcomes}"]
         for key, value in settings.items():
             arguments += ["--set", f"load.{key}={value}"]
-        popen = subprocess.Popen(
+        popen = start_child(
             [sys.executable, "-m", "cairnferry.standins.command", *arguments],
             stdout=subprocess.PIPE,
             text=True,
@@ -259,7 +260,7 @@
     def _popen(self, name, module, arguments):
         log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115 - closed below
         with log:
-            return subprocess.Popen(
+            return start_child(
                 [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
             )
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,21 +1,21 @@
-"""Run all tests in several processes, each with its own ports.
+"""Run all tests in several processes.
 
 pytest-xdist does not work with gevent's patches, so this script starts the processes.
 It compares counts to check that every test ran in exactly one of them.
 """
 
 import collections
-import os
 import pathlib
 import subprocess
 import sys
 import tempfile
 import xml.etree.ElementTree as ElementTree
 
+from cairnferry.standins import start_child
+
 # Half as many as the test machine has processors, because each test process starts
 # further processes.
 PROCESSES = 4
-PART_VARIABLE = "CAIRNFERRY_TEST_PART"
 COUNTS = ("tests", "failures", "errors", "skipped")
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Exit code of pytest if all tests ran and some failed.
@@ -46,7 +46,7 @@
 
 def _start_pytest(*options, **popen_options):
     command = [sys.executable, "-m", "pytest", *sys.argv[1:], *options]
-    return subprocess.Popen(command, text=True, **popen_options)
+    return start_child(command, text=True, **popen_options)
 
 
 def _count_collected():
@@ -65,7 +65,6 @@
         f"--junitxml={folder}/{index}.xml",
         stdout=output,
         stderr=subprocess.STDOUT,
-        env={**os.environ, PART_VARIABLE: part},
     )
     return process, output
 
--- a/tests/adapter/_processes.py
+++ b/tests/adapter/_processes.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-from cairnferry.standins import unique_loopback_host, wait_for
+from cairnferry.standins import start_child, unique_loopback_host, wait_for
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
@@ -31,7 +31,7 @@
         settings.write_text(text)
         self.log = folder / f"{self.cfg.name}.log"
         with open(self.log, "w") as output:
-            self.process = subprocess.Popen(
+            self.process = start_child(
                 [sys.executable, "-m", "hosting"],
                 cwd=folder,
                 stdout=output,
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -13,7 +13,7 @@
 import pytest
 from gevent.event import Event
 
-from cairnferry.standins import unique_loopback_host, wait_for
+from cairnferry.standins import start_child, unique_loopback_host, wait_for
 from cairnferry.wire import Client, Reply
 from hosting._settings import read_host_settings
 
@@ -39,7 +39,7 @@
         self.settings = folder / "boot.conf"
         self.settings.write_text(text)
         self.output = open(output or folder / "out", "wb" if output else "w+")
-        self.process = subprocess.Popen(
+        self.process = start_child(
             [sys.executable, "-m", "hosting"],
             cwd=folder,
             stdout=self.output,
--- a/tests/entry/test_command.py
+++ b/tests/entry/test_command.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cairnferry.standins import free_port, wait_for
+from cairnferry.standins import free_port, start_child, wait_for
 
 MODULE = "cairnferry.entry.command"
 
@@ -79,7 +79,7 @@
     options = ["--set", "callers.answer_ttl_s=0.1", "--set", "drain.margin_s=0"]
     with log.open("w") as file:
         command = [sys.executable, "-m", MODULE, "--config", settings[0], *options]
-        process = subprocess.Popen(command, stderr=file)
+        process = start_child(command, stderr=file)
     wait_for(lambda: '"serving"' in log.read_text())
     process.send_signal(signal.SIGUSR1)
     wait_for(lambda: '"dump": {' in log.read_text())
