Delayed checks: silent targets are found on busy instances

Cause: a run on a machine with a load of 24 found that test_a_target_that_does_not_answer_is_reported_as_silent failed: late waits never counted, and the wait ended once another target had answered. An instance whose event loop is always late would not have found a silent target. Answers to callers counted on the link as soon as they were handed over, also to callers that read slowly, so that uploads might have waited for them.

Change: at most three late waits are left out. The wait ends early only if the link was in use for half of it. The backlog of the link is bounded by 1 s, answers are recorded in pieces as sockets take them, and an upload that waits for the link ends at its deadline.

--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -31,6 +31,9 @@
 )
 from cairnferry.wire import Link
 
+# Bytes of an answer that are handed to the socket, and recorded on the link, at once.
+ANSWER_PIECE_BYTES = 64 * 1024
+
 
 class PipelinedHandler(Handler):
     """Reads the requests of a connection, and runs each in a separate task.
@@ -260,9 +263,13 @@
     def _sendall(self, data):
         # Without a timeout, a caller that does not read its answers would occupy the
         # memory of its requests forever.
-        self.server.link.note_sent(len(data), time.monotonic())
+        link = self.server.link
         with gevent.Timeout(self.server.limits.idle_s, AnswerNotSent()):
-            super()._sendall(data)
+            for start in range(0, len(data), ANSWER_PIECE_BYTES):
+                # A caller that reads slowly does not occupy the link with the rest.
+                piece = data[start : start + ANSWER_PIECE_BYTES]
+                link.note_sent(len(piece), time.monotonic())
+                super()._sendall(piece)
 
 
 class PipelinedServer(HttpServer):
--- a/packages/entry/src/cairnferry/entry/targets/_answer_wait.py
+++ b/packages/entry/src/cairnferry/entry/targets/_answer_wait.py
@@ -14,6 +14,12 @@
 MIN_SLICE_S = 0.001
 # Seconds by which the event loop may be late without counting as stalled.
 MAX_LATE_S = 0.005
+# Late waits that do not count. A check takes two turns of the event loop to connect and
+# to send; answers arrive also while the process is stalled, and are read after it.
+MAX_LATE_SLICES = 3
+# Seconds of the wait in which the link was occupied from which the link counts as in
+# use. The checks of a round take some milliseconds themselves on a slow link.
+IN_USE_S = 0.015
 
 
 @attrs.define
@@ -38,6 +44,8 @@
     started: float
     latest: float = math.inf
     _elapsed: float = attrs.field(default=0.0, init=False)
+    _late_slices: int = attrs.field(default=0, init=False)
+    _busy: float = attrs.field(default=0.0, init=False)
     _seen_at: float = attrs.field(init=False)
     _seen_busy: float = attrs.field(init=False)
 
@@ -62,8 +70,13 @@
         """
         seconds = now - self._seen_at
         busy = self.link.busy_seconds(now)
-        if seconds <= planned + MAX_LATE_S:
+        is_late = seconds > planned + MAX_LATE_S
+        if is_late and self._late_slices < MAX_LATE_SLICES:
+            self._late_slices += 1
+        else:
+            seconds = min(seconds, planned + MAX_LATE_S)
             self._elapsed += max(0.0, seconds - (busy - self._seen_busy))
+        self._busy += busy - self._seen_busy
         self._seen_at = now
         self._seen_busy = busy
 
@@ -84,5 +97,6 @@
         """
         if self.is_conclusive:
             return True
-        may_end = any_answered or now >= self.latest
+        link_is_in_use = self._busy >= IN_USE_S
+        may_end = (any_answered and link_is_in_use) or now >= self.latest
         return may_end and now >= self.started + ANSWER_WAIT_S
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -103,6 +103,7 @@
 
 
 STRICT_RULES = ResponseRules()
+_UNKNOWN_LINK = Link()
 
 
 def describe_outcome(outcome: Outcome) -> str:
@@ -163,7 +164,7 @@
     deadline: float,
     max_body: int,
     rules: ResponseRules = STRICT_RULES,
-    link: Link | None = None,
+    link: Link = _UNKNOWN_LINK,
 ) -> Outcome:
     """Send a request and read the complete response.
 
@@ -196,7 +197,6 @@
     that resumes after a pause would send a request whose caller no longer waits.
     """
     is_reusable = False
-    link = link or Link()
     try:
         remaining = deadline - time.monotonic()
         if remaining <= 0:
@@ -253,10 +253,12 @@
     A target may refuse a request by its head and close the connection. If the daemon
     went on sending, the connection would be reset and the refusal would be lost.
     """
-    while (delay := link.delay(time.monotonic())) > 0:
-        gevent.sleep(delay)
-    remaining = deadline - time.monotonic()
-    if remaining <= 0:
+    while (remaining := deadline - time.monotonic()) > 0:
+        delay = link.delay(time.monotonic())
+        if delay <= 0:
+            break
+        gevent.sleep(min(delay, remaining))
+    else:
         raise TimeoutError
     conn.sock.settimeout(remaining)
     return conn.is_quiet()
--- a/packages/wire/src/cairnferry/wire/_link.py
+++ b/packages/wire/src/cairnferry/wire/_link.py
@@ -9,6 +9,9 @@
 PIECE_S = 0.008
 # Smallest piece in bytes; smaller ones cost more processor time than they save.
 MIN_PIECE_BYTES = 4096
+# Largest estimate of a backlog in seconds. A remote side that reads slowly holds back
+# data in the buffers of its socket, and this data does not occupy the link.
+MAX_BACKLOG_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -40,9 +43,10 @@
         now : float
             Time in seconds.
         """
-        seconds = size / self.rate
-        self._transfer_s += seconds
-        self._free_at = max(now, self._free_at) + seconds
+        begins = max(now, self._free_at)
+        ends = min(begins + size / self.rate, now + MAX_BACKLOG_S)
+        self._transfer_s += max(0.0, ends - begins)
+        self._free_at = max(begins, ends)
 
     def note_received(self, size: int) -> None:
         """Record that data was received; the size is in bytes."""
--- a/tests/entry/targets/test_delayed_checks.py
+++ b/tests/entry/targets/test_delayed_checks.py
@@ -173,6 +173,16 @@
     assert network.now < 100 + UPLOAD_BYTES / RATE + 2 * ANSWER_WAIT_S
 
 
+def test_silent_target_is_found_beside_others_on_a_free_link(runtime):
+    """Guards against checks that themselves count as a use of the link."""
+    network = SimulatedNetwork(Link(RATE))
+    checks = checks_over(network)
+    network.silent.add("t3")
+    checks.check_all(TARGETS, runtime)
+    assert silent_targets(runtime) == ["t3"]
+    assert network.now < 100 + 2 * ANSWER_WAIT_S
+
+
 def test_request_does_not_wait_for_the_last_target_beside_an_upload(runtime):
     """Guards against a silent target that delays requests while the link is in use."""
     network = SimulatedNetwork(Link(RATE))
@@ -237,3 +247,19 @@
     network._free_at = network.now + 0.2
     checks.check_all(TARGETS, runtime)
     assert silent_targets(runtime) == []
+
+
+def test_silent_target_is_found_if_the_event_loop_is_always_late(runtime):
+    """Guards against silent targets that are never found on a busy instance."""
+    network = SimulatedNetwork(Link())
+    checks = checks_over(network)
+    network.silent.add("t3")
+    wait_for = network.wait_for
+
+    def wait_late(events, seconds):
+        network.stall_s = 0.02
+        wait_for(events, seconds)
+
+    checks.wait_for = wait_late
+    checks.check_all(TARGETS, runtime)
+    assert silent_targets(runtime) == ["t3"]
--- a/tests/wire/test_exchange.py
+++ b/tests/wire/test_exchange.py
@@ -21,7 +21,7 @@
     encode_request,
     exchange,
 )
-from cairnferry.wire._link import PIECE_S
+from cairnferry.wire._link import MAX_BACKLOG_S, PIECE_S
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -229,7 +229,10 @@
         length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
         self.received = len(head.partition(b"\r\n\r\n")[2])
         while self.received < length:
-            self.received += len(sock.recv(65536))
+            data = sock.recv(65536)
+            if not data:
+                return
+            self.received += len(data)
         sock.sendall(OK_RESPONSE)
 
 
@@ -238,11 +241,11 @@
     """Return a function that sends a body over a link, and its outcome."""
     servers = []
 
-    def send(target, link, size):
+    def send(target, link, size, seconds=10):
         servers.append(target.server)
         conn = connect(("127.0.0.1", target.server.server_port), 1)
         payload = encode_request("POST", "/", "t", [], b"x" * size)
-        deadline = time.monotonic() + 10
+        deadline = time.monotonic() + seconds
         return conn, exchange(conn, "POST", payload, deadline, 100, link=link)
 
     yield send
@@ -282,6 +285,23 @@
     assert len(link.backlogs) == 1
 
 
+def test_backlog_of_data_that_is_not_read_is_bounded():
+    """Guards against uploads that wait for a remote side which reads slowly."""
+    link = Link(1_250_000)
+    link.note_sent(100_000_000, 10.0)
+    assert link.backlog(10.0) == MAX_BACKLOG_S
+    link.note_sent(100_000_000, 10.5)
+    assert link.busy_seconds(11.0) == pytest.approx(1.0)
+    assert link.busy_seconds(20.0) == pytest.approx(1.5)
+
+
+def test_upload_ends_at_its_deadline_while_the_link_is_occupied(upload):
+    target, link = PacedTarget(), Link(1.0)
+    conn, outcome = upload(target, link, 300_000, seconds=0.2)
+    assert outcome == Incomplete(Failure.TIMEOUT)
+    assert not conn.is_open
+
+
 def test_refusal_during_a_large_request_is_read(upload):
     """Guards against a refusal that is lost because the daemon goes on sending.
 
