--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import signal
 
 import attrs
@@ -24,6 +25,7 @@
     CoreSettings,
     LeavingTimes,
     PeerSettings,
+    default_bodies_bytes,
 )
 from cairnferry.entry.daemon._blocked import TableBlocks
 from cairnferry.entry.daemon._listing import LeavingTargets, ListedRegistry
@@ -285,6 +287,7 @@
             cfg.get("peers", "interval_s"),
             cfg.get("peers", "fanout"),
             tuple(str(address) for address in cfg.get("peers", "seeds")),
+            cfg.get("instance", "link_bytes_per_s") or math.inf,
         ),
         connect_s=cfg.get("targets", "connect_s"),
         max_answer_bytes=cfg.get("targets", "max_answer_bytes"),
@@ -293,5 +296,6 @@
         leaving=LeavingTimes(
             ttl + cfg.get("drain", "margin_s"), cfg.get("drain", "limit_s")
         ),
+        bodies_bytes=cfg.get("callers", "bodies_bytes") or default_bodies_bytes(None),
         seed=cfg.get("policy", "seed"),
     )
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -20,9 +20,11 @@
     Connection,
     ConnectionPool,
     Failure,
+    Link,
     NotSent,
     Outcome,
     Reply,
+    encode_parts,
     encode_request,
     exchange,
 )
@@ -55,7 +57,7 @@
         Method and path of the request line.
     headers : list of (str, str)
         Headers that are the same for all attempts.
-    body : bytes
+    body : bytes or bytearray
         Complete body.
     head : RequestHead
         Parsed headers that the daemon itself uses.
@@ -64,7 +66,7 @@
     method: str
     path: str
     headers: list[tuple[str, str]]
-    body: bytes
+    body: bytes | bytearray
     head: RequestHead
 
 
@@ -80,11 +82,14 @@
         Maximum size of an answer's body in bytes.
     convention : TargetConvention, optional
         Header conventions of targets.
+    link : Link, optional
+        Link of this instance; its rate is unknown by default.
     """
 
     connect_timeout: float
     max_answer: int
     convention: TargetConvention = attrs.field(factory=DefaultTargetConvention)
+    link: Link = attrs.field(factory=Link)
     _pools: dict[tuple, ConnectionPool] = attrs.field(factory=dict)
     _past_opened: int = 0
     _past_lost: int = 0
@@ -113,7 +118,7 @@
         payload = self._encode(req, attempt)
         rules = self.convention.rules(req.head)
         outcome = exchange(
-            conn, req.method, payload, call.deadline, self.max_answer, rules
+            conn, req.method, payload, call.deadline, self.max_answer, rules, self.link
         )
         self._return_to_pool(pool, conn, outcome)
         return outcome
@@ -165,7 +170,9 @@
     ) -> CheckResult:
         host = f"{target.host}:{target.port}"
         payload = encode_request("GET", target.health_path, host, [], b"")
-        outcome = exchange(conn, "GET", payload, deadline, MAX_CHECK_BYTES)
+        outcome = exchange(
+            conn, "GET", payload, deadline, MAX_CHECK_BYTES, link=self.link
+        )
         self._return_to_pool(pool, conn, outcome)
         found = self.convention.read_check(outcome, target)
         return attrs.evolve(found, answered=isinstance(outcome, Reply))
@@ -190,7 +197,7 @@
         target = attempt.target.record
         headers = [*req.headers, *self.convention.attempt_headers(attempt, remaining)]
         host = self.convention.host(req.head, target)
-        return encode_request(req.method, req.path, host, headers, req.body)
+        return encode_parts(req.method, req.path, host, headers, req.body)
 
     def keep_only(self, targets: Iterable[Target]) -> None:
         """Close connections to other targets and to earlier starts of these targets.
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -97,6 +97,7 @@
     yield "attempts_total", "counter", _attempts(document["services"])
     services = document["services"]
     yield "repeats_denied_total", "counter", _by_service(services, "repeats_denied")
+    yield "hung_attempts_total", "counter", _by_service(services, "hung")
     yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
     yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
     yield "target_connections_lost_total", "counter", [Sample(targets["lost"])]
@@ -105,6 +106,9 @@
     yield "caller_connections", "gauge", [Sample(callers)]
     ahead = document["connections"]["requests_ahead"]
     yield "requests_ahead_total", "counter", [Sample(ahead)]
+    bodies = document["bodies"]
+    yield "bodies_bytes", "gauge", [Sample(bodies["held"])]
+    yield "bodies_refused_total", "counter", [Sample(bodies["refused"])]
     yield "members", "gauge", _counted(_by_state(document["members"]), "state")
     for name, count in document["peers"].items():
         yield f"peer_{name}_total", "counter", [Sample(count)]
