--- a/packages/policy/src/cairnferry/policy/choice/__init__.py
+++ b/packages/policy/src/cairnferry/policy/choice/__init__.py
@@ -10,10 +10,8 @@
     TwoChoices,
 )
 from cairnferry.policy.choice._queue_bound import QueueBound
-from cairnferry.policy.choice._status_checks import (
-    StatusCheckChooser,
-    StatusCheckSettings,
-)
+from cairnferry.policy.choice._status_check_settings import StatusCheckSettings
+from cairnferry.policy.choice._status_checks import StatusCheckChooser
 from cairnferry.policy.choice._work import WorkEstimates
 
 __all__ = [
