Metrics of a shortage: reported load, attempts by zone, refusals by rank

Operators could not see whether slots are short, whether a zone sends requests to other zones, or how urgent refused requests are. The state dump has the fields `zones` and `overload_by_rank`, and the metrics are `cairnferry_reported_load`, `cairnferry_zone_attempts_total` and `cairnferry_overload_refusals_total`.

--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -97,6 +97,11 @@
     yield "attempts_total", "counter", _attempts(document["services"])
     services = document["services"]
     yield "repeats_denied_total", "counter", _by_service(services, "repeats_denied")
+    yield "reported_load", "gauge", _by_service(services, "reported_load")
+    zones = _by_service_and(services, "zones", "zone")
+    yield "zone_attempts_total", "counter", zones
+    ranks = _by_service_and(services, "overload_by_rank", "rank")
+    yield "overload_refusals_total", "counter", ranks
     yield "hung_attempts_total", "counter", _by_service(services, "hung")
     yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
     yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
@@ -141,6 +146,13 @@
         yield Sample(state[field], {"service": service})
 
 
+def _by_service_and(services, field, label):
+    """Yield a sample for each service and each key of one of its fields."""
+    for service, state in services.items():
+        for key, count in state[field].items():
+            yield Sample(count, {"service": service, label: key})
+
+
 def _by_target(limits, field):
     for target, state in limits.items():
         yield Sample(state[field], {"target": target})
--- a/packages/policy/src/cairnferry/policy/_attempts.py
+++ b/packages/policy/src/cairnferry/policy/_attempts.py
@@ -1,5 +1,7 @@
 """Start and end of the attempts of one service, and the capacity that they use."""
 
+import collections
+
 import attrs
 
 from cairnferry.policy.admission import Capacity
@@ -33,6 +35,8 @@
     ----------
     counts : dict of AttemptKind to int
         Number of attempts started so far, by kind.
+    zone_counts : Counter
+        Number of attempts started so far, by the zone of the target.
     """
 
     targets: TargetSet
@@ -40,6 +44,7 @@
     work: WorkEstimates
     capacity: Capacity
     counts: dict[AttemptKind, int] = attrs.field(factory=_zero_counts)
+    zone_counts: collections.Counter = attrs.field(factory=collections.Counter)
 
     def place(self, call: Call, kind: AttemptKind, now: float) -> Attempt | None:
         """Choose a target and start an attempt; return None if there is no capacity."""
@@ -89,6 +94,7 @@
             self.limits.spend(target.identity, urgent, now)
         self.capacity.acquire(call.priority)
         self.counts[kind] += 1
+        self.zone_counts[target.record.zone] += 1
         return attempt
 
     def end(self, attempt: Attempt) -> None:
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -430,6 +430,10 @@
             "usual_latency_ms": round(latency.usual * 1000, 3),
             "high_latency_ms": round(latency.high * 1000, 3),
             "attempts": {str(kind): n for kind, n in self.attempts.items()},
+            "zones": dict(self._attempts.zone_counts),
+            "overload_by_rank": {
+                str(rank): n for rank, n in self._refusals.overload_by_rank.items()
+            },
             "given_up": {str(cause): n for cause, n in self.given_up.items()},
             "targets": self._targets.snapshot(now),
         }
--- a/packages/policy/src/cairnferry/policy/admission/_refusals.py
+++ b/packages/policy/src/cairnferry/policy/admission/_refusals.py
@@ -1,5 +1,6 @@
 """Responses to requests that are given up, and their Retry-After."""
 
+import collections
 import math
 import random
 
@@ -31,12 +32,15 @@
     ----------
     given_up : dict of Cause to int
         Number of requests given up so far, by cause.
+    overload_by_rank : Counter
+        Number of requests refused so far for overload, by rank.
     """
 
     settings: PolicySettings
     work: WorkEstimates
     rng: random.Random
     given_up: dict[Cause, int] = attrs.field(factory=_zero_counts)
+    overload_by_rank: collections.Counter = attrs.field(factory=collections.Counter)
 
     def refuse_with_delay(self, cause: Cause, retry_after: float) -> Refuse:
         """Refuse a request for a cause outside of the service."""
@@ -69,6 +73,8 @@
             `GiveUp` if an attempt may have run, else `Refuse`.
         """
         self.given_up[cause] += 1
+        if cause is Cause.OVERLOAD:
+            self.overload_by_rank[call.rank] += 1
         if cause is Cause.BACKING_OFF:
             capacity_at += (
                 self.settings.back_off_spread * self.rng.random() * (capacity_at - now)
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -10,7 +10,15 @@
 
 
 def service(**attempts):
-    return {"attempts": attempts, "repeats_denied": 2, "hung": 3, "retry_tokens": 1.5}
+    return {
+        "attempts": attempts,
+        "repeats_denied": 2,
+        "hung": 3,
+        "retry_tokens": 1.5,
+        "reported_load": 0.7,
+        "zones": {"hall": 3, "yard": 2},
+        "overload_by_rank": {"1": 6},
+    }
 
 
 @pytest.fixture
@@ -77,6 +85,9 @@
         ("attempts_total", "hedge", "svc"): 1,
         ("repeats_denied_total", "svc"): 2,
         ("hung_attempts_total", "svc"): 3,
+        ("reported_load", "svc"): 0.7,
+        ("zone_attempts_total", "svc", "yard"): 2,
+        ("overload_refusals_total", "1", "svc"): 6,
         ("bodies_bytes",): 11,
         ("bodies_refused_total",): 12,
         ("repeats_left", "svc"): 1.5,
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -57,6 +57,16 @@
     assert decision.attempt.target_name.startswith("f")
 
 
+def test_refusals_by_rank_and_attempts_by_zone_are_counted():
+    policy = policy_of(*near(3))
+    train_route(policy, "r", 0.1, rank=4)
+    req = call(now=2.0, objective=2.15, route="r", rank=4)
+    decide(policy, req, now=2.0, **busy(6))
+    state = policy.snapshot(2.0)
+    assert state["overload_by_rank"] == {"4": 1}
+    assert state["zones"] == {"near": 30}
+
+
 @pytest.mark.parametrize("slots", [1, 2, 4])
 def test_free_slot_is_used_at_targets_with_few_slots(slots):
     """Guards against refusals while slots are idle.
