Records of workspaces in schema versions 1 and 2, and anonymous routes

Cause: the record kind `workspace` was listed as known, but it had no schema, so that parsing one raised KeyError. `anonymous` of a route could not be written.

Change: both kinds in both schema versions. Documents hold digests alone; a field of keys is unknown, and no error text contains a value. A key that two workspaces hold refuses the change by `DuplicateKeyDigest` (422); a key can move within one change.

--- a/packages/entry/src/cairnferry/entry/operators/_operators.py
+++ b/packages/entry/src/cairnferry/entry/operators/_operators.py
@@ -21,6 +21,7 @@
 from cairnferry.entry.operators._submissions import Submissions
 from cairnferry.records import (
     Change,
+    DuplicateKeyDigest,
     Kind,
     MalformedChange,
     MalformedRecord,
@@ -41,6 +42,7 @@
     MalformedRecord: "422 Unprocessable Content",
     UnknownSchemaVersion: "422 Unprocessable Content",
     UnknownReference: "422 Unprocessable Content",
+    DuplicateKeyDigest: "422 Unprocessable Content",
     LogTooLarge: "413 Content Too Large",
     RecordExists: "409 Conflict",
     RevisionConflict: "409 Conflict",
--- a/packages/records/src/cairnferry/records/__init__.py
+++ b/packages/records/src/cairnferry/records/__init__.py
@@ -2,6 +2,7 @@
 
 from cairnferry.records._changes import Change, Edit, EditKind, Put, Withdraw
 from cairnferry.records._errors import (
+    DuplicateKeyDigest,
     MalformedChange,
     MalformedRecord,
     RecordError,
@@ -32,6 +33,7 @@
     "Backend",
     "Change",
     "Draft",
+    "DuplicateKeyDigest",
     "Edit",
     "EditKind",
     "Entry",
--- a/packages/records/src/cairnferry/records/_errors.py
+++ b/packages/records/src/cairnferry/records/_errors.py
@@ -107,6 +107,26 @@
         return f"{self.key} names service {self.service!r}, which would not exist then"
 
 
+@attrs.frozen
+class DuplicateKeyDigest:
+    """A workspace has a key that another workspace holds.
+
+    Attributes
+    ----------
+    key, other : RecordKey
+        The submitted workspace, and the one that holds the key.
+    field : str
+        Name of the field with the digest.
+    """
+
+    key: RecordKey
+    other: RecordKey
+    field: str = "key_digests"
+
+    def __str__(self):
+        return f"{self.key} has a key that {self.other} holds"
+
+
 RecordError = (
     MalformedRecord
     | UnknownSchemaVersion
@@ -114,4 +134,5 @@
     | RecordExists
     | RevisionConflict
     | UnknownReference
+    | DuplicateKeyDigest
 )
--- a/packages/records/src/cairnferry/records/_recordset.py
+++ b/packages/records/src/cairnferry/records/_recordset.py
@@ -8,6 +8,7 @@
 
 from cairnferry.records._changes import Change, Put, Withdraw
 from cairnferry.records._errors import (
+    DuplicateKeyDigest,
     MalformedChange,
     RecordError,
     RecordExists,
@@ -18,7 +19,7 @@
 from cairnferry.records._parse import parse_record
 
 # Kinds whose records do not refer to a service.
-_KINDS_WITHOUT_SERVICE = (Kind.SERVICE, Kind.ZONE)
+_KINDS_WITHOUT_SERVICE = (Kind.SERVICE, Kind.ZONE, Kind.WORKSPACE)
 
 
 @attrs.frozen
@@ -149,7 +150,7 @@
         fault = _apply_edit(entries, revision, edit, edited)
         if fault is not None:
             return fault
-    return _check_references(entries, edited)
+    return _check_references(entries, edited) or _check_digests(entries, edited)
 
 
 def _apply_edit(entries, revision, edit, edited):
@@ -199,3 +200,26 @@
         if RecordKey(Kind.SERVICE, service) not in entries:
             return UnknownReference(key, service)
     return None
+
+
+def _check_digests(entries, edited):
+    """Return an error for the first key that two workspaces hold, or None.
+
+    The workspace of a request with this key would depend on the order of records.
+    """
+    submitted = {key for key in edited if key.kind is Kind.WORKSPACE and key in entries}
+    seen = {}
+    for key in sorted(submitted):
+        for digest in entries[key].record.key_digests:
+            other = seen.setdefault(digest, key)
+            if other != key:
+                return DuplicateKeyDigest(key, other)
+    if not seen:
+        return None
+    for key, entry in entries.items():
+        if key.kind is not Kind.WORKSPACE or key in submitted:
+            continue
+        if not entry.record.key_digests.isdisjoint(seen):
+            shared = next(d for d in entry.record.key_digests if d in seen)
+            return DuplicateKeyDigest(seen[shared], key)
+    return None
--- a/packages/records/src/cairnferry/records/_schemas.py
+++ b/packages/records/src/cairnferry/records/_schemas.py
@@ -18,9 +18,12 @@
 IPV4_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}\Z"
 HEADER_PATTERN = r"^[A-Za-z0-9-]{1,64}\Z"
 METHOD_PATTERN = r"^[A-Z]{1,16}\Z"
+DIGEST_PATTERN = r"[0-9a-f]{64}"
 MAX_SLOTS = 10_000
 MAX_DEADLINE_MS = 600_000
 MAX_QUEUE_LIMIT = 100_000
+MAX_RANK = 1000
+MAX_RATE_PER_S = 10_000_000
 
 
 def _string_schema(pattern, description):
@@ -40,6 +43,8 @@
     "maximum": MAX_DEADLINE_MS / 1000,
 }
 _MILLISECONDS = {"type": "integer", "minimum": 1, "maximum": MAX_DEADLINE_MS}
+_RANK = {"type": "integer", "minimum": 0, "maximum": MAX_RANK}
+_RATE = {"type": "number", "minimum": 0, "maximum": MAX_RATE_PER_S}
 
 
 def _object_schema(properties, optional=()):
@@ -108,8 +113,9 @@
             ),
             "timeout_s": _SECONDS,
             "bulk": {"type": "boolean"},
+            "anonymous": {"type": "boolean"},
         },
-        optional=("safe_methods", "timeout_s", "bulk"),
+        optional=("safe_methods", "timeout_s", "bulk", "anonymous"),
     ),
     (1, Kind.ZONE): _version_1(
         Kind.ZONE, {"evacuated": {"type": "boolean"}}, optional=()
@@ -159,8 +165,37 @@
             },
             "deadlineMillis": _MILLISECONDS,
             "priority": {"enum": ["interactive", "background"]},
+            "anonymous": {"type": "boolean"},
         },
-        optional=("idempotentMethods", "deadlineMillis", "priority"),
+        optional=("idempotentMethods", "deadlineMillis", "priority", "anonymous"),
+    ),
+    (1, Kind.WORKSPACE): _version_1(
+        Kind.WORKSPACE,
+        {
+            "key_digests": _string_schema(
+                rf"^({DIGEST_PATTERN}(,{DIGEST_PATTERN})*)?\Z",
+                "must be digests (SHA-256, hexadecimal), separated by commas",
+            ),
+            "rank": _RANK,
+            "rate_per_s": _RATE,
+            "burst": _RATE,
+        },
+        optional=("rank", "rate_per_s", "burst"),
+    ),
+    (2, Kind.WORKSPACE): _version_2(
+        Kind.WORKSPACE,
+        {
+            "keyDigests": {
+                "type": "array",
+                "items": _string_schema(
+                    rf"^{DIGEST_PATTERN}\Z", "must be a digest (SHA-256, hexadecimal)"
+                ),
+                "uniqueItems": True,
+            },
+            "rank": _RANK,
+            "limit": _object_schema({"ratePerSecond": _RATE, "burst": _RATE}),
+        },
+        optional=("rank", "limit"),
     ),
 }
 
--- a/packages/records/src/cairnferry/records/_version1.py
+++ b/packages/records/src/cairnferry/records/_version1.py
@@ -9,6 +9,7 @@
     Route,
     Service,
     Target,
+    Workspace,
     Zone,
 )
 
@@ -62,6 +63,7 @@
         idempotent_methods=idempotent,
         deadline_ms=None if timeout is None else _milliseconds(timeout),
         priority=Priority.BACKGROUND if doc.get("bulk") else Priority.INTERACTIVE,
+        anonymous=doc.get("anonymous", False),
     )
 
 
@@ -69,6 +71,16 @@
     return Zone(doc["name"], doc["evacuated"])
 
 
+def _workspace(doc):
+    return Workspace(
+        name=doc["name"],
+        key_digests=frozenset(doc["key_digests"].split(",")) - {""},
+        rank=doc.get("rank"),
+        rate_per_s=doc.get("rate_per_s", defaults.UNLIMITED),
+        burst=doc.get("burst", defaults.UNLIMITED),
+    )
+
+
 def _milliseconds(seconds):
     return max(1, round(seconds * MS_PER_S))
 
@@ -78,4 +90,5 @@
     Kind.TARGET: _target,
     Kind.ROUTE: _route,
     Kind.ZONE: _zone,
+    Kind.WORKSPACE: _workspace,
 }
--- a/packages/records/src/cairnferry/records/_version2.py
+++ b/packages/records/src/cairnferry/records/_version2.py
@@ -9,6 +9,7 @@
     Route,
     Service,
     Target,
+    Workspace,
     Zone,
 )
 
@@ -51,6 +52,7 @@
         idempotent_methods=frozenset(methods),
         deadline_ms=spec.get("deadlineMillis"),
         priority=Priority(spec.get("priority", Priority.INTERACTIVE)),
+        anonymous=spec.get("anonymous", False),
     )
 
 
@@ -58,9 +60,22 @@
     return Zone(doc["metadata"]["name"], doc["spec"]["evacuated"])
 
 
+def _workspace(doc):
+    spec = doc["spec"]
+    limit = spec.get("limit", {})
+    return Workspace(
+        name=doc["metadata"]["name"],
+        key_digests=frozenset(spec["keyDigests"]),
+        rank=spec.get("rank"),
+        rate_per_s=limit.get("ratePerSecond", defaults.UNLIMITED),
+        burst=limit.get("burst", defaults.UNLIMITED),
+    )
+
+
 CONVERTERS = {
     Kind.SERVICE: _service,
     Kind.TARGET: _target,
     Kind.ROUTE: _route,
     Kind.ZONE: _zone,
+    Kind.WORKSPACE: _workspace,
 }
--- a/packages/standins/src/cairnferry/standins/__init__.py
+++ b/packages/standins/src/cairnferry/standins/__init__.py
@@ -14,6 +14,8 @@
     service_v2,
     target_v1,
     target_v2,
+    workspace_v1,
+    workspace_v2,
 )
 from cairnferry.standins._scenario import ScenarioRun, run_file
 from cairnferry.standins._scenario_fault import ScenarioFault
@@ -48,4 +50,6 @@
     "target_v1",
     "target_v2",
     "wait_for",
+    "workspace_v1",
+    "workspace_v2",
 ]
--- a/packages/standins/src/cairnferry/standins/_samples.py
+++ b/packages/standins/src/cairnferry/standins/_samples.py
@@ -1,5 +1,7 @@
 """Sample records in both schema versions."""
 
+import hashlib
+
 from cairnferry.standins._target import REFUSAL_HEADER
 
 REFUSAL_STATUS = 503
@@ -75,3 +77,28 @@
         "metadata": {"name": name},
         "spec": {"match": {"pathPrefix": path}, "service": service} | spec,
     }
+
+
+def workspace_v1(name, *keys, **fields) -> dict:
+    """Return the record of a workspace with API keys in schema version 1."""
+    document = {
+        "schema": 1,
+        "kind": "workspace",
+        "name": name,
+        "key_digests": ",".join(map(_digest, keys)),
+    }
+    return document | fields
+
+
+def workspace_v2(name, *keys, **spec) -> dict:
+    """Return the record of a workspace with API keys in schema version 2."""
+    return {
+        "schema": 2,
+        "kind": "workspace",
+        "metadata": {"name": name},
+        "spec": {"keyDigests": [_digest(key) for key in keys]} | spec,
+    }
+
+
+def _digest(key):
+    return hashlib.sha256(key.encode()).hexdigest()
--- a/tests/records/test_parse.py
+++ b/tests/records/test_parse.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from cairnferry.records import (
+    Kind,
     Lifecycle,
     MalformedRecord,
     Priority,
@@ -13,6 +14,8 @@
     Service,
     Target,
     UnknownSchemaVersion,
+    Workspace,
+    digest_key,
     parse_record,
 )
 from cairnferry.standins import (
@@ -22,6 +25,8 @@
     service_v2,
     target_v1,
     target_v2,
+    workspace_v1,
+    workspace_v2,
 )
 
 ADDRESS = "10.0.0.1:80"
@@ -62,6 +67,58 @@
     assert parse_record(old).ok == parse_record(new).ok == expected
 
 
+def test_workspaces_of_both_versions_are_equal():
+    old = workspace_v1("w", "one", "two", rank=2, rate_per_s=1.5, burst=3)
+    limit = {"ratePerSecond": 1.5, "burst": 3}
+    new = workspace_v2("w", "one", "two", rank=2, limit=limit)
+    digests = frozenset([digest_key("one"), digest_key("two")])
+    expected = Workspace("w", digests, 2, 1.5, 3)
+    assert parse_record(old).ok == parse_record(new).ok == expected
+
+
+def test_workspace_without_keys_and_limit_in_both_versions():
+    expected = Workspace("w", frozenset(), None, 0, 0)
+    assert parse_record(workspace_v1("w")).ok == expected
+    assert parse_record(workspace_v2("w")).ok == expected
+
+
+def test_routes_of_both_versions_can_be_anonymous():
+    assert parse_record(route_v1("r", "/p", "s", anonymous=True)).ok.anonymous
+    assert parse_record(route_v2("r", "/p", "s", anonymous=True)).ok.anonymous
+    assert not parse_record(route_v1("r", "/p", "s")).ok.anonymous
+    assert not parse_record(route_v2("r", "/p", "s")).ok.anonymous
+
+
+DIGEST = digest_key("k")
+
+
+@pytest.mark.parametrize(
+    ("document", "field"),
+    [
+        (workspace_v1("w", key_digests="secret-key"), "key_digests"),
+        (workspace_v1("w", key_digests=DIGEST.upper()), "key_digests"),
+        (workspace_v1("w", key_digests=f"{DIGEST}\n"), "key_digests"),
+        (workspace_v1("w", key_digests=f"{DIGEST},"), "key_digests"),
+        (workspace_v1("w", api_keys=["secret-key"]), "api_keys"),
+        (workspace_v1("w", rank=-1), "rank"),
+        (workspace_v1("w", rate_per_s=-0.5), "rate_per_s"),
+        (workspace_v2("w", keyDigests=["secret-key"]), "spec.keyDigests.0"),
+        (workspace_v2("w", keyDigests=[DIGEST, DIGEST]), "spec.keyDigests"),
+        (workspace_v2("w", keyDigests=None), "spec.keyDigests"),
+        (workspace_v2("w", limit={"ratePerSecond": 1}), "spec.limit.burst"),
+        (workspace_v2("w", rank=True), "spec.rank"),
+        (workspace_v2("w", keys=["secret-key"]), "spec.keys"),
+        (workspace_v2("WITH-CAPITALS"), "metadata.name"),
+        (route_v2("r", "/p", "s", anonymous="yes"), "spec.anonymous"),
+    ],
+)
+def test_error_of_a_workspace_names_the_field_and_no_key(document, field):
+    """Guards against a key in the log, where an operator submits it for its digest."""
+    error = parse_record(document).error
+    assert error.field == field
+    assert "secret-key" not in str(error)
+
+
 def test_idempotent_methods_default_to_those_of_the_standard():
     methods = parse_record(route_v1("r", "/p", "s")).ok.idempotent_methods
     assert "POST" not in methods
@@ -108,8 +165,18 @@
 RECORD_LIKE = st.fixed_dictionaries(
     {},
     optional={
-        key: JSON | st.sampled_from([1, 2, "service", "target", "route", "s"])
-        for key in ("schema", "kind", "name", "metadata", "spec", "timeout_s", "path")
+        key: JSON | st.sampled_from([1, 2, *Kind, "s", DIGEST])
+        for key in (
+            "schema",
+            "kind",
+            "name",
+            "metadata",
+            "spec",
+            "timeout_s",
+            "path",
+            "key_digests",
+            "rank",
+        )
     },
 )
 
--- a/tests/records/test_recordset.py
+++ b/tests/records/test_recordset.py
@@ -7,6 +7,7 @@
 
 from cairnferry.records import (
     Change,
+    DuplicateKeyDigest,
     Kind,
     MalformedChange,
     MalformedRecord,
@@ -19,7 +20,14 @@
     UnknownSchemaVersion,
     Withdraw,
 )
-from cairnferry.standins import route_v1, route_v2, service_v1, service_v2
+from cairnferry.standins import (
+    route_v1,
+    route_v2,
+    service_v1,
+    service_v2,
+    workspace_v1,
+    workspace_v2,
+)
 
 SERVICE = RecordKey(Kind.SERVICE, "s")
 
@@ -126,3 +134,34 @@
         Put(service_v1("s"), 0), Put(service_v1("t"), 4), Withdraw(SERVICE, 2)
     )
     assert Change.from_json(original.to_json()).ok == original
+
+
+@pytest.mark.parametrize(
+    "edits",
+    [
+        (Put(workspace_v1("new", "shared"), 0),),
+        (Put(workspace_v2("new", "mine", "shared"), 0),),
+        (Put(workspace_v2("a", "once"), 0), Put(workspace_v2("b", "once"), 0)),
+    ],
+)
+def test_key_of_two_workspaces_refuses_the_change(edits):
+    """Guards against a caller whose workspace depends on the order of records."""
+    records = record_set(workspace_v2("held", "shared", "other"))
+    error = records.apply(2, (change(*edits),)).error
+    assert isinstance(error, DuplicateKeyDigest)
+    assert {"shared", "once"}.isdisjoint(str(error).split())
+
+
+def test_key_can_move_to_another_workspace_in_one_change():
+    records = record_set(workspace_v2("held", "shared"))
+    withdrawn = Withdraw(RecordKey(Kind.WORKSPACE, "held"), 1)
+    moved = change(withdrawn, Put(workspace_v1("new", "shared"), 0))
+    assert records.apply(2, (moved,)).is_ok()
+    emptied = change(Put(workspace_v2("held"), 1), Put(workspace_v2("n", "shared"), 0))
+    assert records.apply(2, (emptied,)).is_ok()
+
+
+def test_workspaces_survive_a_snapshot():
+    records = record_set(workspace_v1("a", "one"), workspace_v2("b", "two", rank=1))
+    restored = RecordSet.from_snapshot(records.to_snapshot()).ok
+    assert restored.of_kind(Kind.WORKSPACE) == records.of_kind(Kind.WORKSPACE)
