Ranks of workspaces that no longer send are forgotten

Cause: `WorkEstimates` kept every rank of a workspace. After the most urgent workspace was removed or got another rank, all other requests stayed less urgent.

Change: a rank of workspaces is forgotten after 1,000 arrivals without it. Ranks of routes without workspaces are kept as before.

--- a/packages/policy/src/cairnferry/policy/choice/_work.py
+++ b/packages/policy/src/cairnferry/policy/choice/_work.py
@@ -8,6 +8,9 @@
 # Upper bound of a sample as a multiple of the estimate: the time of a request that hung
 # does not reflect its work.
 MAX_SAMPLE_FACTOR = 4.0
+# Arrivals after which a rank is forgotten that no workspace has sent any more. All
+# requests would otherwise count as less urgent than those of a removed workspace.
+RANK_ARRIVALS = 1000
 
 
 @attrs.define
@@ -19,7 +22,10 @@
     """
 
     _seconds: dict[str, float] = attrs.field(factory=dict)
-    _ranks: dict[tuple[str, int | None], int] = attrs.field(factory=dict)
+    _route_ranks: dict[str, int] = attrs.field(factory=dict)
+    # Number of the last arrival by rank, for requests of workspaces.
+    _workspace_ranks: dict[int, int] = attrs.field(factory=dict)
+    _arrivals: int = 0
     _most_urgent_rank: int | None = None
 
     def note_arrival(self, route: str, rank: int, workspace: str = "") -> None:
@@ -34,10 +40,27 @@
         workspace : str, optional
             Name of its workspace. Requests of one route then have several ranks.
         """
-        key = (route, rank if workspace else None)
-        if self._ranks.get(key) != rank:
-            self._ranks[key] = rank
-            self._most_urgent_rank = min(self._ranks.values())
+        if workspace:
+            self._note_workspace_rank(rank)
+        elif self._route_ranks.get(route) != rank:
+            self._route_ranks[route] = rank
+            self._update_most_urgent_rank()
+
+    def _note_workspace_rank(self, rank):
+        self._arrivals += 1
+        is_new = rank not in self._workspace_ranks
+        self._workspace_ranks[rank] = self._arrivals
+        if not is_new and self._arrivals % RANK_ARRIVALS:
+            return
+        oldest = self._arrivals - RANK_ARRIVALS
+        self._workspace_ranks = {
+            each: last for each, last in self._workspace_ranks.items() if last > oldest
+        }
+        self._update_most_urgent_rank()
+
+    def _update_most_urgent_rank(self):
+        ranks = [*self._route_ranks.values(), *self._workspace_ranks]
+        self._most_urgent_rank = min(ranks)
 
     def is_urgent(self, rank: int) -> bool:
         """Return whether no requests of the service have a more urgent rank."""
