Keys are checked again right before each send, and no daemon keeps one

Cause: a key was checked by the head and when the request's turn came, not after a wait for capacity, a connection or a retry. Steering answers required a key. A refused body ended the connection for other keys. Installing many workspaces and compressing their document stalled all requests.

Change: `KeyCheck` belongs to the request and is called before each attempt, before a hedge and after a connection was opened; 401 if nothing may have run, else `key-unknown` with outcome `unknown`. Refused bodies up to 64 KB are discarded while the answer is sent. Log lines and the dump name workspaces. Hedging has its own module.

--- a/packages/coordination/src/cairnferry/coordination/_documents.py
+++ b/packages/coordination/src/cairnferry/coordination/_documents.py
@@ -58,10 +58,20 @@
     _packed: dict[int, bytes] = attrs.field(factory=dict)
     _deltas: dict[int, bytes] = attrs.field(factory=dict)
 
-    def add(self, revision: int, document: bytes) -> None:
-        """Add a newer version."""
+    def add(self, revision: int, document: bytes, packed: bytes | None = None) -> None:
+        """Add a newer version.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the document.
+        document : bytes
+            The document.
+        packed : bytes, optional
+            The document, compressed by zlib; by default it is compressed here.
+        """
         self.revision = revision
-        self._packed[revision] = zlib.compress(document)
+        self._packed[revision] = zlib.compress(document) if packed is None else packed
         self._deltas = {}
         while len(self._packed) > MAX_KEPT_VERSIONS:
             del self._packed[next(iter(self._packed))]
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -192,11 +192,15 @@
     evacuated : callable
         Returns the availability zone that a row beside the rules evacuates, from the
         row's key; None if it evacuates none.
+    redact : callable, optional
+        Returns the document that holds all rules without secrets. A peer of an earlier
+        release may send one with secrets.
     """
 
     rules: Callable[[bytes], Result[Rules, DecodeFault]]
     target: Callable[[str, bytes], Result[Target, DecodeFault]]
     evacuated: Callable[[str], str | None]
+    redact: Callable[[bytes], bytes] = lambda document: document
 
 
 @attrs.frozen
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -19,6 +19,7 @@
     RegistryContents,
     Rules,
 )
+from cairnferry.entry._steps import Steps
 from cairnferry.entry.callers import BodyLimits
 from cairnferry.entry.core import (
     Conventions,
@@ -102,6 +103,7 @@
     "Rules",
     "SettingsWatch",
     "Steering",
+    "Steps",
     "TargetConvention",
     "configure_logs",
     "ephemeral_instance_settings",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -7,10 +7,10 @@
 import attrs
 
 from cairnferry.entry.callers._forward import Forwarder
+from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
-    AUTHORIZATION,
     HANDLER_KEY,
     Answer,
     BadDeadline,
@@ -29,20 +29,14 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.entry.workspaces import KeyFault, WorkspaceRegistry, authenticate
+from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.policy import Call, Relay, RequestIdentity
-from cairnferry.records import Priority, Route, Workspace
+from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
 MS_PER_S = 1000
 CALLER_GONE_STATUS = "499 Caller Gone"
-_PROBLEMS = {
-    KeyFault.MISSING: Problem.KEY_MISSING,
-    KeyFault.MALFORMED: Problem.KEY_MALFORMED,
-    KeyFault.REPEATED: Problem.KEY_REPEATED,
-    KeyFault.UNKNOWN: Problem.KEY_UNKNOWN,
-}
 
 
 @attrs.define
@@ -108,7 +102,7 @@
         try:
             answer = self._answer(handler)
         except BadRequest as exc:
-            answer = self._problem(exc.problem, handler)
+            answer = self._problem(exc.problem, handler, exc.workspace)
         except CallerGone:
             handler.close_connection = True
             start_response(CALLER_GONE_STATUS, [])
@@ -125,15 +119,19 @@
         """
         if not self.workspaces.is_required or not self.services.revision:
             return None
-        route = self.services.route(handler.path, handler.headers.get("host"))
-        if route is None:
+        if self._is_steering(handler.path):
+            return None
+        if self.services.route(handler.path, handler.headers.get("host")) is None:
             return None
-        found = self._authenticate(handler, route)
-        return _PROBLEMS[found.error] if found.is_error() else None
+        return self._key_check(handler).find_problem()
+
+    def _key_check(self, handler):
+        return KeyCheck(self.workspaces, self.services, handler)
 
-    def _authenticate(self, handler, route):
-        values = handler.headers.get_all(AUTHORIZATION)
-        return authenticate(values, route.anonymous, self.workspaces)
+    def _is_steering(self, path):
+        # A steering answer names entry instances. A caller needs it before it knows
+        # where to send a key.
+        return self.steering is not None and path.startswith(STEERING_PATH)
 
     def may_run_concurrently(self, handler: PipelinedHandler) -> bool:
         """Return whether a request may run concurrently with others of its connection.
@@ -162,7 +160,7 @@
         if handler.problem is not None:
             raise BadRequest(handler.problem)
         path = handler.path
-        if self.steering is not None and path.startswith(STEERING_PATH):
+        if self._is_steering(path):
             return self.steering_answer(path)
         if not path.startswith("/"):
             raise BadRequest(Problem.MALFORMED)
@@ -172,33 +170,23 @@
         runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
-        return self._forward(handler, route, runtime, self._workspace(handler, route))
-
-    def _workspace(self, handler, route) -> Workspace | None:
-        """Return the caller's workspace.
-
-        The key is checked again, as it may have been revoked while the body arrived.
-        """
-        if not self.workspaces.is_required:
-            return None
-        found = self._authenticate(handler, route)
-        if found.is_error():
-            raise BadRequest(_PROBLEMS[found.error])
-        return found.ok
+        key_check = self._key_check(handler)
+        problem = key_check.find_problem()
+        if problem is not None:
+            raise BadRequest(problem)
+        return self._forward(handler, route, runtime, key_check)
 
-    def _forward(self, handler: PipelinedHandler, route: Route, runtime, workspace):
+    def _forward(self, handler: PipelinedHandler, route: Route, runtime, key_check):
         try:
             head = self.convention.read_head(handler.header_pairs())
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        forwarded = head.forwarded
         if self.workspaces.is_required:
-            forwarded = self.convention.without_identity(forwarded)
-        headers = [*forwarded, ("Via", head.via)]
-        req = OutboundRequest(
-            handler.command, handler.path, headers, handler.body, head
+            head = attrs.evolve(head, credentials=None)
+        call = _build_call(
+            handler, route, head, runtime.policy.service, key_check.workspace
         )
-        call = _build_call(handler, route, head, runtime.policy.service, workspace)
+        req = self._outbound(handler, head, call, key_check)
         try:
             with handler.cancellable():
                 forwarded = self.forwarder.forward(req, call, runtime)
@@ -217,6 +205,23 @@
             forwarded.answer, headers=[*forwarded.answer.headers, *local_headers]
         )
 
+    def _outbound(self, handler, head, call, key_check):
+        headers = [*head.forwarded, ("Via", head.via)]
+
+        def find_problem():
+            problem = key_check.find_problem()
+            if problem is None and self.workspaces.is_required:
+                # Workspaces may have been configured, or the key assigned to another
+                # workspace, while the request waited.
+                headers[:] = self.convention.without_identity(headers)
+                workspace = key_check.workspace
+                call.workspace = workspace.name if workspace else ""
+            return problem
+
+        return OutboundRequest(
+            handler.command, handler.path, headers, handler.body, head, find_problem
+        )
+
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
 
@@ -235,8 +240,10 @@
         ]
         return Answer("200 OK", headers, json.dumps(document).encode())
 
-    def _problem(self, problem, handler):
-        self._request_log.note_rejected(problem.value[2], self._request_id(handler))
+    def _problem(self, problem, handler, workspace=""):
+        self._request_log.note_rejected(
+            problem.value[2], self._request_id(handler), workspace
+        )
         if problem is Problem.NOT_READY:
             now = time.monotonic()
             return problem_answer(problem, self.startup_retry.retry_after(now))
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -1,14 +1,19 @@
 """Forward a caller's request to targets as the policy decides."""
 
-import time
 from http.client import responses
 
 import attrs
 import gevent
-from gevent.queue import Empty, SimpleQueue
 
 from cairnferry.entry.callers._guard import CrashGuard
-from cairnferry.entry.http import Answer, answer_headers, not_run_answer, unknown_answer
+from cairnferry.entry.callers._hedging import HedgedAttempts
+from cairnferry.entry.http import (
+    Answer,
+    BadRequest,
+    answer_headers,
+    not_run_answer,
+    unknown_answer,
+)
 from cairnferry.entry.targets import (
     AdvisoryRecorder,
     CrashDetector,
@@ -21,8 +26,8 @@
 from cairnferry.policy import (
     Answered,
     Attempt,
-    AwaitOthers,
     Call,
+    Cause,
     CheckStatus,
     Decision,
     GiveUp,
@@ -35,6 +40,10 @@
 )
 from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply
 
+# Retry-After in seconds for a request whose key was revoked after an attempt that may
+# have run. Its outcome can be queried with another key.
+REVOKED_RETRY_AFTER_S = 1.0
+
 
 @attrs.frozen
 class Forwarded:
@@ -118,6 +127,8 @@
         try:
             while True:
                 match decision:
+                    case Send(attempt) if (problem := req.find_problem()) is not None:
+                        decision = self._refuse_key(attempt, runtime, problem)
                     case Send(attempt) if self._is_blocked(call):
                         decision = self._refuse_blocked(attempt, runtime)
                     case Send(attempt):
@@ -132,6 +143,8 @@
                         decision = runtime.wait(call)
                     case Relay():
                         return Forwarded(_relayed_answer(reply), decision)
+                    case Refuse() if (problem := req.find_problem()) is not None:
+                        raise BadRequest(problem, call.workspace)
                     case Refuse(cause, retry_after):
                         return Forwarded(not_run_answer(cause, retry_after), decision)
                     case GiveUp(cause, retry_after):
@@ -140,6 +153,21 @@
             runtime.abandon(call)
             raise
 
+    def _refuse_key(self, attempt, runtime, problem):
+        """Give up a request whose key was revoked while it waited.
+
+        Raises
+        ------
+        BadRequest
+            If no attempt may have run.
+        """
+        call = attempt.call
+        runtime.cancelled(attempt)
+        call.attempts.remove(attempt)
+        if call.possibly_run:
+            return GiveUp(Cause.KEY_UNKNOWN, REVOKED_RETRY_AFTER_S)
+        raise BadRequest(problem, call.workspace)
+
     def _is_blocked(self, call):
         """Return whether a request was blocked after its arrival.
 
@@ -163,7 +191,10 @@
         delay = runtime.policy.hedge_delay() if call.idempotent else None
         if delay is None or not call.may_retry:
             return self._single(req, attempt, runtime)
-        return _HedgedAttempts(self, req, runtime).run(attempt, delay)
+        attempts = HedgedAttempts(
+            self.upstreams, self.checks, self.conclude, req, runtime
+        )
+        return attempts.run(attempt, delay)
 
     def _single(self, req, attempt, runtime):
         try:
@@ -236,81 +267,6 @@
                     self.guard.recheck(call)
 
 
-@attrs.define
-class _HedgedAttempts:
-    """Concurrent attempts of one idempotent request, which is hedged.
-
-    Parameters
-    ----------
-    forwarder : Forwarder
-        Sends the attempts and processes their outcomes.
-    req : OutboundRequest
-        Request to send.
-    runtime : ServiceRuntime
-        Runtime of the service.
-    """
-
-    forwarder: Forwarder
-    req: OutboundRequest
-    runtime: ServiceRuntime
-    _results: SimpleQueue = attrs.field(factory=SimpleQueue)
-    _running: dict[Attempt, gevent.Greenlet] = attrs.field(factory=dict)
-
-    def run(self, first, delay):
-        """Run attempts until there is a decision; return it and the reply."""
-        try:
-            self._start(first)
-            timeout = delay
-            while True:
-                try:
-                    attempt, outcome = self._results.get(timeout=timeout)
-                except Empty:
-                    timeout = self._hedge(first.call, delay)
-                    continue
-                del self._running[attempt]
-                if isinstance(outcome, BaseException):
-                    self.runtime.cancelled(attempt)
-                    raise outcome
-                decision, reply = self.forwarder.conclude(
-                    self.req, attempt, outcome, self.runtime
-                )
-                if not isinstance(decision, AwaitOthers):
-                    return decision, reply
-        finally:
-            self._cancel_running()
-
-    def _start(self, attempt):
-        self._running[attempt] = gevent.spawn(self._send, attempt)
-
-    def _send(self, attempt):
-        try:
-            outcome = self.forwarder.upstreams.send(self.req, attempt)
-        except Exception as exc:
-            outcome = exc
-        self._results.put((attempt, outcome))
-
-    def _hedge(self, call, delay):
-        """Send a hedge if it is due; return the seconds until the next check."""
-        decision = self.runtime.policy.hedge(call, time.monotonic())
-        match decision:
-            case Send(attempt):
-                self._start(attempt)
-                return None
-            case CheckStatus(targets):
-                gevent.spawn(self.forwarder.checks.check_all, targets, self.runtime)
-        return delay if self.runtime.policy.repeats_hedge_check else None
-
-    def _cancel_running(self):
-        """Cancel the attempts that still run and close their connections.
-
-        Otherwise a late answer to this request could be mistaken for the answer to the
-        next request on the connection.
-        """
-        for attempt, greenlet in self._running.items():
-            greenlet.kill(block=False)
-            self.runtime.cancelled(attempt)
-
-
 def _relayed_answer(reply):
     phrase = responses.get(reply.status, "Status")
     headers = answer_headers(reply.headers)
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/callers/_hedging.py
@@ -0,0 +1,101 @@
+"""Hedging: a second attempt of an idempotent request before the first has failed."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+from gevent.queue import Empty, SimpleQueue
+
+from cairnferry.entry.targets import (
+    OutboundRequest,
+    ServiceRuntime,
+    StatusChecks,
+    Upstreams,
+)
+from cairnferry.policy import Attempt, AwaitOthers, CheckStatus, Decision, Send
+from cairnferry.wire import Reply
+
+
+@attrs.define
+class HedgedAttempts:
+    """Concurrent attempts of one idempotent request, which is hedged.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        Sends the attempts.
+    checks : StatusChecks or None
+        Checks the status of targets if the policy requests it.
+    conclude : callable
+        Called with the request, an attempt that ended, its outcome and the runtime;
+        returns the decision and the reply.
+    req : OutboundRequest
+        Request to send.
+    runtime : ServiceRuntime
+        Runtime of the service.
+    """
+
+    upstreams: Upstreams
+    checks: StatusChecks | None
+    conclude: Callable[..., tuple[Decision, Reply | None]]
+    req: OutboundRequest
+    runtime: ServiceRuntime
+    _results: SimpleQueue = attrs.field(factory=SimpleQueue)
+    _running: dict[Attempt, gevent.Greenlet] = attrs.field(factory=dict)
+
+    def run(self, first, delay):
+        """Run attempts until there is a decision; return it and the reply."""
+        try:
+            self._start(first)
+            timeout = delay
+            while True:
+                try:
+                    attempt, outcome = self._results.get(timeout=timeout)
+                except Empty:
+                    timeout = self._hedge(first.call, delay)
+                    continue
+                del self._running[attempt]
+                if isinstance(outcome, BaseException):
+                    self.runtime.cancelled(attempt)
+                    raise outcome
+                decision, reply = self.conclude(
+                    self.req, attempt, outcome, self.runtime
+                )
+                if not isinstance(decision, AwaitOthers):
+                    return decision, reply
+        finally:
+            self._cancel_running()
+
+    def _start(self, attempt):
+        self._running[attempt] = gevent.spawn(self._send, attempt)
+
+    def _send(self, attempt):
+        try:
+            outcome = self.upstreams.send(self.req, attempt)
+        except Exception as exc:
+            outcome = exc
+        self._results.put((attempt, outcome))
+
+    def _hedge(self, call, delay):
+        """Send a hedge if it is due; return the seconds until the next check."""
+        if self.req.find_problem() is not None:
+            return None
+        decision = self.runtime.policy.hedge(call, time.monotonic())
+        match decision:
+            case Send(attempt):
+                self._start(attempt)
+                return None
+            case CheckStatus(targets):
+                gevent.spawn(self.checks.check_all, targets, self.runtime)
+        return delay if self.runtime.policy.repeats_hedge_check else None
+
+    def _cancel_running(self):
+        """Cancel the attempts that still run and close their connections.
+
+        Otherwise a late answer to this request could be mistaken for the answer to the
+        next request on the connection.
+        """
+        for attempt, greenlet in self._running.items():
+            greenlet.kill(block=False)
+            self.runtime.cancelled(attempt)
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -113,7 +113,9 @@
         self.metrics.note_request(service, call.idempotent, "gone", CALLER_GONE)
         self._write_with_facts(LogLine.GONE, policy, call, request_id, {})
 
-    def note_rejected(self, cause: str, request_id: str | None) -> None:
+    def note_rejected(
+        self, cause: str, request_id: str | None, workspace: str = ""
+    ) -> None:
         """Record a request that was rejected before a service was chosen.
 
         Parameters
@@ -122,9 +124,13 @@
             Cause of the rejection.
         request_id : str or None
             ID that the caller assigned to the request.
+        workspace : str, optional
+            Name of the caller's workspace, if its key was revoked meanwhile.
         """
         self.metrics.note_cause(cause)
         facts = {"revision": self.services.revision, "cause": cause}
+        if workspace:
+            facts["workspace"] = workspace
         self._write(LogLine.REJECTED, request_id, lambda: facts)
 
     def _write_with_facts(self, line, policy, call, request_id, details):
@@ -152,6 +158,7 @@
             "after_ms": round(elapsed * MS_PER_S, 1),
             "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
             "repeats_left": round(policy.retries_left, 1),
+            **({"workspace": call.workspace} if call.workspace else {}),
             **_identity_facts(call),
         }
 
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -205,6 +205,7 @@
             self.guard,
             self.limiter,
             self.advisory_recorder,
+            self.workspaces,
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -11,6 +11,7 @@
 from cairnferry.entry.members import Cluster, Gossip
 from cairnferry.entry.targets import AdvisoryRecorder, Limiter, Services, Upstreams
 from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
+from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.peers import ByteMeter
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,8 @@
         Limits that targets advertise.
     advisory_recorder : AdvisoryRecorder
         Advisories of targets.
+    workspaces : WorkspaceRegistry
+        Workspaces in force.
     """
 
     cluster: Cluster
@@ -50,6 +53,7 @@
     guard: CrashGuard
     limiter: Limiter
     advisory_recorder: AdvisoryRecorder
+    workspaces: WorkspaceRegistry
 
     def status(self) -> dict:
         """Return this daemon's view of all daemons."""
@@ -94,6 +98,7 @@
             },
             "blocked_requests": self.guard.snapshot(),
             "limits": self.limiter.snapshot(),
+            "workspaces": self.workspaces.snapshot(),
             "target_words": self.advisory_recorder.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -230,7 +230,12 @@
     def _install(self, records):
         services = self.core.services
         # A deployment without any workspace serves callers without keys.
-        self.core.workspaces.install(records.of_kind(Kind.WORKSPACE) or None)
+        workspaces = records.of_kind(Kind.WORKSPACE) or None
+        index = self.core.workspaces.prepare(workspaces)
+        if records is not self.configuration.records:
+            # A newer revision was put in force while the workspaces were indexed.
+            return
+        self.core.workspaces.install(index)
         services.install(records)
         zones = records.of_kind(Kind.ZONE)
         evacuated = frozenset(zone.name for zone in zones if zone.evacuated)
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -23,6 +23,7 @@
 from cairnferry.entry.following._target_installer import TargetInstaller
 from cairnferry.entry.following._target_rows import TargetRows
 from cairnferry.entry.http import Page
+from cairnferry.entry.workspaces import WorkspaceIndex
 from cairnferry.peers import PeerLink
 
 # Pause in seconds between two calls for targets. Without it, targets that start one
@@ -75,6 +76,7 @@
     in_force: Event = attrs.field(factory=Event)
     _rules: Rules | None = None
     _has_handover: bool = False
+    _workspaces: WorkspaceIndex = attrs.field(factory=WorkspaceIndex)
     _document: bytes = b""
     _exchange: RulesExchange = attrs.field(init=False)
     _puller: RulesPuller = attrs.field(init=False)
@@ -217,6 +219,7 @@
         document : bytes
             Document that holds all rules.
         """
+        document = self.decoders.redact(document)
         decoded = self.decoders.rules(document).bind(Rules.check_references)
         if decoded.is_error():
             self.behind = decoded.error
@@ -229,15 +232,20 @@
         rules = decoded.ok
         if rules.revision <= self._held_revision:
             return False
+        workspaces = self.core.workspaces.prepare(rules.workspaces)
+        if rules.revision <= self._held_revision:
+            # Newer rules were applied while the workspaces were indexed.
+            return False
         before = self.revision
         self._rules = rules
+        self._workspaces = workspaces
         self._document = document
-        self._exchange.history.add(rules.revision, document)
         self.behind = None
         if before:
             self._install(before)
         else:
             self._install_when_complete()
+        self._exchange.add(rules.revision, document)
         return True
 
     def _install_when_complete(self):
@@ -257,7 +265,7 @@
     def _install(self, before):
         rules = self._rules
         services = self.core.services
-        self.core.workspaces.install(rules.workspaces)
+        self.core.workspaces.install(self._workspaces)
         services.install_rules(rules.revision, rules.services, rules.routes)
         self._installer.install(rules.services)
         self.core.apply_caller_limits(rules.limits)
@@ -274,12 +282,17 @@
 
     def redecode_rules(self) -> None:
         """Decode the rules in force again, after settings of the decoder changed."""
-        decoded = self.decoders.rules(self._document)
+        decoded = None
+        document = None
+        while document is not self._document:
+            # Newer rules may be applied while these are decoded.
+            document = self._document
+            decoded = self.decoders.rules(document)
         if self._rules is None or decoded.is_error():
             return
         self._rules = decoded.ok
         if self.in_force.is_set():
-            self.core.workspaces.install(self._rules.workspaces)
+            self.core.workspaces.install(self._workspaces)
             self.core.services.install_rules(
                 self._rules.revision, self._rules.services, self._rules.routes
             )
--- a/packages/entry/src/cairnferry/entry/following/_rules_exchange.py
+++ b/packages/entry/src/cairnferry/entry/following/_rules_exchange.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import time
+import zlib
 
 import attrs
 
@@ -19,6 +20,7 @@
     DocumentNews,
     TokenBucket,
 )
+from cairnferry.entry._steps import Steps
 from cairnferry.peers import PeerCallFailed, PeerLink
 
 # Share of the link's rate that may be used to send documents.
@@ -40,9 +42,23 @@
 # Reason of a failed call whose method a peer of an earlier release does not know.
 UNKNOWN_METHOD = "TApplicationException"
 
+# Size in bytes of the parts in which a document is compressed.
+COMPRESSED_AT_ONCE = 64 * 1024
+
 log = logging.getLogger(__name__)
 
 
+def compress_in_steps(document: bytes) -> bytes:
+    """Compress a document by zlib, in steps between which other tasks run."""
+    steps = Steps()
+    compressor = zlib.compressobj()
+    parts = []
+    for start in range(0, len(document), COMPRESSED_AT_ONCE):
+        parts.append(compressor.compress(document[start : start + COMPRESSED_AT_ONCE]))
+        steps.pause()
+    return b"".join([*parts, compressor.flush()])
+
+
 @attrs.define
 class DocumentRateLimit:
     """Limits the rate at which documents are sent.
@@ -122,6 +138,22 @@
     slots: FetchSlots = attrs.field(factory=FetchSlots)
     history: DocumentHistory = attrs.field(factory=DocumentHistory)
 
+    def add(self, revision: int, document: bytes) -> None:
+        """Add a newer version of the document, unless a later one was added meanwhile.
+
+        Peers are sent the version from then on.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the document.
+        document : bytes
+            The document.
+        """
+        packed = compress_in_steps(document)
+        if revision > self.history.revision:
+            self.history.add(revision, document, packed)
+
     def fetch(self, link: PeerLink, revision: int) -> bytes | None:
         """Fetch newer rules than a revision; None if the peer sends none now.
 
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -142,8 +142,12 @@
     Cause.WORKSPACE_LIMIT: "http_request_denied",
     Cause.LIMIT_UNVERIFIED: "proxy_internal_error",
     Cause.BODIES_FULL: "connection_limit_reached",
+    Cause.KEY_UNKNOWN: "http_request_denied",
+}
+_NOT_RUN_STATUSES = {
+    Cause.WORKSPACE_LIMIT: "429 Too Many Requests",
+    Cause.KEY_UNKNOWN: "401 Unauthorized",
 }
-_NOT_RUN_STATUSES = {Cause.WORKSPACE_LIMIT: "429 Too Many Requests"}
 _NOT_RUN_DEFAULT = "503 Service Unavailable"
 
 _UNKNOWN_CAUSES = {
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -59,11 +59,14 @@
     ----------
     problem : Problem
         Fault that is reported to the caller.
+    workspace : str, optional
+        Name of the workspace as which the caller was authenticated before.
     """
 
-    def __init__(self, problem):
+    def __init__(self, problem, workspace=""):
         super().__init__(problem)
         self.problem = problem
+        self.workspace = workspace
 
 
 class _HeadReader:
@@ -155,6 +158,11 @@
         """Return the request's headers as received, in order."""
         return self.headers.items()
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows the head."""
+        return bool(self.content_length or self.headers.get("transfer-encoding"))
+
     def read_body(self, limit: int, seconds: float) -> bytes:
         """Read the whole request body.
 
@@ -164,7 +172,7 @@
             If the body is incomplete, is larger than `limit` bytes, or takes longer
             than `seconds` to arrive.
         """
-        if not self.content_length and not self.headers.get("transfer-encoding"):
+        if not self.has_body:
             return b""
         if self.content_length and self.content_length > limit:
             self._skip_body()
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -29,6 +29,10 @@
     Pipeline,
 )
 
+# Size in bytes up to which the body of a rejected request is discarded, so that the
+# connection stays open for other requests. A larger one would delay them.
+MAX_REFUSED_BODY_BYTES = 64 * 1024
+
 
 class PipelinedHandler(Handler):
     """Reads the requests of a connection, and runs each in a separate task.
@@ -50,6 +54,7 @@
     body = b""
     arrived = 0.0
     _exchange = None
+    _refused_body = None
     _is_reading = False
 
     def __init__(self, sock, address, server):
@@ -80,6 +85,8 @@
             try:
                 self._read_request()
                 self._enqueue_request()
+                if self._refused_body and not self._discard_refused_body():
+                    return self._discard_rest()
             finally:
                 self._is_reading = False
             return self._discard_rest() if self.close_connection else True
@@ -123,9 +130,7 @@
         self.headers = HeadFields([])
         try:
             self._read_head()
-            problem = self.server.application.check_head(self)
-            if problem is not None:
-                self._reject_by_head(problem)
+            if self.has_body and self._is_rejected_by_head():
                 return
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
@@ -147,13 +152,39 @@
             self.read_request(line)
         self.open_body()
 
-    def _reject_by_head(self, problem):
-        """Reject a request without reading its body, if it has one."""
-        if self.content_length or self.headers.get("transfer-encoding") is not None:
+    def _is_rejected_by_head(self):
+        """Return whether a request is rejected before its body is read.
+
+        A request without a body is checked when its turn comes, by the rules that are
+        in force then.
+        """
+        problem = self.server.application.check_head(self)
+        if problem is None:
+            return False
+        is_small = (self.content_length or 0) <= MAX_REFUSED_BODY_BYTES
+        if self.headers.get("expect") is not None or not is_small:
+            # A sender that waits for "100 Continue" may send the body or not.
             self._skip_body()
-            self._reject(problem)
-        else:
-            self.problem = problem
+            raise BadRequest(problem)
+        self.problem = problem
+        self._refused_body = self.wsgi_input
+        return True
+
+    def _discard_refused_body(self):
+        """Discard the body of a rejected request; return whether the next one follows.
+
+        The request is answered meanwhile.
+        """
+        body, self._refused_body = self._refused_body, None
+        seconds = self.server.application.limits.seconds
+        discarded = 0
+        with contextlib.suppress(OSError), gevent.Timeout(seconds, False):
+            while discarded <= MAX_REFUSED_BODY_BYTES:
+                data = body.read(DISCARD_READ_BYTES)
+                if not data:
+                    return True
+                discarded += len(data)
+        return False
 
     def _reject(self, problem):
         self.problem = problem
@@ -226,8 +257,9 @@
     """Listener for callers.
 
     Its application has `limits`, the limits of request bodies, and two methods.
-    `check_head` is called when a head was read; it returns the problem for which the
-    request is rejected before its body is read, or None. `may_run_concurrently` is
+    `check_head` is called when the head of a request with a body was read; it returns
+    the problem for which the request is rejected before its body is read, or None.
+    `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
     others of its connection do.
     """
--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -3,11 +3,11 @@
 import enum
 import re
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from cairnferry.entry.http import RequestHead
+from cairnferry.entry.http import Problem, RequestHead
 from cairnferry.entry.targets._conventions import (
     CheckResult,
     DefaultTargetConvention,
@@ -45,6 +45,10 @@
 _REFUSALS = frozenset(["ConnectionRefusedError", "ConnectionResetError"])
 
 
+def _no_problem():
+    return None
+
+
 @attrs.frozen
 class OutboundRequest:
     """A request as it is sent to any target.
@@ -59,6 +63,9 @@
         Complete body.
     head : RequestHead
         Parsed headers that the daemon itself uses.
+    find_problem : callable, optional
+        Called right before each attempt; returns the problem for which the request must
+        not be sent any more, or None.
     """
 
     method: str
@@ -66,6 +73,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     head: RequestHead
+    find_problem: Callable[[], Problem | None] = _no_problem
 
 
 @attrs.define
@@ -106,8 +114,10 @@
         if isinstance(conn, ConnectFailed):
             late = time.monotonic() >= call.deadline
             return NotSent(Failure.TIMEOUT if late else Failure.CONNECT)
-        if attempt.target.is_unavailable(time.monotonic()):
-            # The target became unavailable while the connection was being opened.
+        is_unavailable = attempt.target.is_unavailable(time.monotonic())
+        if is_unavailable or req.find_problem() is not None:
+            # The target became unavailable, or the caller's key was revoked, while the
+            # connection was being opened.
             pool.release(conn)
             return NotSent(Failure.WITHDRAWN)
         payload = self._encode(req, attempt)
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -25,6 +25,7 @@
     WORKSPACE_LIMIT = "workspace-limit"
     LIMIT_UNVERIFIED = "limit-unverified"
     BODIES_FULL = "bodies-full"
+    KEY_UNKNOWN = "key-unknown"
 
 
 class AttemptKind(enum.StrEnum):
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -297,9 +297,10 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def configuration(version=3, *, rules=None, clusters=("svc",), **limits):
+def configuration(version=3, *, rules=None, clusters=("svc",), tenants=None, **limits):
     """Return a configuration document as operators write it."""
     return {
+        **({} if tenants is None else {"tenants": tenants}),
         "version": f"r{version}",
         "limits": {
             "max_header_bytes": 16384,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,7 +21,8 @@
 from cairnferry.entry.targets._services import Services  # noqa: E402
 from cairnferry.entry.targets._upstreams import Upstreams  # noqa: E402
 from cairnferry.entry.telemetry._metrics import Metrics  # noqa: E402
-from cairnferry.records import Change, Put, RecordSet  # noqa: E402
+from cairnferry.entry.workspaces import WorkspaceRegistry  # noqa: E402
+from cairnferry.records import Change, Kind, Put, RecordSet  # noqa: E402
 from cairnferry.standins import (  # noqa: E402
     LocalSystem,
     TargetBehaviour,
@@ -189,16 +190,19 @@
         crash_detector = CrashDetector(
             self.upstreams, self.metrics, self.guard.note_crash
         )
+        self.workspaces = WorkspaceRegistry()
         edits = tuple(Put(document, 0) for document in documents)
         if edits:
             records = RecordSet().apply(1, (Change("c", edits),)).ok
             self.services.install(records)
+            self.install_workspaces(records)
         app = CallersApp(
             self.services,
             Forwarder(self.upstreams, None, crash_detector, self.guard),
             None,
             self.metrics,
             BodyLimits(max_body, body_s),
+            workspaces=self.workspaces,
         )
         limits = ListenerLimits(max_connections, idle_s=30.0, head_s=body_s)
         self.server = PipelinedServer((HOST, 0), app, limits)
@@ -208,6 +212,10 @@
     def port(self):
         return self.server.server_port
 
+    def install_workspaces(self, records):
+        workspaces = records.of_kind(Kind.WORKSPACE) or None
+        self.workspaces.install(self.workspaces.prepare(workspaces))
+
     def policy(self, service="s"):
         return self.services.runtime(service).policy
 
--- a/tests/entry/http/test_causes.py
+++ b/tests/entry/http/test_causes.py
@@ -10,7 +10,7 @@
 def test_each_cause_has_an_answer(cause):
     """Guards against a connection that is closed without an answer."""
     refused = not_run_answer(cause, 0.5)
-    is_over_limit = cause is Cause.WORKSPACE_LIMIT
-    assert refused.status.startswith("429" if is_over_limit else "503")
+    statuses = {Cause.WORKSPACE_LIMIT: "429", Cause.KEY_UNKNOWN: "401"}
+    assert refused.status[:3] == statuses.get(cause, "503")
     assert str(cause).encode() in refused.body
     assert unknown_answer(cause, 0.5).status[:3] in ("502", "504")
