--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -216,19 +216,29 @@
     return _get(api, f"/v1/records?kind={kind}", as_json)["records"]
 
 
-def send_edits(api: Api, edits, change_id, as_json) -> None:
-    """Send edits as one atomic change, and print the accepted revision."""
+def submit_edits(api: Api, edits, change_id, as_json) -> dict:
+    """Send edits as one atomic change; return the outcome if it was accepted."""
     change_id = change_id or uuid.uuid4().hex
     result = api.post("/v1/changes", {"change_id": change_id, "edits": edits})
     if result.is_error():
         fail(result.error, change_id, as_json)
+    return result.ok
+
+
+def print_accepted(outcome: dict, as_json) -> None:
+    """Print the outcome of an accepted change."""
     if as_json:
-        print(json.dumps(result.ok, indent=1))
+        print(json.dumps(outcome, indent=1))
     else:
-        revision = result.ok["revision"]
+        revision, change_id = outcome["revision"], outcome["change_id"]
         print(f"accepted at revision {revision} (change {change_id})")
 
 
+def send_edits(api: Api, edits, change_id, as_json) -> None:
+    """Send edits as one atomic change, and print the accepted revision."""
+    print_accepted(submit_edits(api, edits, change_id, as_json), as_json)
+
+
 def explain(request_id: str, paths: list[str], before_s: float) -> None:
     """Print the log lines that explain a request, from files or standard input."""
     log = _read_log(paths)
--- a/packages/ctl/src/cairnferry/ctl/_tables.py
+++ b/packages/ctl/src/cairnferry/ctl/_tables.py
@@ -3,6 +3,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from cairnferry.records import Workspace
+
 WIDTH = 110
 
 
@@ -58,6 +60,21 @@
     _print(table)
 
 
+def print_workspaces(workspaces: list[Workspace]) -> None:
+    """Print workspaces without the digests of their keys."""
+    table = _table("workspace", "keys", "rank", "requests/s", "burst")
+    for each in workspaces:
+        is_limited = each.rate_per_s > 0
+        table.add_row(
+            each.name,
+            str(len(each.key_digests)),
+            "of the route" if each.rank is None else str(each.rank),
+            f"{each.rate_per_s:g}" if is_limited else "unlimited",
+            f"{each.burst:g}" if is_limited else "-",
+        )
+    _print(table)
+
+
 def _table(*columns):
     table = Table(box=None, pad_edge=False)
     for column in columns:
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -6,7 +6,7 @@
 import attrs
 import cappa
 
-from cairnferry.ctl import _commands, _zones
+from cairnferry.ctl import _commands, _workspace_args, _zones
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode
 from cairnferry.settings import parse_address
@@ -68,7 +68,8 @@
     """Arguments of `list`."""
 
     kind: typing.Annotated[
-        str | None, cappa.Arg(long="--kind", help="service, target, route or zone")
+        str | None,
+        cappa.Arg(long="--kind", help="service, target, route, zone or workspace"),
     ] = None
     json: _Json = False
 
@@ -231,6 +232,7 @@
     | Unblock
     | Evacuate
     | Restore
+    | _workspace_args.Workspace
     | Explain
     | Report
 )
@@ -305,6 +307,15 @@
             _zones.evacuate(api, zone, change_id, as_json)
         case Restore(zone, change_id, as_json):
             _zones.restore(api, zone, change_id, as_json)
+        case _workspace_args.Workspace(command):
+            _run_workspace_command(command, api)
+
+
+def _run_workspace_command(command, api):
+    try:
+        _workspace_args.run(command, api)
+    except ValueError as exc:
+        _exit_with_usage_error(str(exc))
 
 
 def _make_api(args):
