Explain a refused key in a sentence; a request is forwarded without its key

Cause: the parsed head of a request kept the Authorization field until the first send.

Change: the head is stripped at admission, so that the check before a send compares a number unless rules have changed. `cairnferry explain` states the cause of a refused key.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -6,7 +6,7 @@
 import urllib.parse
 import uuid
 
-from cairnferry.ctl import _charts, _explain, _report
+from cairnferry.ctl import _charts, _explain, _report, _sentences
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
@@ -250,7 +250,8 @@
             file=sys.stderr,
         )
         sys.exit(ExitCode.REFUSED)
-    print("\n".join(_explain.format_lines(lines)))
+    sentences = _sentences.explain_refusals(lines)
+    print("\n".join([*_explain.format_lines(lines), *sentences]))
 
 
 def report(output: str, paths: list[str]) -> None:
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -182,7 +182,8 @@
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
         if self.workspaces.is_required:
-            head = attrs.evolve(head, credentials=None)
+            forwarded = self.convention.without_identity(head.forwarded)
+            head = attrs.evolve(head, credentials=None, forwarded=forwarded)
         call = _build_call(
             handler, route, head, runtime.policy.service, key_check.workspace
         )
@@ -208,7 +209,11 @@
     def _outbound(self, handler, head, call, key_check):
         headers = [*head.forwarded, ("Via", head.via)]
 
+        admitted = self.workspaces.generation
+
         def find_problem():
+            if self.workspaces.generation == admitted:
+                return None
             problem = key_check.find_problem()
             if problem is None and self.workspaces.is_required:
                 # Workspaces may have been configured, or the key assigned to another
--- a/tests/adapter/test_workspaces.py
+++ b/tests/adapter/test_workspaces.py
@@ -1,11 +1,14 @@
 """Workspaces in the configuration document: decoding, keys, and the rules in force."""
 
+import gc
 import json
+import zlib
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cairnferry.coordination import Row
 from cairnferry.entry.adapter import DecodeFault
 from cairnferry.records import Workspace, digest_key
 from cairnferry.standins import wait_for
@@ -307,3 +310,25 @@
     daemon = start_daemon(wait=False)
     assert daemon.call(headers=[bearer(KEY)]).status == 503
     assert daemon.call(**POST).status == 503
+
+
+def test_keys_from_a_peer_of_an_earlier_release_are_replaced(serving):
+    """Guards against keys that a daemon without redaction passes on in an upgrade."""
+    daemon, _ = serving
+    records = daemon.core.cluster.configuration
+    assert records.apply(write(configuration(9, tenants=[ACME])))
+    assert daemon.call(headers=[bearer(KEY)]).status == 200
+    assert SECRET.encode() not in records.snapshot()
+    assert SECRET.encode() not in records.handover().write()
+    update = records.document_since(0)
+    assert SECRET.encode() not in zlib.decompress(update.packed)
+    assert digest_key(KEY).encode() in zlib.decompress(update.packed)
+
+
+def test_no_copy_of_the_table_of_rules_holds_a_key(serving):
+    """Guards against keys in memory, from which a later change could send them."""
+    daemon, _ = serving
+    gc.collect()
+    held = [each for each in gc.get_objects() if isinstance(each, Row)]
+    assert any(digest_key(KEY).encode() in (row.value or b"") for row in held)
+    assert not any(SECRET.encode() in (row.value or b"") for row in held)
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cairnferry.ctl._explain import explain, format_lines, read_log
+from cairnferry.ctl._sentences import explain_refusals
 
 ID = "9c41d07b"
 
@@ -200,3 +201,34 @@
     ]
     lines = explain(read_log(texts), ID, before_s=2.0)
     assert [each.fields.get("target") for each in lines] == ["t1", "t2", None]
+
+
+def rejected(cause, **fields):
+    facts = {"request_id": ID, "cause": cause, "revision": 7, **fields}
+    return line(9.5, "request rejected", **facts)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (rejected("key-missing"), "no Authorization header"),
+        (rejected("key-malformed"), "is not `Bearer`"),
+        (rejected("key-repeated"), "more than one Authorization header"),
+        (rejected("key-unknown"), "no workspace holds its key by the rules of"),
+        (rejected("key-unknown", workspace="acme"), "workspace acme was removed"),
+        (
+            rejected("key-unknown", workspace="acme", outcome="unknown"),
+            "an earlier attempt may have run",
+        ),
+    ],
+)
+def test_refused_key_is_explained_in_a_sentence(text, expected):
+    lines = explain(read_log([text]), ID, 1.0)
+    (sentence,) = explain_refusals(lines)
+    assert expected in sentence
+    assert "front-1 refused it: " in sentence
+
+
+def test_other_outcomes_have_no_sentence():
+    lines = explain(read_log(TEXTS), ID, 2.0)
+    assert explain_refusals(lines) == []
