--- a/packages/entry/src/cairnferry/entry/http/_head_fields.py
+++ b/packages/entry/src/cairnferry/entry/http/_head_fields.py
@@ -83,6 +83,7 @@
             return HeadFields(pairs)
         match = _FIELD.match(line)
         if match is None:
-            raise MalformedField(line[:40])
+            # The line may contain a key.
+            raise MalformedField("a line is not a valid field")
         name, value = match.groups()
         pairs.append((name.decode("latin-1"), value.decode("latin-1")))
