--- a/tests/adapter/test_workspaces.py
+++ b/tests/adapter/test_workspaces.py
@@ -6,12 +6,14 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cairnferry.coordination import Row
 from cairnferry.entry import _steps
 from cairnferry.entry.adapter import DecodeFault
+from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.records import Workspace, digest_key
 from cairnferry.standins import wait_for
 from hosting import _json_steps
@@ -339,15 +341,26 @@
 def test_older_rules_are_dropped_while_newer_ones_come_into_force(serving, monkeypatch):
     """Guards against a revoked key that comes back.
 
-    Rules with many keys are decoded in steps. Newer rules arrive from a peer meanwhile.
+    Rules with many keys are indexed in steps. Newer rules arrive from a peer meanwhile.
     """
-    monkeypatch.setattr(_steps, "STEP_S", 0.0)
+    prepare = WorkspaceRegistry.prepare
+    indexed, resume = Event(), Event()
+
+    def prepare_late(registry, workspaces):
+        index = prepare(registry, workspaces)
+        if len(workspaces) > 1:
+            indexed.set()
+            resume.wait()
+        return index
+
+    monkeypatch.setattr(WorkspaceRegistry, "prepare", prepare_late)
     daemon, _ = serving
     records = daemon.core.cluster.configuration
-    many = [{"name": f"w{n}", "api_keys": [f"{KEY}{n}"]} for n in range(50)]
+    many = [{"name": f"w{n}", "api_keys": [f"{KEY}{n}"]} for n in range(2)]
     older = gevent.spawn(records.apply, write(configuration(10, tenants=many)))
-    gevent.sleep(0)
+    indexed.wait()
     assert records.apply(write(configuration(11, tenants=[ACME])))
+    resume.set()
     assert older.get() is False
     assert records.revision == 11
     assert daemon.call(headers=[bearer(f"{KEY}0")]).status == 401
