--- a/tests/adapter/test_workspace_processes.py
+++ b/tests/adapter/test_workspace_processes.py
@@ -9,7 +9,7 @@
 from cairnferry.records import digest_key
 from cairnferry.standins import unique_loopback_host, wait_for
 from cairnferry.standins._relay import Relay
-from cairnferry.wire import Client, Reply
+from cairnferry.wire import Client, Reply, connect
 
 from ._processes import ALIVE_METRIC, METRICS_PORT, DaemonProcess
 from ._standins import HOST, configuration, rule
@@ -117,6 +117,30 @@
         assert SECRET.encode() not in base64.b64decode(document)
 
 
+def test_sender_of_only_a_head_gets_its_answer(fleet, read_until):
+    """Guards against bodies that are read for requests that are refused anyway."""
+    daemon = fleet.daemons[0]
+    sock = connect((daemon.host, daemon.cfg.callers.port), 5).sock
+    with sock:
+        sock.sendall(
+            b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer x\r\n"
+            b"Cairnferry-Request-Id: r\r\nContent-Length: 50000\r\n\r\n"
+        )
+        assert read_until(sock, b"key-unknown").startswith(b"HTTP/1.1 401 ")
+
+
+def test_daemon_without_rules_answers_503_not_401(store, tmp_path):
+    """Guards against callers that give up a valid key because of a restart."""
+    store.down = 503
+    host = unique_loopback_host(1)
+    daemon = DaemonProcess(tmp_path, host, settings_text(store.port, host=host))
+    try:
+        wait_for(lambda: status(daemon, KEY) == 503)
+        assert status(daemon) == 503
+    finally:
+        daemon.kill()
+
+
 def test_daemon_cut_off_from_the_store_hears_of_a_revocation(fleet, store):
     """Guards against a revoked key that a daemon without the store still serves."""
     first, second, _ = fleet.daemons
--- a/tests/entry/daemon/test_workspaces.py
+++ b/tests/entry/daemon/test_workspaces.py
@@ -15,7 +15,7 @@
     workspace_v1,
     workspace_v2,
 )
-from cairnferry.wire import Reply
+from cairnferry.wire import Reply, connect
 
 SECRET = "s3cret-"
 KEY = SECRET + "acme"
@@ -126,6 +126,23 @@
     assert SECRET.encode() not in reply.body
 
 
+def test_daemon_without_records_answers_503_not_401(system):
+    """Guards against callers that give up a valid key because of a restart."""
+    platform = system.start_platform()
+    wait_for(lambda: platform.read("http", "/_control"))
+    e1 = system.start_daemon("e1", "zone-a")
+    wait_for(lambda: status(e1, bearer(KEY)) == 503)
+
+
+def test_sender_of_only_a_head_gets_its_answer(system, tmp_path, read_until):
+    """Guards against bodies that are read for requests that are refused anyway."""
+    start(system, tmp_path, {"e1": "zone-a"})
+    host, _, port = system.daemons["e1"].addresses["callers"].partition(":")
+    with connect((host, int(port)), 5).sock as sock:
+        sock.sendall(b"POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n")
+        assert read_until(sock, b"key-missing").startswith(b"HTTP/1.1 401 ")
+
+
 def test_no_key_is_shown_logged_or_sent(system, tmp_path):
     """Guards against keys in what operators read and in what the platform stores."""
     start(system, tmp_path, {"e1": "zone-a", "e2": "zone-a"})
