--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -6,7 +6,7 @@
 import gevent
 
 from cairnferry.entry.callers._guard import CrashGuard
-from cairnferry.entry.callers._hedging import HedgedAttempts
+from cairnferry.entry.callers._hedging import REVOKED_RETRY_AFTER_S, HedgedAttempts
 from cairnferry.entry.http import (
     Answer,
     BadRequest,
@@ -40,10 +40,6 @@
 )
 from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply
 
-# Retry-After in seconds for a request whose key was revoked after an attempt that may
-# have run. Its outcome can be queried with another key.
-REVOKED_RETRY_AFTER_S = 1.0
-
 
 @attrs.frozen
 class Forwarded:
@@ -134,7 +130,8 @@
                     case Send(attempt):
                         decision, reply = self._attempt(req, attempt, runtime)
                     case CheckStatus(targets):
-                        self.checks.check_all(targets, runtime)
+                        latest = runtime.policy.latest_start(call)
+                        self.checks.check_all(targets, runtime, latest)
                         decision = runtime.resume(call)
                     case Pause(seconds):
                         gevent.sleep(seconds)
--- a/packages/entry/src/cairnferry/entry/callers/_hedging.py
+++ b/packages/entry/src/cairnferry/entry/callers/_hedging.py
@@ -13,9 +13,21 @@
     StatusChecks,
     Upstreams,
 )
-from cairnferry.policy import Attempt, AwaitOthers, CheckStatus, Decision, Send
+from cairnferry.policy import (
+    Attempt,
+    AwaitOthers,
+    Cause,
+    CheckStatus,
+    Decision,
+    GiveUp,
+    Send,
+)
 from cairnferry.wire import Reply
 
+# Retry-After in seconds for a request whose key was revoked after an attempt that may
+# have run. Its outcome can be queried with another key.
+REVOKED_RETRY_AFTER_S = 1.0
+
 
 @attrs.define
 class HedgedAttempts:
@@ -53,6 +65,9 @@
                 try:
                     attempt, outcome = self._results.get(timeout=timeout)
                 except Empty:
+                    if not self._running and self.req.find_problem() is not None:
+                        # All attempts were retired, and any of them may have run.
+                        return GiveUp(Cause.KEY_UNKNOWN, REVOKED_RETRY_AFTER_S), None
                     timeout = self._hedge(first.call, delay)
                     continue
                 del self._running[attempt]
@@ -81,15 +96,25 @@
         """Send a hedge if it is due; return the seconds until the next check."""
         if self.req.find_problem() is not None:
             return None
+        self._retire_hanging(call)
         decision = self.runtime.policy.hedge(call, time.monotonic())
         match decision:
             case Send(attempt):
                 self._start(attempt)
-                return None
             case CheckStatus(targets):
                 gevent.spawn(self.checks.check_all, targets, self.runtime)
         return delay if self.runtime.policy.repeats_hedge_check else None
 
+    def _retire_hanging(self, call):
+        """Cancel attempts that hang, so that the request may go elsewhere.
+
+        The connection is closed: such a target answers nothing further on it.
+        """
+        policy = self.runtime.policy
+        for attempt in policy.hanging_attempts(call, time.monotonic()):
+            self._running.pop(attempt).kill(block=False)
+            self.runtime.retire(attempt)
+
     def _cancel_running(self):
         """Cancel the attempts that still run and close their connections.
 
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from cairnferry.entry.http._answers import Problem, encode_raw
+from cairnferry.entry.http._bodies import read_parts
 from cairnferry.entry.http._head_fields import MalformedField, read_fields
 from cairnferry.entry.http._lingering import linger
 from cairnferry.wire import is_quiet, refuse_connections, set_no_delay
@@ -57,8 +58,8 @@
 
     Parameters
     ----------
-    problem : Problem
-        Fault that is reported to the caller.
+    problem : Problem or Cause
+        Fault that is reported to the caller, or cause for which it is refused.
     workspace : str, optional
         Name of the workspace as which the caller was authenticated before.
     """
@@ -179,7 +180,9 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         try:
             with gevent.Timeout(seconds, BadRequest(Problem.SLOW_SENDER)):
-                body = self.wsgi_input.read(limit + 1)
+                body = read_parts(
+                    self.wsgi_input.read, self.content_length, limit, self.note_part
+                )
         except BadRequest:
             self._skip_body()
             raise
@@ -191,6 +194,9 @@
             raise BadRequest(Problem.BODY_TOO_LARGE)
         return body
 
+    def note_part(self, size: int) -> None:
+        """Record that a part of a body was read; the size is in bytes."""
+
     def _skip_body(self):
         """Close the connection after the answer instead of reading the body."""
         self.close_connection = True
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -8,6 +8,7 @@
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
 
 from cairnferry.entry.http._answers import Problem
+from cairnferry.entry.http._bodies import LARGE_BYTES, BodyBudget, HeldBody
 from cairnferry.entry.http._head_fields import HeadFields
 from cairnferry.entry.http._http_server import (
     HANDLER_KEY,
@@ -28,6 +29,10 @@
     Lookahead,
     Pipeline,
 )
+from cairnferry.wire import Link
+
+# Bytes of an answer that are handed to the socket, and recorded on the link, at once.
+ANSWER_PIECE_BYTES = 64 * 1024
 
 # Size in bytes up to which the body of a rejected request is discarded, so that the
 # connection stays open for other requests. A larger one would delay them.
@@ -42,8 +47,9 @@
 
     Attributes
     ----------
-    problem : Problem or None
-        Fault of the request that was found while it was read.
+    problem : Problem, Cause or None
+        Fault of the request that was found while it was read, or the cause for which
+        it is refused.
     body : bytes
         The whole body.
     arrived : float
@@ -56,6 +62,7 @@
     _exchange = None
     _refused_body = None
     _is_reading = False
+    _held = None
 
     def __init__(self, sock, address, server):
         super().__init__(sock, address, server)
@@ -82,6 +89,7 @@
             if not self._wait_for_input():
                 return self._cancel_and_wait()
             self._is_reading = True
+            self._held = HeldBody(self.server.bodies)
             try:
                 self._read_request()
                 self._enqueue_request()
@@ -89,6 +97,7 @@
                     return self._discard_rest()
             finally:
                 self._is_reading = False
+                self._forget_body()
             return self._discard_rest() if self.close_connection else True
         except ConnectionEnds:
             return self._linger()
@@ -132,6 +141,7 @@
             self._read_head()
             if self.has_body and self._is_rejected_by_head():
                 return
+            self._admit_body()
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
                 # would otherwise take it for the answer to an earlier request.
@@ -183,9 +193,38 @@
                 data = body.read(DISCARD_READ_BYTES)
                 if not data:
                     return True
+                self.server.link.note_received(len(data))
                 discarded += len(data)
         return False
 
+    def _admit_body(self):
+        """Refuse a request before its body is read, if that is known by its head."""
+        if not self.has_body:
+            return
+        length = self.content_length or 0
+        if length >= LARGE_BYTES or self.headers.get("expect") is not None:
+            problem = self.server.application.check_body(self)
+            if problem is not None:
+                self._skip_body()
+                raise BadRequest(problem)
+        # A longer body is rejected as too large, and is not read either.
+        is_allowed = length <= self.server.application.limits.size
+        if is_allowed and not self._held.add(length):
+            self._skip_body()
+            raise BadRequest(Problem.BODIES_FULL)
+
+    def note_part(self, size):
+        """Record a part of a body; a body without a length is counted by its parts."""
+        self.server.link.note_received(size)
+        if self.content_length is None and not self._held.add(size):
+            raise BadRequest(Problem.BODIES_FULL)
+
+    def _forget_body(self):
+        """Forget the body that was read; only its exchange holds it from now on."""
+        self.body = b""
+        if self._held is not None:
+            self._held.release()
+
     def _reject(self, problem):
         self.problem = problem
         self.request_version = "HTTP/1.1"
@@ -198,8 +237,10 @@
         request.environ = {HANDLER_KEY: request}
         request.application = self.server.application
         may_run_concurrently = self.server.application.may_run_concurrently(request)
-        request._exchange = Exchange(request, may_run_concurrently, self._size())
-        self._pipeline.add(request._exchange)
+        exchange = Exchange(request, may_run_concurrently, self._size())
+        request._exchange = exchange
+        exchange.held, self._held = self._held, None
+        self._pipeline.add(exchange)
 
     def _size(self):
         head = sum(len(name) + len(value) for name, value in self.header_pairs())
@@ -249,23 +290,46 @@
     def _sendall(self, data):
         # Without a timeout, a caller that does not read its answers would occupy the
         # memory of its requests forever.
+        link = self.server.link
         with gevent.Timeout(self.server.limits.idle_s, AnswerNotSent()):
-            super()._sendall(data)
+            for start in range(0, len(data), ANSWER_PIECE_BYTES):
+                # A caller that reads slowly does not occupy the link with the rest.
+                piece = data[start : start + ANSWER_PIECE_BYTES]
+                link.note_sent(len(piece), time.monotonic())
+                super()._sendall(piece)
 
 
 class PipelinedServer(HttpServer):
     """Listener for callers.
 
-    Its application has `limits`, the limits of request bodies, and two methods.
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Address on which to listen.
+    application : callable
+        WSGI application.
+    limits : ListenerLimits
+        Limits of connections.
+    link : Link, optional
+        Link of this instance, on which bodies and answers are recorded.
+    bodies : BodyBudget, optional
+        Limit on the sum of the bodies that are held; there is none by default.
+
+    Notes
+    -----
+    The application has `limits`, the limits of request bodies, and three methods.
     `check_head` is called when the head of a request with a body was read; it returns
     the problem for which the request is rejected before its body is read, or None.
-    `may_run_concurrently` is
+    `check_body` is called then for a large body; it returns a problem or the cause of a
+    refusal, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
     others of its connection do.
     """
 
     handler_class = PipelinedHandler
 
-    def __init__(self, address, application, limits):
+    def __init__(self, address, application, limits, link=None, bodies=None):
         super().__init__(address, application, limits)
         self.lookahead = Lookahead()
+        self.link = link or Link()
+        self.bodies = bodies or BodyBudget()
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -1,6 +1,7 @@
 """Request policy of one service at one daemon."""
 
 from cairnferry.policy._attempts import Attempts
+from cairnferry.policy._hangs import Hangs
 from cairnferry.policy._service_state import ServiceState
 from cairnferry.policy.admission import (
     PRIORITIES,
@@ -54,6 +55,7 @@
         self._attempts = Attempts(
             self._targets, self.limits, self._work, self._capacity
         )
+        self._hangs = Hangs(self.settings.status_checks, self._targets, self._work)
         self._admission = Admission(self.settings, self._targets, self._capacity)
         self._waiting = self._admission.waiting
 
@@ -79,10 +81,9 @@
         now : float
             Time in seconds.
         """
-        if now >= call.deadline:
-            return self._refusals.refuse(Cause.DEADLINE)
-        if not self._targets or self._targets.are_evacuated:
-            return self._refusals.refuse(self._targets.no_target_cause)
+        cause = self.refusal_cause(call, now)
+        if cause is not None:
+            return self._refusals.refuse(cause)
         self._budget.earn(now)
         self._work.note_arrival(call.route, call.rank, call.workspace)
         if self.limits:
@@ -95,6 +96,26 @@
                 return Send(attempt)
         return self._enqueue(call, now)
 
+    def refusal_cause(self, call: Call, now: float) -> Cause | None:
+        """Return why a request is refused before its body is read; None if it is not.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        now : float
+            Time in seconds.
+        """
+        if now >= call.deadline:
+            return Cause.DEADLINE
+        if not self._targets or self._targets.are_evacuated:
+            return self._targets.no_target_cause
+        return None
+
+    def refuse(self, cause: Cause) -> Refuse:
+        """Refuse a request that was not sent to any target."""
+        return self._refusals.refuse(cause)
+
     def finished(self, attempt: Attempt, result: AttemptResult, now: float) -> Decision:
         """Return the decision that follows the result of an attempt.
 
@@ -108,6 +129,8 @@
             Time in seconds.
         """
         call = attempt.call
+        if isinstance(result, Lost):
+            self._hangs.note_unanswered(attempt, now)
         self._attempts.end(attempt)
         self._targets.record_result(attempt, result, now)
         if isinstance(result, Answered) and not result.failed:
@@ -139,6 +162,10 @@
                 return Relay()
         return self._act_on(call, found, now)
 
+    def latest_start(self, call: Call) -> float:
+        """Return the latest time to send a request so that it meets its objective."""
+        return self._searcher.latest_start(call)
+
     def _search(self, call, kind, now):
         return self._act_on(call, self._searcher.begin(call, kind, now), now)
 
@@ -183,6 +210,7 @@
 
     def cancelled(self, attempt: Attempt, now: float) -> None:
         """Record that an attempt was cancelled because it was no longer needed."""
+        self._hangs.note_unanswered(attempt, now)
         self._attempts.end(attempt)
         self._targets.record_cancellation(attempt, now)
 
@@ -190,6 +218,23 @@
         """Remove a waiting request whose caller disconnected."""
         self._waiting.remove(call)
 
+    def hanging_attempts(self, call: Call, now: float) -> list[Attempt]:
+        """Return the attempts of a request that are to be cancelled, as they hang.
+
+        The last open attempt is kept, because its response may still arrive.
+        """
+        hanging = [
+            attempt
+            for attempt in call.attempts
+            if not attempt.ended and self._hangs.is_hanging(attempt, now)
+        ]
+        return hanging[: call.open_attempts - 1]
+
+    def retire(self, attempt: Attempt, now: float) -> None:
+        """Record that an attempt that hangs was cancelled; the request may have run."""
+        attempt.call.possibly_run = True
+        self.cancelled(attempt, now)
+
     def hedge_delay(self) -> float | None:
         """Return the delay in seconds before `hedge` is called; None if it never is."""
         if self.settings.status_checks is not None:
@@ -224,8 +269,11 @@
         Send, CheckStatus or None
             None if the request is not hedged now.
         """
-        if not call.idempotent or call.open_attempts != 1 or now >= call.deadline:
+        if not call.idempotent or now >= call.deadline:
             return None
+        if call.open_attempts != 1:
+            checks_status = self.settings.status_checks is not None
+            return self._hangs.check_due(call, now) if checks_status else None
         if call.is_suspect:
             return None
         if self.settings.status_checks is not None:
@@ -377,6 +425,8 @@
             "reported_load": round(self._targets.reported_load, 3),
             "retry_tokens": round(self._budget.tokens, 2),
             "repeats_denied": self.retries_denied,
+            "hung": self._hangs.count,
+            "known_queue": self._targets.check_chooser.queues.length,
             "usual_latency_ms": round(latency.usual * 1000, 3),
             "high_latency_ms": round(latency.high * 1000, 3),
             "attempts": {str(kind): n for kind, n in self.attempts.items()},
--- a/tests/entry/callers/test_keys.py
+++ b/tests/entry/callers/test_keys.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from cairnferry.entry.callers._callers import STEERING_PATH
-from cairnferry.entry.callers._hedging import HedgedAttempts
+from cairnferry.entry.callers._hedging import REVOKED_RETRY_AFTER_S, HedgedAttempts
 from cairnferry.entry.http import Problem, without_identity
+from cairnferry.policy import Cause, GiveUp
 from cairnferry.records import Change, Put, RecordSet
 from cairnferry.standins import wait_for, workspace_v2
 from cairnferry.wire import ConnectionPool, connect
@@ -431,6 +432,22 @@
     runtime.policy.hedge.assert_not_called()
 
 
+def test_revoked_request_whose_only_attempt_was_retired_is_given_up():
+    """Guards against a request that waits for ever after its hanging target."""
+    revoked = Event()
+    attempt = mock.Mock()
+    runtime = mock.Mock()
+    runtime.policy.hanging_attempts.return_value = [attempt]
+    runtime.policy.hedge.side_effect = lambda *_: revoked.set()
+    runtime.policy.repeats_hedge_check = True
+    upstreams = mock.Mock(send=lambda req, attempt: Event().wait())
+    req = mock.Mock(find_problem=lambda: revoked.is_set() or None)
+    attempts = HedgedAttempts(upstreams, None, mock.Mock(), req, runtime)
+    decision, _ = attempts.run(attempt, 0.001)
+    assert decision == GiveUp(Cause.KEY_UNKNOWN, REVOKED_RETRY_AFTER_S)
+    runtime.retire.assert_called_once_with(attempt)
+
+
 def test_steering_answers_need_no_key(start_entry, target, records_for):
     """Guards against callers that cannot learn where to send their key."""
     service, route, *others = records_for(target)
