--- a/packages/entry/src/cairnferry/entry/targets/_upstreams.py
+++ b/packages/entry/src/cairnferry/entry/targets/_upstreams.py
@@ -3,11 +3,11 @@
 import enum
 import re
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from cairnferry.entry.http import RequestHead
+from cairnferry.entry.http import Problem, RequestHead
 from cairnferry.entry.targets._conventions import (
     CheckResult,
     DefaultTargetConvention,
@@ -47,6 +47,10 @@
 _REFUSALS = frozenset(["ConnectionRefusedError", "ConnectionResetError"])
 
 
+def _no_problem():
+    return None
+
+
 @attrs.frozen
 class OutboundRequest:
     """A request as it is sent to any target.
@@ -61,6 +65,9 @@
         Complete body.
     head : RequestHead
         Parsed headers that the daemon itself uses.
+    find_problem : callable, optional
+        Called right before each attempt; returns the problem for which the request must
+        not be sent any more, or None.
     """
 
     method: str
@@ -68,6 +75,7 @@
     headers: list[tuple[str, str]]
     body: bytes | bytearray
     head: RequestHead
+    find_problem: Callable[[], Problem | None] = _no_problem
 
 
 @attrs.define
@@ -111,8 +119,10 @@
         if isinstance(conn, ConnectFailed):
             late = time.monotonic() >= call.deadline
             return NotSent(Failure.TIMEOUT if late else Failure.CONNECT)
-        if attempt.target.is_unavailable(time.monotonic()):
-            # The target became unavailable while the connection was being opened.
+        is_unavailable = attempt.target.is_unavailable(time.monotonic())
+        if is_unavailable or req.find_problem() is not None:
+            # The target became unavailable, or the caller's key was revoked, while the
+            # connection was being opened.
             pool.release(conn)
             return NotSent(Failure.WITHDRAWN)
         payload = self._encode(req, attempt)
