Workspace limits: token bucket of the owner, bucket without an owner

Cause: the rate and burst of a workspace were decoded but not enforced.

Change: WorkspaceBucket counts the requests of one workspace for all daemons. FallbackBucket admits a daemon's part of half of the tolerance.

--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -58,7 +58,9 @@
     BlockRef,
     ColdPeriod,
     ColdRegistry,
+    FallbackBucket,
     LimitRegistry,
+    LimitTolerance,
     Permit,
     PermitGrant,
     PermitRequest,
@@ -71,7 +73,10 @@
     Suspect,
     TargetCrash,
     TargetLimits,
+    TokenGrant,
     Unrestricted,
+    WorkspaceBucket,
+    WorkspaceLimit,
     probe_share,
 )
 from cairnferry.policy.targets import (
@@ -147,6 +152,11 @@
     "Wait",
     "PermitRequest",
     "AdvisoryFault",
+    "FallbackBucket",
+    "LimitTolerance",
+    "TokenGrant",
+    "WorkspaceBucket",
+    "WorkspaceLimit",
     "probe_share",
     "settings_for",
 ]
--- a/packages/policy/src/cairnferry/policy/shared/__init__.py
+++ b/packages/policy/src/cairnferry/policy/shared/__init__.py
@@ -12,6 +12,7 @@
     Unrestricted,
 )
 from cairnferry.policy.shared._cold import ColdPeriod, ColdRegistry
+from cairnferry.policy.shared._fallback_bucket import FallbackBucket
 from cairnferry.policy.shared._identity import RequestIdentity
 from cairnferry.policy.shared._limits import NO_LIMIT, AdvertisedLimit, LimitRegistry
 from cairnferry.policy.shared._permits import (
@@ -27,6 +28,12 @@
     Quarantine,
 )
 from cairnferry.policy.shared._target_limits import Permit, PermitRequest, TargetLimits
+from cairnferry.policy.shared._workspace_bucket import (
+    LimitTolerance,
+    TokenGrant,
+    WorkspaceBucket,
+    WorkspaceLimit,
+)
 
 __all__ = [
     "ISOLATED_RETRY_S",
@@ -57,5 +64,10 @@
     "AdvisoryRegistry",
     "TargetLimits",
     "PermitRequest",
+    "FallbackBucket",
+    "LimitTolerance",
+    "TokenGrant",
+    "WorkspaceBucket",
+    "WorkspaceLimit",
     "probe_share",
 ]
