--- a/packages/peers/peer.thrift
+++ b/packages/peers/peer.thrift
@@ -95,6 +95,34 @@
   3: required i32 retry_ms,
 }
 
+// Request for tokens for requests of one workspace.
+struct TokenQuery {
+  1: required string workspace,
+  // Urgency of the requests; 0 is the most urgent.
+  2: required i32 rank,
+  3: required i32 count,
+  // Tokens granted earlier whose requests did not run.
+  4: required i32 returned,
+  // Milliseconds for which a request may wait for its token.
+  5: required i32 max_wait_ms,
+  // Revision of the asker's rules, and the limit that they set.
+  6: required i64 revision,
+  7: required double rate_per_s,
+  8: required double burst,
+}
+
+struct TokenReply {
+  // Milliseconds from now after which each request may run, for each token granted.
+  1: required list<i32> delays_ms,
+  // Milliseconds until there is capacity for a request without a token.
+  2: required i32 retry_ms,
+  // Name of the daemon that owns the workspace; empty if the called daemon does.
+  3: required string owner,
+  // Tokens in the bucket, and its size; the size is -1 if the owner grants none yet.
+  4: required double level,
+  5: required double capacity,
+}
+
 // Update of the document that contains the rules.
 struct DocumentNews {
   // Revision after the update; 0 if there is no update now.
@@ -125,4 +153,7 @@
   DocumentNews document_since(1: i64 revision),
   // Requests permits from the daemon that issues them for some limited targets.
   list<PermitsGiven> ask_permits(1: string asker, 2: list<PermitsWanted> wanted),
+  // Requests tokens from the daemon that owns some workspaces. Daemons of earlier
+  // releases do not implement this call.
+  list<TokenReply> ask_tokens(1: string asker, 2: list<TokenQuery> queries),
 }
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -8,6 +8,8 @@
     PermitQuery,
     PermitReply,
     TableState,
+    TokenQuery,
+    TokenReply,
 )
 from cairnferry.peers._server import PeerHandler, PeerServer
 from cairnferry.peers._transport import ByteMeter
@@ -28,4 +30,6 @@
     "PermitReply",
     "SharedKey",
     "TableState",
+    "TokenQuery",
+    "TokenReply",
 ]
--- a/packages/peers/src/cairnferry/peers/_client.py
+++ b/packages/peers/src/cairnferry/peers/_client.py
@@ -20,6 +20,8 @@
     Heartbeat,
     PermitQuery,
     PermitReply,
+    TokenQuery,
+    TokenReply,
     document_from_wire,
     heartbeat_from_wire,
     heartbeat_to_wire,
@@ -27,6 +29,8 @@
     permit_reply_from_wire,
     row_from_wire,
     table_update_from_wire,
+    token_query_to_wire,
+    token_reply_from_wire,
 )
 from cairnferry.peers._transport import ByteMeter, SocketTransport, framed
 from cairnferry.wire import set_no_delay
@@ -179,6 +183,38 @@
             ],
         )
 
+    def request_tokens(
+        self, requester: str, queries: list[TokenQuery]
+    ) -> list[TokenReply]:
+        """Request tokens for requests of workspaces from their owner.
+
+        Parameters
+        ----------
+        requester : str
+            Name of the daemon that requests them.
+        queries : list of TokenQuery
+            One query for each request.
+
+        Returns
+        -------
+        list of TokenReply
+            Replies in the order of the queries.
+
+        Raises
+        ------
+        PeerCallFailed
+            If the call failed; the connection is then closed. Peers of earlier
+            releases do not implement this call.
+        """
+        messages = [token_query_to_wire(query) for query in queries]
+        return self._call(
+            "tokens",
+            lambda client: [
+                token_reply_from_wire(reply)
+                for reply in client.ask_tokens(requester, messages)
+            ],
+        )
+
     def _call(self, kind, operation):
         # The answer to a call that timed out may still arrive and would be taken
         # for the answer to the next call. Each failure therefore closes the
--- a/packages/peers/src/cairnferry/peers/_generated/peer/Peer.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/Peer.py
@@ -64,6 +64,15 @@
         """
         pass
 
+    def ask_tokens(self, asker, queries):
+        """
+        Parameters:
+         - asker
+         - queries
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -262,6 +271,40 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "ask_permits failed: unknown result")
 
+    def ask_tokens(self, asker, queries):
+        """
+        Parameters:
+         - asker
+         - queries
+
+        """
+        self.send_ask_tokens(asker, queries)
+        return self.recv_ask_tokens()
+
+    def send_ask_tokens(self, asker, queries):
+        self._oprot.writeMessageBegin('ask_tokens', TMessageType.CALL, self._seqid)
+        args = ask_tokens_args()
+        args.asker = asker
+        args.queries = queries
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_ask_tokens(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = ask_tokens_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "ask_tokens failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -273,6 +316,7 @@
         self._processMap["news_since"] = Processor.process_news_since
         self._processMap["document_since"] = Processor.process_document_since
         self._processMap["ask_permits"] = Processor.process_ask_permits
+        self._processMap["ask_tokens"] = Processor.process_ask_tokens
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -433,6 +477,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_ask_tokens(self, seqid, iprot, oprot):
+        args = ask_tokens_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = ask_tokens_result()
+        try:
+            result.success = self._handler.ask_tokens(args.asker, args.queries)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("ask_tokens", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -646,11 +713,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = LogRow()
-                        _elem54.read(iprot)
-                        self.success.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = LogRow()
+                        _elem61.read(iprot)
+                        self.success.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -667,8 +734,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter55 in self.success:
-                iter55.write(oprot)
+            for iter62 in self.success:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1087,11 +1154,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wanted = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = PermitsWanted()
-                        _elem61.read(iprot)
-                        self.wanted.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = PermitsWanted()
+                        _elem68.read(iprot)
+                        self.wanted.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1112,8 +1179,8 @@
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wanted))
-            for iter62 in self.wanted:
-                iter62.write(oprot)
+            for iter69 in self.wanted:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1163,11 +1230,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = PermitsGiven()
-                        _elem68.read(iprot)
-                        self.success.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = PermitsGiven()
+                        _elem75.read(iprot)
+                        self.success.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1184,8 +1251,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter69 in self.success:
-                iter69.write(oprot)
+            for iter76 in self.success:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1208,5 +1275,158 @@
 ask_permits_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRUCT, [PermitsGiven, None], False), None, ),  # 0
 )
+
+
+class ask_tokens_args(object):
+    """
+    Attributes:
+     - asker
+     - queries
+
+    """
+
+
+    def __init__(self, asker=None, queries=None,):
+        self.asker = asker
+        self.queries = queries
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.asker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.queries = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TokenQuery()
+                        _elem82.read(iprot)
+                        self.queries.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_tokens_args')
+        if self.asker is not None:
+            oprot.writeFieldBegin('asker', TType.STRING, 1)
+            oprot.writeString(self.asker.encode('utf-8') if sys.version_info[0] == 2 else self.asker)
+            oprot.writeFieldEnd()
+        if self.queries is not None:
+            oprot.writeFieldBegin('queries', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.queries))
+            for iter83 in self.queries:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_tokens_args)
+ask_tokens_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'asker', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'queries', (TType.STRUCT, [TokenQuery, None], False), None, ),  # 2
+)
+
+
+class ask_tokens_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = TokenReply()
+                        _elem89.read(iprot)
+                        self.success.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ask_tokens_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter90 in self.success:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ask_tokens_result)
+ask_tokens_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [TokenReply, None], False), None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
@@ -990,6 +990,275 @@
         return not (self == other)
 
 
+class TokenQuery(object):
+    """
+    Attributes:
+     - workspace
+     - rank
+     - count
+     - returned
+     - max_wait_ms
+     - revision
+     - rate_per_s
+     - burst
+
+    """
+
+
+    def __init__(self, workspace=None, rank=None, count=None, returned=None, max_wait_ms=None, revision=None, rate_per_s=None, burst=None,):
+        self.workspace = workspace
+        self.rank = rank
+        self.count = count
+        self.returned = returned
+        self.max_wait_ms = max_wait_ms
+        self.revision = revision
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.returned = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.max_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenQuery')
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 1)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I32, 4)
+            oprot.writeI32(self.returned)
+            oprot.writeFieldEnd()
+        if self.max_wait_ms is not None:
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 5)
+            oprot.writeI32(self.max_wait_ms)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 6)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 8)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.workspace is None:
+            raise TProtocolException(message='Required field workspace is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        if self.returned is None:
+            raise TProtocolException(message='Required field returned is unset!')
+        if self.max_wait_ms is None:
+            raise TProtocolException(message='Required field max_wait_ms is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.rate_per_s is None:
+            raise TProtocolException(message='Required field rate_per_s is unset!')
+        if self.burst is None:
+            raise TProtocolException(message='Required field burst is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenReply(object):
+    """
+    Attributes:
+     - delays_ms
+     - retry_ms
+     - owner
+     - level
+     - capacity
+
+    """
+
+
+    def __init__(self, delays_ms=None, retry_ms=None, owner=None, level=None, capacity=None,):
+        self.delays_ms = delays_ms
+        self.retry_ms = retry_ms
+        self.owner = owner
+        self.level = level
+        self.capacity = capacity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.delays_ms = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI32()
+                        self.delays_ms.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.retry_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.level = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.capacity = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenReply')
+        if self.delays_ms is not None:
+            oprot.writeFieldBegin('delays_ms', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.delays_ms))
+            for iter55 in self.delays_ms:
+                oprot.writeI32(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.retry_ms is not None:
+            oprot.writeFieldBegin('retry_ms', TType.I32, 2)
+            oprot.writeI32(self.retry_ms)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 3)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.DOUBLE, 4)
+            oprot.writeDouble(self.level)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.DOUBLE, 5)
+            oprot.writeDouble(self.capacity)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.delays_ms is None:
+            raise TProtocolException(message='Required field delays_ms is unset!')
+        if self.retry_ms is None:
+            raise TProtocolException(message='Required field retry_ms is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
+        if self.level is None:
+            raise TProtocolException(message='Required field level is unset!')
+        if self.capacity is None:
+            raise TProtocolException(message='Required field capacity is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DocumentNews(object):
     """
     Attributes:
@@ -1220,6 +1489,27 @@
     (2, TType.LIST, 'delays_ms', (TType.I32, None, False), None, ),  # 2
     (3, TType.I32, 'retry_ms', None, None, ),  # 3
 )
+all_structs.append(TokenQuery)
+TokenQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'workspace', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.I32, 'returned', None, None, ),  # 4
+    (5, TType.I32, 'max_wait_ms', None, None, ),  # 5
+    (6, TType.I64, 'revision', None, None, ),  # 6
+    (7, TType.DOUBLE, 'rate_per_s', None, None, ),  # 7
+    (8, TType.DOUBLE, 'burst', None, None, ),  # 8
+)
+all_structs.append(TokenReply)
+TokenReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'delays_ms', (TType.I32, None, False), None, ),  # 1
+    (2, TType.I32, 'retry_ms', None, None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'level', None, None, ),  # 4
+    (5, TType.DOUBLE, 'capacity', None, None, ),  # 5
+)
 all_structs.append(DocumentNews)
 DocumentNews.thrift_spec = (
     None,  # 0
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -16,6 +16,8 @@
     Heartbeat,
     PermitQuery,
     PermitReply,
+    TokenQuery,
+    TokenReply,
     document_to_wire,
     heartbeat_from_wire,
     heartbeat_to_wire,
@@ -23,6 +25,8 @@
     permit_reply_to_wire,
     row_to_wire,
     table_update_to_wire,
+    token_query_from_wire,
+    token_reply_to_wire,
 )
 from cairnferry.peers._transport import (
     MAX_FRAME_BYTES,
@@ -64,6 +68,11 @@
     ) -> list[PermitReply]:
         """Issue permits for requests to limited targets to a daemon."""
 
+    def grant_tokens(
+        self, requester: str, queries: list[TokenQuery]
+    ) -> list[TokenReply]:
+        """Grant tokens for requests of workspaces to a daemon."""
+
 
 class _ThriftAdapter:
     """Implements the generated Thrift interface by means of a `PeerHandler`."""
@@ -101,6 +110,11 @@
         replies = self._handler.issue_permits(requester, parsed)
         return [permit_reply_to_wire(each) for each in replies]
 
+    def ask_tokens(self, requester, queries):
+        parsed = [token_query_from_wire(each) for each in queries]
+        replies = self._handler.grant_tokens(requester, parsed)
+        return [token_reply_to_wire(each) for each in replies]
+
 
 class PeerServer:
     """Serves peers on one address.
