Workspace limits: owner, requester, and their place in the request path

Cause: no daemon enforced the limit of a workspace.

Change: TokenOwner grants tokens at the first daemon by rank of the first zone by rank (members.PermitIssuers finds both). WorkspaceLimiter asks it after authentication and before the policy sees the request; queries to one owner are combined while a call is under way. A daemon that does not answer within 120 ms is skipped for 2 s, a zone with two failures in a row is tried once in 2 s. Requests over the limit are refused with 429, requests without an owner with 503, not run. Tokens of requests that did not run are returned with the next query, or after 0.5 s. The tolerance comes from the settings. Deployments without workspaces or limits make no call.

The log field of the bucket's level is called tokens, as level is the severity of the line.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cairnferry.entry.callers._forward import Forwarder
+from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
@@ -19,6 +19,7 @@
     PipelinedHandler,
     Problem,
     RequestHead,
+    not_run_answer,
     problem_answer,
 )
 from cairnferry.entry.members import Steering
@@ -29,8 +30,14 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.entry.workspaces import KeyFault, WorkspaceRegistry, authenticate
-from cairnferry.policy import Call, Relay, RequestIdentity
+from cairnferry.entry.workspaces import (
+    KeyFault,
+    OverLimit,
+    WorkspaceLimiter,
+    WorkspaceRegistry,
+    authenticate,
+)
+from cairnferry.policy import Call, Refuse, Relay, RequestIdentity
 from cairnferry.records import Priority, Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
@@ -87,6 +94,8 @@
         Determines Retry-After while this daemon has no rules.
     workspaces : WorkspaceRegistry, optional
         Workspaces by whose keys callers authenticate.
+    workspace_limiter : WorkspaceLimiter, optional
+        Limits the requests of workspaces.
     """
 
     services: Services
@@ -97,6 +106,7 @@
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
+    workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -201,7 +211,7 @@
         call = _build_call(handler, route, head, runtime.policy.service, workspace)
         try:
             with handler.cancellable():
-                forwarded = self.forwarder.forward(req, call, runtime)
+                forwarded = self._forward_within_limit(req, call, runtime, workspace)
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
         except CallerGone:
@@ -217,6 +227,28 @@
             forwarded.answer, headers=[*forwarded.answer.headers, *local_headers]
         )
 
+    def _forward_within_limit(self, req, call, runtime, workspace):
+        """Forward a request if its workspace has a token for it."""
+        limiter = self.workspace_limiter
+        if workspace is None or not workspace.rate_per_s or limiter is None:
+            return self.forwarder.forward(req, call, runtime)
+        admitted = limiter.admit(workspace, call)
+        if isinstance(admitted, OverLimit):
+            cause, retry_after = admitted.cause, admitted.retry_after
+            decision = runtime.policy.refuse_with_delay(cause, retry_after)
+            return Forwarded(
+                not_run_answer(cause, retry_after), decision, admitted.facts
+            )
+        try:
+            forwarded = self.forwarder.forward(req, call, runtime)
+        except BaseException:
+            if not call.attempts:
+                limiter.give_back(admitted)
+            raise
+        if isinstance(forwarded.decision, Refuse):
+            limiter.give_back(admitted)
+        return forwarded
+
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
 
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -46,10 +46,13 @@
         Answer for the caller.
     decision : Relay, Refuse or GiveUp
         Final decision of the policy.
+    facts : dict
+        Further facts on which the decision is based, for the log.
     """
 
     answer: Answer
     decision: Relay | Refuse | GiveUp
+    facts: dict = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -89,6 +89,7 @@
                     "outcome": outcome,
                     "cause": cause,
                     "retry_after_s": retry_after,
+                    **forwarded.facts,
                 }
         self.metrics.note_answer(service, outcome, elapsed)
         self.metrics.note_request(service, call.idempotent, outcome, cause)
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -42,7 +42,12 @@
     limit_note_registry,
 )
 from cairnferry.entry.telemetry import FaultyRowLog, Metrics
-from cairnferry.entry.workspaces import WorkspaceRegistry
+from cairnferry.entry.workspaces import (
+    TokenCalls,
+    TokenOwner,
+    WorkspaceLimiter,
+    WorkspaceRegistry,
+)
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
@@ -150,6 +155,7 @@
             cfg.peers.seeds,
         )
         self._build_permits(links)
+        self._build_workspace_limits()
         self.peer_server = PeerServer(
             cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
         )
@@ -164,6 +170,32 @@
             self.cfg.name, self.services, self.limiter, issuers, issuer, links
         )
 
+    def _build_workspace_limits(self):
+        """Build the parts that limit the requests of workspaces."""
+        cfg = self.cfg
+        issuers = PermitIssuers(self.cluster)
+        self.token_owner = TokenOwner(
+            issuers,
+            self.workspaces,
+            lambda: self.services.revision,
+            cfg.workspace_limits,
+            lambda: self.gossip.answered_at,
+            self.gossip.check_member,
+        )
+        self.gossip.tokens = self.token_owner.grant
+        links = PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S)
+        self.token_calls = TokenCalls(cfg.name, cfg.zone, issuers, links)
+        self.workspace_limiter = WorkspaceLimiter(
+            cfg.name,
+            self.cluster,
+            issuers,
+            self.token_owner,
+            self.token_calls,
+            lambda: self.services.revision,
+            cfg.workspace_limits,
+            self.rng,
+        )
+
     def listen_for_callers(self, serve_steering: bool) -> HttpServer:
         """Build the callers' listener.
 
@@ -189,6 +221,7 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
+            self.workspace_limiter,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
@@ -256,6 +289,7 @@
             self._update_shares_forever,
             self.guard.maintain,
             self.permits.run,
+            self.token_owner.run,
             *tasks,
         ):
             self.spawn(task)
@@ -302,6 +336,9 @@
         self.advisory_recorder.maintain(targets)
         for runtime in self.services.active().values():
             runtime.policy.set_instances(self.instances, self._relative_rank())
+        if self.workspaces.is_required:
+            self.token_owner.observe()
+            self.token_calls.close_unused()
 
     def _spread_limit(self, note: Note, again: bool):
         if self.cluster.post_limit(note, again) or again:
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -12,7 +12,7 @@
     DefaultTargetConvention,
     TargetConvention,
 )
-from cairnferry.policy import PolicySettings
+from cairnferry.policy import LimitTolerance, PolicySettings
 from cairnferry.settings import Address
 
 
@@ -93,6 +93,8 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     seed : int or None
         Seed of the random number generator; None to use the time.
     """
@@ -111,6 +113,7 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    workspace_limits: LimitTolerance = LimitTolerance()
     seed: int | None = None
 
 
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -7,7 +7,7 @@
     PeerSettings,
 )
 from cairnferry.entry.http import ListenerLimits
-from cairnferry.policy import settings_for
+from cairnferry.policy import LimitTolerance, settings_for
 from cairnferry.settings import Address
 
 # Seconds for which callers cache a steering answer. Callers continue to try a lost
@@ -55,6 +55,7 @@
     max_files: int,
     checks_per_s: float,
     link_bytes_per_s: float,
+    workspace_limits: LimitTolerance,
 ) -> CoreSettings:
     """Return the settings of a daemon, derived from those of its platform.
 
@@ -74,6 +75,8 @@
         Status checks per second and target, over all instances.
     link_bytes_per_s : float
         Rate of the instance's link in bytes per second; infinite if unknown.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     """
     ttl = min(ANSWER_TTL_S, max_ttl_s)
     serve_s = STALE_ANSWER_FACTOR * ttl
@@ -98,6 +101,7 @@
         max_answer_bytes=MAX_ANSWER_BYTES,
         policy=settings_for("ask-first"),
         checks_per_s=checks_per_s,
+        workspace_limits=workspace_limits,
         leaving=LeavingTimes(
             serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
         ),
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -33,7 +33,7 @@
 from cairnferry.entry.targets import HealthProber
 from cairnferry.entry.telemetry import render_metrics
 from cairnferry.peers import KeyRing
-from cairnferry.policy import settings_for
+from cairnferry.policy import LimitTolerance, settings_for
 from cairnferry.records import Kind
 from cairnferry.settings import Settings
 from cairnferry.wire import Client
@@ -293,5 +293,10 @@
         leaving=LeavingTimes(
             ttl + cfg.get("drain", "margin_s"), cfg.get("drain", "limit_s")
         ),
+        workspace_limits=LimitTolerance(
+            cfg.get("workspaces", "limit_window_s"),
+            cfg.get("workspaces", "limit_over"),
+            cfg.get("workspaces", "limit_slack"),
+        ),
         seed=cfg.get("policy", "seed"),
     )
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -19,6 +19,8 @@
     PeerLinks,
     PermitQuery,
     PermitReply,
+    TokenQuery,
+    TokenReply,
 )
 
 # Seconds after which an unused connection to a peer is closed.
@@ -73,6 +75,12 @@
         to other zones that are not the zone's representatives.
     permits : callable
         Issues permits for limited targets to a daemon, given its name and its request.
+    tokens : callable
+        Grants tokens for requests of workspaces to a daemon, given its name and its
+        queries.
+    answered_at : float
+        Monotonic time in seconds of the latest call that a daemon of the own zone has
+        answered; the time at which the call began.
     rounds : int
         Number of rounds so far.
     """
@@ -88,6 +96,10 @@
     permits: Callable[[str, list[PermitQuery]], list[PermitReply]] = (
         lambda requester, requested: []
     )
+    tokens: Callable[[str, list[TokenQuery]], list[TokenReply]] = (
+        lambda requester, queries: [TokenReply() for _ in queries]
+    )
+    answered_at: float = -math.inf
     _contact_unknown: bool = False
     rounds: int = 0
     _round_due: Event = attrs.field(factory=Event)
@@ -182,8 +194,11 @@
 
     def _call(self, name, address, zone):
         link = self.links.link_to(address, zone != self.cluster.membership.me.zone)
+        started = time.monotonic()
         try:
             received = link.heartbeat(self._heartbeat_to(name, zone))
+            if zone == self.cluster.membership.me.zone:
+                self.answered_at = max(self.answered_at, started)
             self._apply_and_fetch(received, link)
         except PeerCallFailed as exc:
             if name is not None:
@@ -282,6 +297,18 @@
         """Issue permits for limited targets to a daemon."""
         return self.permits(requester, requested)
 
+    def grant_tokens(
+        self, requester: str, queries: list[TokenQuery]
+    ) -> list[TokenReply]:
+        """Grant tokens for requests of workspaces to a daemon."""
+        return self.tokens(requester, queries)
+
+    def check_member(self, name: str) -> None:
+        """Call a member without delay, as another daemon did not reach it."""
+        member = self.cluster.membership.get(name)
+        if member is not None and not self._calls.full():
+            self._calls.spawn(self._call, name, member.peer_address, member.zone)
+
     def rows_from(self, first: int) -> list[LogRow]:
         """Return the rows of the change log from a revision on."""
         return self.records.rows_from(first)
--- a/packages/entry/src/cairnferry/entry/members/_permit_issuers.py
+++ b/packages/entry/src/cairnferry/entry/members/_permit_issuers.py
@@ -1,4 +1,7 @@
-"""Selection of the daemon that issues the permits for a limited target."""
+"""Selection of the daemon that counts for all daemons.
+
+It issues the permits for a limited target, or grants the tokens of a workspace.
+"""
 
 import time
 from collections.abc import Iterable
@@ -11,6 +14,10 @@
 # Seconds for which an issuer that did not answer is skipped. Its own zone detects the
 # loss earlier, so that the next daemon by rank issues permits by then.
 UNRESPONSIVE_S = 2.0
+# Seconds after the start in which listed instances count as live unless they are known
+# to be lost. A daemon that starts learns of the other members within this time. By the
+# members that it knows at first, it would take itself for the owner of most workspaces.
+LEARNING_S = 5.0
 
 
 @attrs.frozen
@@ -44,6 +51,7 @@
 
     cluster: Cluster
     _unresponsive: dict[str, float] = attrs.field(factory=dict)
+    _started: float = attrs.field(factory=time.monotonic)
 
     def issuer_for(self, target: str, zone: str) -> PermitIssuer | None:
         """Return the issuer of a target; None if there is no candidate."""
@@ -86,6 +94,96 @@
         listed = self._listed_in(membership.me.zone)
         return max(1, live) / max(1, live, len(listed))
 
+    # -- workspaces ------------------------------------------------------------------
+
+    def owner_candidates(self, workspace: str) -> list[str]:
+        """Return the responsive daemons that may own a workspace, the first first.
+
+        Parameters
+        ----------
+        workspace : str
+            Name of the workspace.
+        """
+        now = time.monotonic()
+        names = [
+            name
+            for name in self._owner_names(self.zone_of(workspace))
+            if self._unresponsive.get(name, now) <= now
+        ]
+        return lowest_ranked(workspace, names, len(names))
+
+    def owner_of(self, workspace: str) -> str | None:
+        """Return the name of a workspace's owner in this daemon's view."""
+        names = self._owner_names(self.zone_of(workspace))
+        return next(iter(lowest_ranked(workspace, names, 1)), None)
+
+    def zone_of(self, workspace: str) -> str:
+        """Return the availability zone of a workspace's owner."""
+        return lowest_ranked(workspace, self.live_zones(), 1)[0]
+
+    def is_first_zone(self, workspace: str, zones: set[str]) -> bool:
+        """Return whether the own zone is the workspace's first of some zones."""
+        own_zone = self.cluster.membership.me.zone
+        return lowest_ranked(workspace, {*zones, own_zone}, 1) == [own_zone]
+
+    def live_zones(self) -> set[str]:
+        """Return the availability zones that have live members."""
+        membership = self.cluster.membership
+        zones = {member.zone for member in membership.live()} | {membership.me.zone}
+        if self._is_learning:
+            listed = {each.zone for each in self.cluster.listed.values()}
+            zones |= {zone for zone in listed if self._usable(self._listed_in(zone))}
+        return zones
+
+    def find(self, name: str) -> PermitIssuer | None:
+        """Return a daemon by its name; None if it is not known."""
+        if self.cluster.membership.get(name) or name in self.cluster.listed:
+            return self._issuer(name)
+        return None
+
+    def is_unresponsive(self, name: str) -> bool:
+        """Return whether a daemon is skipped because it did not answer."""
+        now = time.monotonic()
+        return self._unresponsive.get(name, now) > now
+
+    def is_alone(self) -> bool:
+        """Return whether this daemon has no live peer although others may exist."""
+        cluster = self.cluster
+        own_name = cluster.membership.me.name
+        if any(member.name != own_name for member in cluster.membership.live()):
+            return False
+        return cluster.listed.keys() != {own_name} or cluster.reported_instances > 1
+
+    def share_of_all(self) -> float:
+        """Return the part of a workspace's limit that an owner here grants.
+
+        It belongs to the daemons that this daemon sees: the live members of its own
+        zone, and the listed instances of other zones that have a live member.
+        """
+        membership = self.cluster.membership
+        own_zone = membership.me.zone
+        listed = [e.zone for e in self.cluster.listed.values() if not e.leaving]
+        count = max(len(listed), self.cluster.reported_instances)
+        if self._is_learning or not count:
+            return 1.0
+        zones = self.live_zones() - {own_zone}
+        live = min(len(membership.own_zone_names()), listed.count(own_zone))
+        seen = live + sum(zone in zones for zone in listed)
+        return max(1, seen) / count
+
+    @property
+    def _is_learning(self):
+        return time.monotonic() < self._started + LEARNING_S
+
+    def _owner_names(self, zone):
+        membership = self.cluster.membership
+        live = [member.name for member in membership.live() if member.zone == zone]
+        if zone == membership.me.zone and not self._is_learning:
+            return live
+        return list({*live, *self._usable(self._listed_in(zone))})
+
+    # -- targets ---------------------------------------------------------------------
+
     def _candidates(self, zone) -> Iterable[str]:
         """Return the daemons of a zone, or those of all zones if it has none."""
         membership = self.cluster.membership
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
@@ -0,0 +1,290 @@
+"""Admission of requests by the limits of their workspaces."""
+
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from cairnferry.entry.members import Cluster, PermitIssuers
+from cairnferry.entry.workspaces._token_calls import TokenCalls
+from cairnferry.entry.workspaces._token_owner import TokenOwner
+from cairnferry.peers import TokenQuery, TokenReply
+from cairnferry.policy import (
+    Call,
+    Cause,
+    FallbackBucket,
+    LimitTolerance,
+    WorkspaceLimit,
+)
+from cairnferry.records import Workspace
+
+# Share of the time to a request's objective for which it may wait for a token, and the
+# maximum time in seconds.
+WAIT_SHARE = 0.2
+MAX_WAIT_S = 0.5
+# Calls to other daemons for one request: the first candidate, and the owner that it
+# names or the next candidate.
+MAX_CALLS = 2
+# Minimum and maximum Retry-After in seconds if no owner is reached. Another daemon, or
+# this one after a change of owner, can serve the request.
+UNVERIFIED_RETRY_S = (0.05, 0.2)
+# Seconds until unused tokens are returned by a call of their own, if no query to the
+# same owner takes them along.
+RETURN_DELAY_S = 0.5
+# Number of instances assumed while this daemon knows neither a list nor any member.
+# With too low a number, daemons that all start at once would exceed the tolerance.
+UNKNOWN_INSTANCES = 100
+
+
+@attrs.frozen
+class Admitted:
+    """A request may run.
+
+    Attributes
+    ----------
+    workspace : Workspace or None
+        Workspace whose token the request holds; None if it holds none.
+    at : float
+        Monotonic time in seconds at which it was admitted.
+    waited_s : float
+        Seconds for which it waited.
+    """
+
+    workspace: Workspace | None = None
+    at: float = 0.0
+    waited_s: float = 0.0
+
+
+@attrs.frozen
+class OverLimit:
+    """A request may not run.
+
+    Attributes
+    ----------
+    cause : Cause
+        `WORKSPACE_LIMIT` or `LIMIT_UNVERIFIED`.
+    retry_after : float
+        Retry-After in seconds.
+    facts : dict
+        Facts on which the decision is based, for the log.
+    """
+
+    cause: Cause
+    retry_after: float
+    facts: dict
+
+
+@attrs.define
+class _Replied:
+    """Reply of the daemon that owns a workspace."""
+
+    reply: TokenReply
+    owner: str
+    took_s: float
+
+
+@attrs.define
+class WorkspaceLimiter:
+    """Admits requests whose workspaces have tokens left.
+
+    Parameters
+    ----------
+    name : str
+        Name of this daemon.
+    cluster : Cluster
+        Members and listed instances.
+    issuers : PermitIssuers
+        Determines the owner of a workspace.
+    owner : TokenOwner
+        Grants the tokens of the workspaces that this daemon owns.
+    calls : TokenCalls
+        Sends queries to other daemons.
+    revision : callable
+        Returns the revision of the rules in force.
+    tolerance : LimitTolerance
+        Tolerance of the limits.
+    rng : random.Random
+        Spreads the retries of refused requests.
+    """
+
+    name: str
+    cluster: Cluster
+    issuers: PermitIssuers
+    owner: TokenOwner
+    calls: TokenCalls
+    revision: Callable[[], int]
+    tolerance: LimitTolerance
+    rng: random.Random
+    _fallbacks: dict[str, FallbackBucket] = attrs.field(factory=dict)
+    _returning: dict[str, Workspace] = attrs.field(factory=dict)
+
+    def admit(self, workspace: Workspace, call: Call) -> Admitted | OverLimit:
+        """Decide on a request; waits for its token if that comes soon.
+
+        Parameters
+        ----------
+        workspace : Workspace
+            Workspace of the caller.
+        call : Call
+            The request.
+        """
+        if not workspace.rate_per_s:
+            return Admitted()
+        started = time.monotonic()
+        max_wait_s = _max_wait(call, started)
+        replied = self._ask(workspace, call.rank, max_wait_s)
+        if replied is None:
+            return self._fall_back(workspace, started)
+        if not replied.reply.delays:
+            facts = self._facts(workspace, replied)
+            retry_after = max(UNVERIFIED_RETRY_S[0], replied.reply.retry_s)
+            return OverLimit(Cause.WORKSPACE_LIMIT, retry_after, facts)
+        return self._wait(workspace, replied.reply.delays[0], started)
+
+    def _wait(self, workspace, delay, started):
+        granted_at = time.monotonic()
+        if delay > 0:
+            try:
+                gevent.sleep(delay)
+            except BaseException:
+                self.give_back(Admitted(workspace, granted_at))
+                raise
+        now = time.monotonic()
+        return Admitted(workspace, now, now - started)
+
+    def give_back(self, admitted: Admitted) -> None:
+        """Return the token of a request that did not run.
+
+        A token that is older than the window no longer counts at the owner.
+
+        Parameters
+        ----------
+        admitted : Admitted
+            The decision by which the request was admitted.
+        """
+        workspace = admitted.workspace
+        max_age_s = self.tolerance.window_s - 2 * RETURN_DELAY_S
+        if workspace is None or time.monotonic() - admitted.at > max_age_s:
+            return
+        self.calls.returned[workspace.name] += 1
+        if not self._returning:
+            gevent.spawn_later(RETURN_DELAY_S, self._return_tokens)
+        self._returning[workspace.name] = workspace
+
+    def _return_tokens(self):
+        returning, self._returning = self._returning, {}
+        for workspace in returning.values():
+            if not self.calls.returned[workspace.name]:
+                continue
+            owner = self.issuers.owner_of(workspace.name)
+            query = self._query(workspace, rank=0, count=0, max_wait_s=0.0)
+            if owner == self.name:
+                self.owner.grant(self.name, [query])
+            elif owner is not None and not self.issuers.is_unresponsive(owner):
+                self.calls.post(self.issuers.find(owner), query)
+
+    # -- owners ----------------------------------------------------------------------
+
+    def _ask(self, workspace, rank, max_wait_s):
+        """Return the reply of the workspace's owner; None if none is reached."""
+        asked = set()
+        calls = 0
+        named = None
+        while calls < MAX_CALLS:
+            name = named or self._next_candidate(workspace.name, asked)
+            if name is None:
+                return None
+            asked.add(name)
+            query = self._query(workspace, rank, 1, max_wait_s)
+            started = time.monotonic()
+            if name == self.name:
+                reply = self.owner.grant(self.name, [query])[0]
+            else:
+                calls += 1
+                reply = self._call(name, query)
+            if reply is not None and reply.is_ready:
+                return _Replied(reply, name, time.monotonic() - started)
+            named = self._named_owner(reply, asked)
+        return None
+
+    def _call(self, name, query):
+        peer = self.issuers.find(name)
+        if peer is None or not self.calls.may_call(peer.zone):
+            return None
+        return self.calls.ask(peer, query)
+
+    def _next_candidate(self, workspace, asked):
+        candidates = self.issuers.owner_candidates(workspace)
+        return next((name for name in candidates if name not in asked), None)
+
+    def _named_owner(self, reply, asked):
+        """Return the owner that a reply names, unless it did not answer before."""
+        owner = reply.owner if reply is not None else ""
+        if not owner or owner in asked or self.issuers.is_unresponsive(owner):
+            return None
+        return owner if self.issuers.find(owner) is not None else None
+
+    def _query(self, workspace, rank, count, max_wait_s):
+        return TokenQuery(
+            workspace.name,
+            rank,
+            count,
+            self.calls.returned.pop(workspace.name, 0),
+            max_wait_s,
+            self.revision(),
+            workspace.rate_per_s,
+            workspace.burst,
+        )
+
+    # -- without an owner ------------------------------------------------------------
+
+    def _fall_back(self, workspace, started):
+        limit = WorkspaceLimit(self.revision(), workspace.rate_per_s, workspace.burst)
+        bucket = self._fallbacks.get(workspace.name)
+        if bucket is None:
+            bucket = self._fallbacks[workspace.name] = FallbackBucket(self.tolerance)
+        now = time.monotonic()
+        instances, position = self._position()
+        if bucket.admit(limit, instances, position, now, time.time()):
+            return Admitted(None, now, now - started)
+        earliest, latest = UNVERIFIED_RETRY_S
+        retry_after = earliest + (latest - earliest) * self.rng.random()
+        facts = self._facts(workspace, None)
+        return OverLimit(Cause.LIMIT_UNVERIFIED, retry_after, facts)
+
+    def _position(self):
+        """Return the number of instances, and this daemon's position among them."""
+        cluster = self.cluster
+        names = sorted({*cluster.listed, self.name})
+        count = max(len(names), cluster.count_instances())
+        if self.issuers.is_alone() and count == 1:
+            count = UNKNOWN_INSTANCES
+        return count, names.index(self.name) / len(names)
+
+    def _facts(self, workspace, replied):
+        owner = replied.owner if replied else self.issuers.owner_of(workspace.name)
+        return {
+            "workspace": workspace.name,
+            "rate": workspace.rate_per_s,
+            "burst": workspace.burst,
+            "tokens": round(replied.reply.level, 2) if replied else None,
+            "owner": owner,
+            "age_ms": round(replied.took_s * 1000, 1) if replied else None,
+        }
+
+    def forget(self, names: set[str]) -> None:
+        """Drop the state of workspaces that no longer exist.
+
+        Parameters
+        ----------
+        names : set of str
+            Names of the workspaces in force.
+        """
+        self._fallbacks = {n: b for n, b in self._fallbacks.items() if n in names}
+
+
+def _max_wait(call, now):
+    until = call.deadline if call.objective is None else call.objective
+    return max(0.0, min(MAX_WAIT_S, WAIT_SHARE * (until - now)))
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/workspaces/_token_calls.py
@@ -0,0 +1,182 @@
+"""Calls to the owners of workspaces; queries to one owner are combined."""
+
+import logging
+import time
+from collections import Counter
+
+import attrs
+import gevent
+from gevent.event import AsyncResult
+
+from cairnferry.entry.members import PermitIssuer, PermitIssuers
+from cairnferry.entry.telemetry import RateLimit
+from cairnferry.peers import PeerCallFailed, PeerLinks, TokenQuery, TokenReply
+
+# Seconds for which a request waits for an owner's answer. A call takes 3 ms between
+# zones, and the objective of a request is some 500 ms.
+PATIENCE_S = 0.12
+# Seconds beyond that time after which this process itself was late, and seconds for
+# which an answer that has arrived meanwhile may still be read.
+LATE_S = 0.03
+LATE_READ_S = 0.03
+# Number of calls into a zone that fail in a row until the zone is considered
+# unreachable, and seconds until another call into it is tried.
+FAILURES_TO_CUT = 2
+CUT_RETRY_S = 2.0
+# Seconds after which an unused connection is closed: several times the interval at
+# which a daemon of a large deployment gets a request of one workspace.
+UNUSED_LINK_S = 60.0
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class _Ask:
+    """A query that waits for its reply, which is None if the call fails."""
+
+    query: TokenQuery
+    is_abandoned: bool = False
+    reply: AsyncResult = attrs.field(factory=AsyncResult)
+
+
+@attrs.define
+class _ZoneState:
+    """Failed calls into an availability zone since the last answer."""
+
+    failures: int = 0
+    cut_until: float = 0.0
+
+
+@attrs.define
+class TokenCalls:
+    """Sends queries to the owners of workspaces, one call to each at a time.
+
+    Parameters
+    ----------
+    name, zone : str
+        Name and availability zone of this daemon.
+    issuers : PermitIssuers
+        Told of daemons that do not answer.
+    links : PeerLinks
+        Connections to the other daemons, used for these calls only. On a shared
+        connection, a query would wait for the transfer of rules or tables.
+
+    Attributes
+    ----------
+    outcomes : Counter
+        Number of calls by outcome: "answered", "failed" and "late".
+    returned : Counter
+        Tokens not used, by workspace, for the next query.
+    """
+
+    name: str
+    zone: str
+    issuers: PermitIssuers
+    links: PeerLinks
+    outcomes: Counter = attrs.field(factory=Counter)
+    returned: Counter = attrs.field(factory=Counter)
+    _waiting: dict[str, list[_Ask]] = attrs.field(factory=dict)
+    _zones: dict[str, _ZoneState] = attrs.field(factory=dict)
+    _log_limit: RateLimit = attrs.field(factory=RateLimit)
+
+    def may_call(self, zone: str) -> bool:
+        """Return whether a zone may be called; counts a trial of an unreachable one.
+
+        Without this, a daemon that is cut off would let each request wait for an
+        answer.
+        """
+        state = self._zones.get(zone)
+        if state is None or state.failures < FAILURES_TO_CUT:
+            return True
+        now = time.monotonic()
+        if now < state.cut_until:
+            return False
+        state.cut_until = now + CUT_RETRY_S
+        return True
+
+    def ask(self, peer: PermitIssuer, query: TokenQuery) -> TokenReply | None:
+        """Return the reply of a daemon; None if it does not answer in time.
+
+        Parameters
+        ----------
+        peer : PermitIssuer
+            Daemon to call.
+        query : TokenQuery
+            The query.
+        """
+        ask = self.post(peer, query)
+        try:
+            self._wait(ask)
+        finally:
+            ask.is_abandoned = not ask.reply.ready()
+        if ask.is_abandoned:
+            self._note_failure(peer, "late")
+            return None
+        return ask.reply.get()
+
+    def post(self, peer: PermitIssuer, query: TokenQuery) -> _Ask:
+        """Send a query without waiting for the reply."""
+        ask = _Ask(query)
+        waiting = self._waiting.get(peer.name)
+        if waiting is None:
+            self._waiting[peer.name] = [ask]
+            gevent.spawn(self._run, peer)
+        else:
+            waiting.append(ask)
+        return ask
+
+    def _wait(self, ask):
+        started = time.monotonic()
+        ask.reply.wait(PATIENCE_S)
+        if not ask.reply.ready():
+            # If this process stood still, the answer may be there already.
+            if time.monotonic() - started > PATIENCE_S + LATE_S:
+                ask.reply.wait(LATE_READ_S)
+
+    def _run(self, peer):
+        """Call a daemon until no query waits for it."""
+        waiting = self._waiting[peer.name]
+        asks = []
+        try:
+            while waiting:
+                asks = waiting[:]
+                waiting.clear()
+                self._call(peer, asks)
+        finally:
+            del self._waiting[peer.name]
+            for ask in (*asks, *waiting):
+                if not ask.reply.ready():
+                    ask.reply.set(None)
+
+    def _call(self, peer, asks):
+        link = self.links.link_to(peer.peer_address, peer.zone != self.zone)
+        try:
+            replies = link.request_tokens(self.name, [ask.query for ask in asks])
+        except PeerCallFailed as exc:
+            self._note_failure(peer, "failed", exc.reason)
+            replies = [None] * len(asks)
+        else:
+            self.outcomes["answered"] += 1
+            self._zones.pop(peer.zone, None)
+        for ask, reply in zip(asks, replies, strict=True):
+            if ask.is_abandoned and reply is not None:
+                self.returned[ask.query.workspace] += len(reply.delays)
+            ask.reply.set(reply)
+
+    def _note_failure(self, peer, outcome, reason=""):
+        self.outcomes[outcome] += 1
+        if self.issuers.is_unresponsive(peer.name):
+            return
+        self.issuers.mark_unresponsive(peer.name)
+        state = self._zones.setdefault(peer.zone, _ZoneState())
+        state.failures += 1
+        if state.failures >= FAILURES_TO_CUT:
+            state.cut_until = time.monotonic() + CUT_RETRY_S
+        if self._log_limit.allows():
+            extra = {"peer": peer.name, "outcome": outcome, "why": reason}
+            extra["left_out"] = self._log_limit.take_suppressed()
+            log.info("no answer to a query for tokens", extra=extra)
+
+    def close_unused(self) -> None:
+        """Close connections that were not used for a while."""
+        self.links.close_unused(time.monotonic() - UNUSED_LINK_S)
