Workspace limits: keep the bound under partitions, restarts and returned tokens

Daemons that were cut off one by one became owners in their own view (763 requests in 5 s, 625 allowed). With each zone split in two, both owners counted the other zones in full (884 of 625). A small workspace was refused 13 of 100 requests at 0.625 of its limit, as its requests arrive at random and its burst was 2.

Change: an owner grants only while daemons of its zone answer its heartbeats. The part of other zones is estimated from the members that a daemon knows. New owners accrue nothing for a window after many members were lost at once. The bucket holds a quarter of the tolerance beyond the burst. OwnerSearch and Reachability hold the decisions of the requester, so that tests drive them without a network.

--- a/packages/coordination/src/cairnferry/coordination/__init__.py
+++ b/packages/coordination/src/cairnferry/coordination/__init__.py
@@ -31,6 +31,8 @@
 from cairnferry.coordination._eras import MAX_ERA, era_of, stamp, version_of
 from cairnferry.coordination._groupcommit import GroupCommit, PendingChange
 from cairnferry.coordination._membership import (
+    RANK_KEY,
+    REPRESENTATIVES,
     Member,
     Membership,
     MembershipTimes,
@@ -87,6 +89,8 @@
     "WriteUnknown",
     "encode_delta",
     "era_of",
+    "RANK_KEY",
+    "REPRESENTATIVES",
     "lowest_ranked",
     "apply_delta",
     "rank",
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -179,8 +179,9 @@
             self.workspaces,
             lambda: self.services.revision,
             cfg.workspace_limits,
-            lambda: self.gossip.answered_at,
+            lambda: (self.gossip.answered_at, self.gossip.answered_far_at),
             self.gossip.check_member,
+            cfg.peers.interval_s,
         )
         self.gossip.tokens = self.token_owner.grant
         links = PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S)
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -78,9 +78,9 @@
     tokens : callable
         Grants tokens for requests of workspaces to a daemon, given its name and its
         queries.
-    answered_at : float
-        Monotonic time in seconds of the latest call that a daemon of the own zone has
-        answered; the time at which the call began.
+    answered_at, answered_far_at : float
+        Monotonic time in seconds at which the latest call began that a daemon of the
+        own zone, and of another zone, has answered.
     rounds : int
         Number of rounds so far.
     """
@@ -100,6 +100,7 @@
         lambda requester, queries: [TokenReply() for _ in queries]
     )
     answered_at: float = -math.inf
+    answered_far_at: float = -math.inf
     _contact_unknown: bool = False
     rounds: int = 0
     _round_due: Event = attrs.field(factory=Event)
@@ -197,14 +198,20 @@
         started = time.monotonic()
         try:
             received = link.heartbeat(self._heartbeat_to(name, zone))
-            if zone == self.cluster.membership.me.zone:
-                self.answered_at = max(self.answered_at, started)
+            self.note_answer(zone, started)
             self._apply_and_fetch(received, link)
         except PeerCallFailed as exc:
             if name is not None:
                 self.cluster.membership.suspect(name, time.monotonic())
             log.debug("heartbeat failed", extra={"peer": address, "why": exc.reason})
 
+    def note_answer(self, zone: str, started: float) -> None:
+        """Record that a daemon of a zone answered a call that began at a time."""
+        if zone == self.cluster.membership.me.zone:
+            self.answered_at = max(self.answered_at, started)
+        else:
+            self.answered_far_at = max(self.answered_far_at, started)
+
     def _heartbeat_to(self, name, zone):
         member = name and self.cluster.membership.get(name)
         if self.cluster.has_heard_from(member):
--- a/packages/entry/src/cairnferry/entry/members/_permit_issuers.py
+++ b/packages/entry/src/cairnferry/entry/members/_permit_issuers.py
@@ -3,12 +3,19 @@
 It issues the permits for a limited target, or grants the tokens of a workspace.
 """
 
+import bisect
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from cairnferry.coordination import MemberState, lowest_ranked
+from cairnferry.coordination import (
+    RANK_KEY,
+    REPRESENTATIVES,
+    MemberState,
+    lowest_ranked,
+    rank,
+)
 from cairnferry.entry.members._cluster import Cluster
 
 # Seconds for which an issuer that did not answer is skipped. Its own zone detects the
@@ -47,15 +54,21 @@
     ----------
     cluster : Cluster
         Members and listed instances.
+    clock : callable, optional
+        Returns monotonic seconds.
     """
 
     cluster: Cluster
+    clock: Callable[[], float] = time.monotonic
     _unresponsive: dict[str, float] = attrs.field(factory=dict)
-    _started: float = attrs.field(factory=time.monotonic)
+    _started: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._started = self.clock()
 
     def issuer_for(self, target: str, zone: str) -> PermitIssuer | None:
         """Return the issuer of a target; None if there is no candidate."""
-        now = time.monotonic()
+        now = self.clock()
         names = [
             name
             for name in self._candidates(zone)
@@ -71,7 +84,7 @@
 
     def mark_unresponsive(self, name: str) -> None:
         """Skip a daemon that did not answer, for `UNRESPONSIVE_S`."""
-        now = time.monotonic()
+        now = self.clock()
         self._unresponsive = {
             n: until for n, until in self._unresponsive.items() if until > now
         }
@@ -104,7 +117,7 @@
         workspace : str
             Name of the workspace.
         """
-        now = time.monotonic()
+        now = self.clock()
         names = [
             name
             for name in self._owner_names(self.zone_of(workspace))
@@ -143,7 +156,7 @@
 
     def is_unresponsive(self, name: str) -> bool:
         """Return whether a daemon is skipped because it did not answer."""
-        now = time.monotonic()
+        now = self.clock()
         return self._unresponsive.get(name, now) > now
 
     def is_alone(self) -> bool:
@@ -157,8 +170,10 @@
     def share_of_all(self) -> float:
         """Return the part of a workspace's limit that an owner here grants.
 
-        It belongs to the daemons that this daemon sees: the live members of its own
-        zone, and the listed instances of other zones that have a live member.
+        It belongs to the daemons that this daemon sees. Of other zones it knows some
+        members only, the first by rank, from which the others are estimated. If all
+        listed instances of a zone counted, both parts of a zone that is split would
+        count in full for one part of the others.
         """
         membership = self.cluster.membership
         own_zone = membership.me.zone
@@ -166,14 +181,34 @@
         count = max(len(listed), self.cluster.reported_instances)
         if self._is_learning or not count:
             return 1.0
-        zones = self.live_zones() - {own_zone}
-        live = min(len(membership.own_zone_names()), listed.count(own_zone))
-        seen = live + sum(zone in zones for zone in listed)
-        return max(1, seen) / count
+        seen = min(len(membership.own_zone_names()), listed.count(own_zone))
+        for zone in self.live_zones() - {own_zone}:
+            seen += listed.count(zone) * self._live_part(zone)
+        return min(1.0, max(1, seen) / count)
+
+    def _live_part(self, zone):
+        """Return the estimated part of another zone's listed instances that is live.
+
+        Known are the live instances of lowest rank. Those of lower rank than the last
+        of them are live, or lost.
+        """
+        names = self._listed_in(zone)
+        ranks = sorted(rank(RANK_KEY, name) for name in names)
+        known = [m for m in map(self.cluster.membership.get, names) if m is not None]
+        live = sorted(
+            rank(RANK_KEY, m.name) for m in known if m.state is MemberState.ALIVE
+        )[:REPRESENTATIVES]
+        if not known:
+            return 1.0
+        if len(live) < REPRESENTATIVES:
+            last = max(rank(RANK_KEY, member.name) for member in known)
+        else:
+            last = live[-1]
+        return len(live) / bisect.bisect_right(ranks, last)
 
     @property
     def _is_learning(self):
-        return time.monotonic() < self._started + LEARNING_S
+        return self.clock() < self._started + LEARNING_S
 
     def _owner_names(self, zone):
         membership = self.cluster.membership
--- a/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
@@ -8,6 +8,7 @@
 import gevent
 
 from cairnferry.entry.members import Cluster, PermitIssuers
+from cairnferry.entry.workspaces._owner_search import OwnerSearch
 from cairnferry.entry.workspaces._token_calls import TokenCalls
 from cairnferry.entry.workspaces._token_owner import TokenOwner
 from cairnferry.peers import TokenQuery, TokenReply
@@ -24,9 +25,6 @@
 # maximum time in seconds.
 WAIT_SHARE = 0.2
 MAX_WAIT_S = 0.5
-# Calls to other daemons for one request: the first candidate, and the owner that it
-# names or the next candidate.
-MAX_CALLS = 2
 # Minimum and maximum Retry-After in seconds if no owner is reached. Another daemon, or
 # this one after a change of owner, can serve the request.
 UNVERIFIED_RETRY_S = (0.05, 0.2)
@@ -189,42 +187,22 @@
 
     def _ask(self, workspace, rank, max_wait_s):
         """Return the reply of the workspace's owner; None if none is reached."""
-        asked = set()
-        calls = 0
-        named = None
-        while calls < MAX_CALLS:
-            name = named or self._next_candidate(workspace.name, asked)
-            if name is None:
-                return None
-            asked.add(name)
+        search = OwnerSearch(self.issuers, self.name, workspace.name)
+        name = search.next()
+        while name is not None:
             query = self._query(workspace, rank, 1, max_wait_s)
             started = time.monotonic()
-            if name == self.name:
-                reply = self.owner.grant(self.name, [query])[0]
-            else:
-                calls += 1
-                reply = self._call(name, query)
+            reply = self._ask_one(name, query)
             if reply is not None and reply.is_ready:
                 return _Replied(reply, name, time.monotonic() - started)
-            named = self._named_owner(reply, asked)
+            name = search.next(reply)
         return None
 
-    def _call(self, name, query):
+    def _ask_one(self, name, query):
+        if name == self.name:
+            return self.owner.grant(self.name, [query])[0]
         peer = self.issuers.find(name)
-        if peer is None or not self.calls.may_call(peer.zone):
-            return None
-        return self.calls.ask(peer, query)
-
-    def _next_candidate(self, workspace, asked):
-        candidates = self.issuers.owner_candidates(workspace)
-        return next((name for name in candidates if name not in asked), None)
-
-    def _named_owner(self, reply, asked):
-        """Return the owner that a reply names, unless it did not answer before."""
-        owner = reply.owner if reply is not None else ""
-        if not owner or owner in asked or self.issuers.is_unresponsive(owner):
-            return None
-        return owner if self.issuers.find(owner) is not None else None
+        return None if peer is None else self.calls.ask(peer, query)
 
     def _query(self, workspace, rank, count, max_wait_s):
         return TokenQuery(
--- a/packages/entry/src/cairnferry/entry/workspaces/_token_calls.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_token_calls.py
@@ -10,6 +10,7 @@
 
 from cairnferry.entry.members import PermitIssuer, PermitIssuers
 from cairnferry.entry.telemetry import RateLimit
+from cairnferry.entry.workspaces._owner_search import Reachability
 from cairnferry.peers import PeerCallFailed, PeerLinks, TokenQuery, TokenReply
 
 # Seconds for which a request waits for an owner's answer. A call takes 3 ms between
@@ -19,10 +20,6 @@
 # which an answer that has arrived meanwhile may still be read.
 LATE_S = 0.03
 LATE_READ_S = 0.03
-# Number of calls into a zone that fail in a row until the zone is considered
-# unreachable, and seconds until another call into it is tried.
-FAILURES_TO_CUT = 2
-CUT_RETRY_S = 2.0
 # Seconds after which an unused connection is closed: several times the interval at
 # which a daemon of a large deployment gets a request of one workspace.
 UNUSED_LINK_S = 60.0
@@ -39,14 +36,6 @@
     reply: AsyncResult = attrs.field(factory=AsyncResult)
 
 
-@attrs.define
-class _ZoneState:
-    """Failed calls into an availability zone since the last answer."""
-
-    failures: int = 0
-    cut_until: float = 0.0
-
-
 @attrs.define
 class TokenCalls:
     """Sends queries to the owners of workspaces, one call to each at a time.
@@ -67,6 +56,8 @@
         Number of calls by outcome: "answered", "failed" and "late".
     returned : Counter
         Tokens not used, by workspace, for the next query.
+    reachability : Reachability
+        Zones that calls do not reach.
     """
 
     name: str
@@ -76,27 +67,14 @@
     outcomes: Counter = attrs.field(factory=Counter)
     returned: Counter = attrs.field(factory=Counter)
     _waiting: dict[str, list[_Ask]] = attrs.field(factory=dict)
-    _zones: dict[str, _ZoneState] = attrs.field(factory=dict)
+    reachability: Reachability = attrs.field(factory=Reachability)
     _log_limit: RateLimit = attrs.field(factory=RateLimit)
 
-    def may_call(self, zone: str) -> bool:
-        """Return whether a zone may be called; counts a trial of an unreachable one.
-
-        Without this, a daemon that is cut off would let each request wait for an
-        answer.
-        """
-        state = self._zones.get(zone)
-        if state is None or state.failures < FAILURES_TO_CUT:
-            return True
-        now = time.monotonic()
-        if now < state.cut_until:
-            return False
-        state.cut_until = now + CUT_RETRY_S
-        return True
-
     def ask(self, peer: PermitIssuer, query: TokenQuery) -> TokenReply | None:
         """Return the reply of a daemon; None if it does not answer in time.
 
+        A daemon in a zone that calls do not reach is not called.
+
         Parameters
         ----------
         peer : PermitIssuer
@@ -104,6 +82,8 @@
         query : TokenQuery
             The query.
         """
+        if not self.reachability.may_call(peer.zone, time.monotonic()):
+            return None
         ask = self.post(peer, query)
         try:
             self._wait(ask)
@@ -157,7 +137,7 @@
             replies = [None] * len(asks)
         else:
             self.outcomes["answered"] += 1
-            self._zones.pop(peer.zone, None)
+            self.reachability.note_answer(peer.zone)
         for ask, reply in zip(asks, replies, strict=True):
             if ask.is_abandoned and reply is not None:
                 self.returned[ask.query.workspace] += len(reply.delays)
@@ -168,10 +148,7 @@
         if self.issuers.is_unresponsive(peer.name):
             return
         self.issuers.mark_unresponsive(peer.name)
-        state = self._zones.setdefault(peer.zone, _ZoneState())
-        state.failures += 1
-        if state.failures >= FAILURES_TO_CUT:
-            state.cut_until = time.monotonic() + CUT_RETRY_S
+        self.reachability.note_failure(peer.zone, time.monotonic())
         if self._log_limit.allows():
             extra = {"peer": peer.name, "outcome": outcome, "why": reason}
             extra["left_out"] = self._log_limit.take_suppressed()
--- a/packages/entry/src/cairnferry/entry/workspaces/_token_owner.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_token_owner.py
@@ -24,12 +24,21 @@
 # Seconds until a new owner's buckets accrue tokens. Within this time after a start or
 # a loss, other daemons may still ask the previous owner.
 TAKE_OVER_S = 1.0
+# Share of the known members that are lost within a window from which a partition is
+# assumed.
+PARTITION_SHARE = 0.15
 # Seconds until a larger part of the limit is granted, after daemons were found again.
 # An owner that was cut off with them may still grant their part.
 RAISE_DELAY_S = 2.0
 # Seconds after which an unused bucket is dropped. A bucket is full again by then,
 # unless its burst is larger than its rate in this time.
 UNUSED_S = 60.0
+# Rounds of heartbeats without an answer from the own zone, after which this daemon may
+# be cut off. It calls some daemons of its zone in each round.
+ROUNDS_ANSWERED = 3.2
+# The same for all zones, if this daemon is the last of its zone. It calls one daemon of
+# another zone in each round.
+FAR_ROUNDS_ANSWERED = 6.2
 # Minimum seconds between two checks of a daemon that others did not reach.
 CHECK_INTERVAL_S = 0.5
 
@@ -78,10 +87,12 @@
     tolerance : LimitTolerance
         Tolerance of the limits.
     answered_at : callable
-        Returns the time at which the latest call began that a daemon of the own zone
-        answered.
+        Returns the times at which the latest calls began that a daemon of the own zone,
+        and of another zone, answered.
     check_member : callable
         Calls a member that others did not reach.
+    round_s : float, optional
+        Seconds between two rounds of heartbeats.
     clocks : callable, optional
         Returns monotonic seconds without and with the time of a suspended machine.
     """
@@ -90,19 +101,23 @@
     registry: WorkspaceRegistry
     revision: Callable[[], int]
     tolerance: LimitTolerance
-    answered_at: Callable[[], float]
+    answered_at: Callable[[], tuple[float, float]]
     check_member: Callable[[str], None]
+    round_s: float = 0.5
     clocks: Callable[[], tuple[float, float]] = read_clocks
     owned: dict[str, OwnedWorkspace] = attrs.field(factory=dict)
     _is_used: Event = attrs.field(factory=Event)
     _seen: tuple[float, float] = attrs.field(init=False)
+    _alive: set[str] = attrs.field(factory=set)
+    _lost: dict[str, float] = attrs.field(factory=dict)
     _names: set[str] = attrs.field(factory=set)
     _zones: set[str] = attrs.field(factory=set)
     _since: float = attrs.field(init=False)
     _zones_since: float = -math.inf
+    _partition_at: float = -math.inf
     _share: float = 0.0
     _raise_at: float | None = None
-    _unconfirmed_since: float | None = None
+    _unconfirmed_since: float = -math.inf
     _checked: dict[str, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -115,20 +130,25 @@
         """Watch for a standstill of the process while buckets are in use, forever."""
         while True:
             self._is_used.wait()
-            self.observe()
+            self.note_time()
             gevent.sleep(TICK_S)
 
     def observe(self) -> float:
         """Apply what happened since the last call; return the monotonic time."""
+        now = self.note_time()
+        self._note_members(now)
+        self._update_share(now)
+        self._drop_unused(now)
+        return now
+
+    def note_time(self) -> float:
+        """Notice a standstill of the process; return the monotonic time."""
         seen = self.clocks()
         elapsed = max(new - old for new, old in zip(seen, self._seen, strict=True))
         self._seen = seen
         now = seen[0]
         if elapsed > (STANDSTILL_S if self.owned else IDLE_STANDSTILL_S):
             self._note_standstill(elapsed, now)
-        self._note_members(now)
-        self._update_share(now)
-        self._drop_unused(now)
         return now
 
     def _note_standstill(self, elapsed, now):
@@ -141,10 +161,14 @@
             log.info("process stood still, limits of workspaces restarted", extra=extra)
 
     def _note_members(self, now):
-        names = set(self.issuers.cluster.membership.own_zone_names())
+        membership = self.issuers.cluster.membership
+        alive = {member.name for member in membership.live()}
         zones = self.issuers.live_zones()
-        if names == self._names and zones == self._zones:
+        if alive == self._alive and zones == self._zones:
             return
+        self._note_losses(self._alive - alive, len(alive), now)
+        self._alive = alive
+        names = set(membership.own_zone_names())
         if self._zones - zones:
             self._zones_since = now
         if self._names - names or self._zones - zones:
@@ -154,6 +178,24 @@
             name: owned for name, owned in self.owned.items() if self._is_owner(name)
         }
 
+    def _note_losses(self, lost, alive_count, now):
+        """Notice a partition: many members are lost within one window."""
+        since = now - self.tolerance.window_s
+        recent = {name: at for name, at in self._lost.items() if at > since}
+        self._lost = recent | dict.fromkeys(lost, now)
+        known = alive_count + len(self._lost)
+        if lost and len(self._lost) >= max(2, PARTITION_SHARE * known):
+            self._partition_at = now
+            self._hold_new_buckets(now)
+
+    def _hold_new_buckets(self, now):
+        """Stop buckets that were created when the first members were lost."""
+        window_s = self.tolerance.window_s
+        for owned in self.owned.values():
+            if owned.since > now - window_s:
+                owned.since = now
+                owned.bucket.hold(now + window_s, now)
+
     def _update_share(self, now):
         share = self.issuers.share_of_all()
         if share <= self._share or not self._share:
@@ -196,7 +238,7 @@
         if owner != self.issuers.cluster.membership.me.name:
             self._check(owner, now)
             return TokenReply(owner=owner or "")
-        if not self._may_grant():
+        if not self._may_grant(now):
             return TokenReply()
         limit = self._newest_limit(query)
         if not limit.rate_per_s:
@@ -206,7 +248,7 @@
         bucket.take_back(query.returned, now)
         grant = bucket.grant(query.rank, query.count, query.max_wait_s, now)
         return TokenReply(
-            grant.delays, grant.retry_s, "", bucket.level, bucket.limit.burst
+            grant.delays, grant.retry_s, "", bucket.level, bucket.capacity
         )
 
     def _check(self, owner, now):
@@ -224,15 +266,23 @@
         self._checked[owner] = now
         self.check_member(owner)
 
-    def _may_grant(self):
+    def _may_grant(self, now):
+        """Return whether this daemon is certain to be connected to the others.
+
+        A daemon that is cut off becomes the owner in its own view while it loses one
+        peer after the other.
+        """
         if self.issuers.is_alone():
             return False
-        if self._unconfirmed_since is None:
-            return True
-        has_others = len(self._names) > 1
-        if has_others and self.answered_at() <= self._unconfirmed_since:
-            return False
-        self._unconfirmed_since = None
+        near, far = self.answered_at()
+        if len(self._names) > 1:
+            since = max(now - ROUNDS_ANSWERED * self.round_s, self._unconfirmed_since)
+            return near > since
+        if len(self._zones) > 1:
+            since = max(
+                now - FAR_ROUNDS_ANSWERED * self.round_s, self._unconfirmed_since
+            )
+            return max(near, far) > since
         return True
 
     def _newest_limit(self, query):
@@ -262,11 +312,12 @@
     def _accrues_from(self, workspace):
         """Return the time from which a new bucket accrues tokens.
 
-        The members of a zone may be cut off rather than lost. The owner among them
-        grants the whole limit until it has noticed the cut as well.
+        Many members, or all of a zone, may be cut off rather than lost. The owner among
+        them grants the whole limit until it has noticed the cut as well.
         """
-        since = self._since + TAKE_OVER_S
+        window_s = self.tolerance.window_s
+        since = max(self._since + TAKE_OVER_S, self._partition_at + window_s)
         listed = {each.zone for each in self.issuers.cluster.listed.values()}
         if self.issuers.is_first_zone(workspace, listed):
             return since
-        return max(since, self._zones_since + self.tolerance.window_s)
+        return max(since, self._zones_since + window_s)
--- a/packages/policy/src/cairnferry/policy/shared/_fallback_bucket.py
+++ b/packages/policy/src/cairnferry/policy/shared/_fallback_bucket.py
@@ -63,7 +63,7 @@
         wall_time : float
             Time in seconds by a clock that daemons share.
         """
-        spare = self.tolerance.spare(limit.rate_per_s, limit.burst)
+        spare = self.tolerance.spare(limit)
         per_window = FALLBACK_SHARE * spare / instances
         if per_window >= MIN_BUCKET:
             return self._admit_from_level(per_window, now)
--- a/packages/policy/src/cairnferry/policy/shared/_workspace_bucket.py
+++ b/packages/policy/src/cairnferry/policy/shared/_workspace_bucket.py
@@ -1,7 +1,9 @@
 """Tokens that limit the requests of a workspace over all daemons.
 
 One daemon, the owner, counts the requests of a workspace. Each request takes a token
-from the owner's bucket, which gains `rate` tokens per second and holds at most `burst`.
+from the owner's bucket, which gains `rate` tokens per second and holds `burst` of them
+and a part of the tolerance. Without that part, a workspace with a small burst would be
+refused below its rate, as its requests arrive at random.
 A token may be granted ahead of time: the request then waits until the bucket has it.
 
 All times are monotonic seconds of one clock.
@@ -15,10 +17,12 @@
 # Seconds of one slot of the count of tokens granted in the last window. The count
 # covers the window and one slot more, so a shorter slot wastes less of the limit.
 SLOT_S = 0.05
-# Share of the burst that less urgent requests leave to more urgent ones.
+# Share of the bucket that less urgent requests leave to more urgent ones.
 RESERVED_SHARE = 0.2
 # Seconds for which a rank counts as in use after its last request.
 RANK_RETENTION_S = 10.0
+# Share of the tolerance that a bucket holds beyond the burst.
+EXTRA_SHARE = 1 / 4
 # Share of the tolerance with which a bucket starts. Two owners may follow each other
 # in one window, and half of the tolerance belongs to daemons that reach no owner.
 START_SHARE = 1 / 8
@@ -42,9 +46,10 @@
     over: float = 0.1
     slack: float = 20.0
 
-    def spare(self, rate: float, burst: float) -> float:
+    def spare(self, limit: "WorkspaceLimit") -> float:
         """Return the requests per window that may run beyond a limit."""
-        return (rate * self.window_s + burst) * self.over + self.slack
+        allowed = limit.rate_per_s * self.window_s + limit.burst
+        return allowed * self.over + self.slack * limit.share
 
 
 @attrs.frozen
@@ -59,17 +64,19 @@
         Requests per second; 0 if unlimited.
     burst : float
         Requests that may exceed that rate at once.
+    share : float
+        Part of the workspace's limit that this is.
     """
 
     revision: int
     rate_per_s: float
     burst: float
+    share: float = 1.0
 
     def scaled(self, share: float) -> "WorkspaceLimit":
         """Return a share of the limit."""
-        return WorkspaceLimit(
-            self.revision, self.rate_per_s * share, max(1.0, self.burst * share)
-        )
+        burst = max(1.0, self.burst * share)
+        return WorkspaceLimit(self.revision, self.rate_per_s * share, burst, share)
 
 
 @attrs.frozen
@@ -143,13 +150,17 @@
         """
         bucket = cls(tolerance, limit, 0.0, since)
         bucket._started_at = since
-        bucket.level = min(limit.burst, bucket._start_level())
+        bucket.level = bucket._start_level()
         bucket._accrue(now)
         return bucket
 
     def _start_level(self):
-        spare = self.tolerance.spare(self.limit.rate_per_s, self.limit.burst)
-        return min(self.limit.burst, START_SHARE * spare)
+        return min(self.capacity, START_SHARE * self.tolerance.spare(self.limit))
+
+    @property
+    def capacity(self) -> float:
+        """Maximum number of tokens in the bucket."""
+        return self.limit.burst + EXTRA_SHARE * self.tolerance.spare(self.limit)
 
     def set_limit(self, limit: WorkspaceLimit, now: float) -> None:
         """Continue at another limit.
@@ -165,7 +176,7 @@
             self._in_window = 0
             self._promised_at = -math.inf
         self.limit = limit
-        self.level = min(self.level, limit.burst)
+        self.level = min(self.level, self.capacity)
 
     def restart(self, now: float) -> None:
         """Empty the bucket, as another owner may have granted its tokens meanwhile."""
@@ -175,6 +186,11 @@
             self._started_at = now
         self.level = min(self.level, self._start_level() if may_start else 0.0)
 
+    def hold(self, until: float, now: float) -> None:
+        """Accrue no tokens until a later time."""
+        self._accrue(now)
+        self.updated_at = max(self.updated_at, until)
+
     def grant(self, rank: int, count: int, max_wait_s: float, now: float) -> TokenGrant:
         """Grant tokens for requests of one rank.
 
@@ -211,7 +227,7 @@
         window is thereby never lower than the number of requests that ran in it.
         """
         self._accrue(now)
-        self.level = min(self.limit.burst, self.level + count)
+        self.level = min(self.capacity, self.level + count)
         while count and self._slots:
             slot = self._slots[0]
             part = min(count, slot[1])
@@ -226,7 +242,7 @@
         if elapsed <= 0:
             return
         gained = self.level + elapsed * self.limit.rate_per_s
-        self.level = min(self.limit.burst, gained)
+        self.level = min(self.capacity, gained)
         self.updated_at = now
 
     def _reserved(self, rank, now):
@@ -238,8 +254,8 @@
         self._ranks = {r: at for r, at in self._ranks.items() if at > since}
         if rank == min(self._ranks):
             return 0.0
-        burst = self.limit.burst
-        return max(0.0, min(RESERVED_SHARE * burst, burst - 1))
+        capacity = self.capacity
+        return max(0.0, min(RESERVED_SHARE * capacity, capacity - 1))
 
     def _delay(self, reserved, now):
         """Return the seconds until a request may run."""
@@ -258,8 +274,8 @@
         horizon = now - self.tolerance.window_s - SLOT_S
         while self._slots and self._slots[0][0] <= horizon:
             self._in_window -= self._slots.popleft()[1]
-        rate, burst = self.limit.rate_per_s, self.limit.burst
-        if self._in_window + 1 <= rate * self.tolerance.window_s + burst:
+        accrued = self.limit.rate_per_s * self.tolerance.window_s
+        if self._in_window + 1 <= accrued + self.capacity:
             return 0.0
         return self._slots[0][0] - horizon if self._slots else 0.0
 
