--- a/tests/adapter/_workspaces.py
+++ b/tests/adapter/_workspaces.py
@@ -5,10 +5,8 @@
 
 import gevent
 
-from cairnferry.records import digest_key
 from cairnferry.wire import Client, Reply
 
-from ._limited import LimitedTarget, max_per_window
 from ._standins import configuration
 
 WINDOW_S = 5.0
@@ -91,15 +89,3 @@
         return client.call("GET", path, timeout=10, headers=headers)
     finally:
         client.close()
-
-
-__all__ = [
-    "LimitedTarget",
-    "WorkspaceCallers",
-    "bound",
-    "call_as",
-    "digest_key",
-    "max_per_window",
-    "rules_with",
-    "tenant",
-]
