--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -10,7 +10,12 @@
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
-from cairnferry.ctl._tables import print_blocked, print_records, print_status
+from cairnferry.ctl._tables import (
+    print_blocked,
+    print_records,
+    print_status,
+    print_workspaces,
+)
 
 POLL_S = 0.2
 
@@ -229,6 +234,15 @@
         print(f"accepted at revision {revision} (change {change_id})")
 
 
+def list_workspaces(api: Api, as_json) -> None:
+    """Print the limited workspaces and their use at one daemon."""
+    document = _get(api, "/v1/workspaces", as_json)
+    if as_json:
+        print(json.dumps(document, indent=1))
+    else:
+        print_workspaces(document)
+
+
 def explain(request_id: str, paths: list[str], before_s: float) -> None:
     """Print the log lines that explain a request, from files or standard input."""
     log = _read_log(paths)
@@ -241,6 +255,8 @@
         )
         sys.exit(ExitCode.REFUSED)
     print("\n".join(_explain.format_lines(lines)))
+    for sentence in _explain.sentences(lines):
+        print(sentence)
 
 
 def report(output: str, paths: list[str]) -> None:
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -52,6 +52,20 @@
 BACK_OFF_CAUSE = "targets-resting"
 # Messages that explain each of these causes.
 MESSAGES_BY_CAUSE = {THROTTLED_CAUSE: LIMIT_MESSAGES, BACK_OFF_CAUSE: BACK_OFF_MESSAGES}
+# Sentences that state why a request was refused, by cause; fields of its line fill the
+# gaps.
+SENTENCES = {
+    "workspace-limit": (
+        "Refused because workspace {workspace} was over its limit of {rate} requests "
+        "per second and a burst of {burst}: its owner {owner}, asked {age_ms} ms "
+        "before, had {tokens} tokens left."
+    ),
+    "limit-unverified": (
+        "Refused because {instance} reached no daemon that counts the requests of "
+        "workspace {workspace} (its owner is {owner}); nothing says that the workspace "
+        "was over its limit."
+    ),
+}
 # Fields that contain names of targets.
 TARGET_FIELDS = (
     "target",
@@ -226,6 +240,14 @@
         yield f"{mark} {when}  {line.instance}  {line.message}  {fields}".rstrip()
 
 
+def sentences(lines: list[LogLine]) -> Iterator[str]:
+    """Yield a sentence for each refusal that the limit of a workspace explains."""
+    for line in lines:
+        template = SENTENCES.get(line.fields.get("cause"))
+        if template is not None and "workspace" in line.fields:
+            yield template.format(instance=line.instance, **line.fields)
+
+
 def _format_value(value):
     if isinstance(value, list):
         return ", ".join(str(each) for each in value) or "none"
--- a/packages/ctl/src/cairnferry/ctl/_tables.py
+++ b/packages/ctl/src/cairnferry/ctl/_tables.py
@@ -58,6 +58,26 @@
     _print(table)
 
 
+def print_workspaces(document: dict) -> None:
+    """Print the limited workspaces and their use at one daemon."""
+    table = _table("workspace", "limit", "burst", "run", "refused", "owner", "age")
+    for row in document["workspaces"]:
+        requests = row["requests"]
+        run = requests.get("admitted", 0) + requests.get("admitted-unverified", 0)
+        refused = requests.get("over-limit", 0) + requests.get("unverified", 0)
+        age = row["age_s"]
+        table.add_row(
+            row["workspace"],
+            f"{row['rate_per_s']:g}/s",
+            f"{row['burst']:g}",
+            str(run),
+            str(refused),
+            row["owner"] or "none",
+            "-" if age is None else f"{age:.1f} s",
+        )
+    _print(table)
+
+
 def _table(*columns):
     table = Table(box=None, pad_edge=False)
     for column in columns:
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -164,6 +164,14 @@
     as_json: _Json = False
 
 
+@cappa.command(name="workspaces", help="Show the limits of workspaces at one daemon.")
+@attrs.define
+class Workspaces:
+    """Arguments of `workspaces`."""
+
+    json: _Json = False
+
+
 @cappa.command(name="evacuate", help="Stop sending requests to the targets of a zone.")
 @attrs.define
 class Evacuate:
@@ -229,6 +237,7 @@
     | Drain
     | Blocked
     | Unblock
+    | Workspaces
     | Evacuate
     | Restore
     | Explain
@@ -301,6 +310,8 @@
             _commands.list_blocked(api, as_json)
         case Unblock(content, as_json):
             _commands.unblock(api, content, as_json)
+        case Workspaces(as_json):
+            _commands.list_workspaces(api, as_json)
         case Evacuate(zone, change_id, as_json):
             _zones.evacuate(api, zone, change_id, as_json)
         case Restore(zone, change_id, as_json):
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -239,6 +239,7 @@
             self.guard,
             self.limiter,
             self.advisory_recorder,
+            self.workspace_limiter,
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -11,6 +11,7 @@
 from cairnferry.entry.members import Cluster, Gossip
 from cairnferry.entry.targets import AdvisoryRecorder, Limiter, Services, Upstreams
 from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
+from cairnferry.entry.workspaces import WorkspaceLimiter
 from cairnferry.peers import ByteMeter
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,8 @@
         Limits that targets advertise.
     advisory_recorder : AdvisoryRecorder
         Advisories of targets.
+    workspace_limiter : WorkspaceLimiter
+        Limits of workspaces.
     """
 
     cluster: Cluster
@@ -50,6 +53,7 @@
     guard: CrashGuard
     limiter: Limiter
     advisory_recorder: AdvisoryRecorder
+    workspace_limiter: WorkspaceLimiter
 
     def status(self) -> dict:
         """Return this daemon's view of all daemons."""
@@ -94,6 +98,7 @@
             },
             "blocked_requests": self.guard.snapshot(),
             "limits": self.limiter.snapshot(),
+            "workspace_limits": self.workspace_limiter.snapshot(),
             "target_words": self.advisory_recorder.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -148,6 +148,7 @@
             self.core.leave,
             self.core.guard.snapshot,
             self.core.guard.lift,
+            self.core.workspace_limiter.rows,
         )
         address = cfg.get("operators", "listen")
         limits = self.core.cfg.page_limits
--- a/packages/entry/src/cairnferry/entry/operators/_operators.py
+++ b/packages/entry/src/cairnferry/entry/operators/_operators.py
@@ -107,6 +107,8 @@
         Returns the blocked requests, as plain values.
     unblock : callable
         Lifts the block of a request, by its digest; returns whether it was blocked.
+    workspaces : callable
+        Returns the limited workspaces and their use, as plain values.
     """
 
     configuration: Configuration
@@ -118,6 +120,7 @@
     drain: Callable[[], None]
     blocked: Callable[[], list[dict]]
     unblock: Callable[[str], bool]
+    workspaces: Callable[[], list[dict]]
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -154,6 +157,8 @@
                 return Answer("200 OK", headers, self.metrics().encode())
             case "GET", ("v1", "blocked"):
                 return _json_answer("200 OK", {"blocked": self.blocked()})
+            case "GET", ("v1", "workspaces"):
+                return _json_answer("200 OK", {"workspaces": self.workspaces()})
             case "POST", ("v1", "blocked", content, "lift"):
                 if self.unblock(content):
                     return _json_answer("200 OK", {"state": "let through"})
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -83,6 +83,10 @@
     limits = document["limits"]
     yield "target_limit", "gauge", _by_target(limits, "per_s")
     yield "limited_requests_total", "counter", _by_target(limits, "sent")
+    workspaces = document["workspace_limits"]
+    yield "workspace_requests_total", "counter", _by_workspace(workspaces["requests"])
+    yield "limit_calls_total", "counter", _counted(workspaces["calls"], "outcome")
+    yield "token_wait_seconds", "histogram", _token_waits(workspaces["wait_s"])
     advisory_counts = _counted(metrics["target_words"], "word")
     yield "target_words_total", "counter", advisory_counts
     advisories = document["target_words"]
@@ -150,6 +154,21 @@
         yield Sample(histogram["count"], {"service": service}, "_count")
 
 
+def _by_workspace(rows):
+    for row in rows:
+        labels = {"workspace": row["workspace"], "outcome": row["outcome"]}
+        yield Sample(row["count"], labels)
+
+
+def _token_waits(histogram):
+    if not histogram["count"]:
+        return
+    for bound, count in histogram["buckets"].items():
+        yield Sample(count, {"le": bound}, "_bucket")
+    yield Sample(histogram["sum"], {}, "_sum")
+    yield Sample(histogram["count"], {}, "_count")
+
+
 def _by_state(members):
     counts = {}
     for member in members:
--- a/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
@@ -11,6 +11,7 @@
 from cairnferry.entry.workspaces._owner_search import OwnerSearch
 from cairnferry.entry.workspaces._token_calls import TokenCalls
 from cairnferry.entry.workspaces._token_owner import TokenOwner
+from cairnferry.entry.workspaces._usage import LimitUsage, owned_rows
 from cairnferry.peers import TokenQuery, TokenReply
 from cairnferry.policy import (
     Call,
@@ -105,6 +106,8 @@
         Tolerance of the limits.
     rng : random.Random
         Spreads the retries of refused requests.
+    usage : LimitUsage, optional
+        Records the use of the limits.
     """
 
     name: str
@@ -115,6 +118,7 @@
     revision: Callable[[], int]
     tolerance: LimitTolerance
     rng: random.Random
+    usage: LimitUsage = attrs.field(factory=LimitUsage)
     _fallbacks: dict[str, FallbackBucket] = attrs.field(factory=dict)
     _returning: dict[str, Workspace] = attrs.field(factory=dict)
 
@@ -135,7 +139,9 @@
         replied = self._ask(workspace, call.rank, max_wait_s)
         if replied is None:
             return self._fall_back(workspace, started)
+        self.usage.note_reply(workspace.name, replied.owner, replied.reply.level)
         if not replied.reply.delays:
+            self.usage.note(workspace.name, "over-limit")
             facts = self._facts(workspace, replied)
             retry_after = max(UNVERIFIED_RETRY_S[0], replied.reply.retry_s)
             return OverLimit(Cause.WORKSPACE_LIMIT, retry_after, facts)
@@ -150,6 +156,8 @@
                 self.give_back(Admitted(workspace, granted_at))
                 raise
         now = time.monotonic()
+        self.usage.note(workspace.name, "admitted")
+        self.usage.waits.record(now - started)
         return Admitted(workspace, now, now - started)
 
     def give_back(self, admitted: Admitted) -> None:
@@ -167,6 +175,7 @@
         if workspace is None or time.monotonic() - admitted.at > max_age_s:
             return
         self.calls.returned[workspace.name] += 1
+        self.usage.note(workspace.name, "returned")
         if not self._returning:
             gevent.spawn_later(RETURN_DELAY_S, self._return_tokens)
         self._returning[workspace.name] = workspace
@@ -226,7 +235,9 @@
         now = time.monotonic()
         instances, position = self._position()
         if bucket.admit(limit, instances, position, now, time.time()):
+            self.usage.note(workspace.name, "admitted-unverified")
             return Admitted(None, now, now - started)
+        self.usage.note(workspace.name, "unverified")
         earliest, latest = UNVERIFIED_RETRY_S
         retry_after = earliest + (latest - earliest) * self.rng.random()
         facts = self._facts(workspace, None)
@@ -252,15 +263,20 @@
             "age_ms": round(replied.took_s * 1000, 1) if replied else None,
         }
 
-    def forget(self, names: set[str]) -> None:
-        """Drop the state of workspaces that no longer exist.
+    # -- state -----------------------------------------------------------------------
 
-        Parameters
-        ----------
-        names : set of str
-            Names of the workspaces in force.
-        """
-        self._fallbacks = {n: b for n, b in self._fallbacks.items() if n in names}
+    def rows(self) -> list[dict]:
+        """Return the limited workspaces and their use here, as plain values."""
+        return self.usage.rows(self.owner.registry, self.issuers.owner_of)
+
+    def snapshot(self) -> dict:
+        """Return the state for a dump, as plain values."""
+        return {
+            "owned": owned_rows(self.owner),
+            "requests": self.usage.counts(),
+            "calls": dict(sorted(self.calls.outcomes.items())),
+            "wait_s": self.usage.waits.buckets(),
+        }
 
 
 def _max_wait(call, now):
--- a/packages/entry/src/cairnferry/entry/workspaces/_registry.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_registry.py
@@ -44,5 +44,9 @@
         """Return a workspace by its name."""
         return self._by_name.get(name)
 
+    def all(self) -> list[Workspace]:
+        """Return all workspaces, by name."""
+        return sorted(self._by_name.values(), key=lambda each: each.name)
+
     def __len__(self):
         return len(self._by_name)
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cairnferry.ctl._explain import explain, format_lines, read_log
+from cairnferry.ctl._explain import explain, format_lines, read_log, sentences
 
 ID = "9c41d07b"
 
@@ -200,3 +200,35 @@
     ]
     lines = explain(read_log(texts), ID, before_s=2.0)
     assert [each.fields.get("target") for each in lines] == ["t1", "t2", None]
+
+
+def test_refusal_by_the_limit_of_a_workspace_is_explained_in_a_sentence():
+    refused = {
+        "request_id": ID,
+        "attempts": [],
+        "cause": "workspace-limit",
+        "workspace": "red",
+        "rate": 8.0,
+        "burst": 16.0,
+        "owner": "front-7",
+        "age_ms": 2.1,
+        "tokens": -0.4,
+    }
+    lines = explain(read_log([line(1.0, "request given up", **refused)]), ID, 2.0)
+    (sentence,) = sentences(lines)
+    assert "red was over its limit of 8.0 requests per second" in sentence
+    assert "front-7, asked 2.1 ms before" in sentence
+
+
+def test_refusal_without_an_owner_is_not_called_a_refusal_by_the_limit():
+    refused = {
+        "request_id": ID,
+        "attempts": [],
+        "cause": "limit-unverified",
+        "workspace": "red",
+        "owner": "front-7",
+    }
+    lines = explain(read_log([line(1.0, "request given up", **refused)]), ID, 2.0)
+    (sentence,) = sentences(lines)
+    assert "front-1 reached no daemon that counts the requests" in sentence
+    assert "nothing says that the workspace was over its limit" in sentence
--- a/tests/entry/operators/test_operators.py
+++ b/tests/entry/operators/test_operators.py
@@ -8,6 +8,7 @@
 
 from cairnferry.entry import KEYS
 from cairnferry.entry.daemon._daemon import Daemon
+from cairnferry.records import Workspace
 from cairnferry.settings import read_settings
 from cairnferry.standins import PlatformStandin, free_port, service_v1
 from cairnferry.wire import Client
@@ -161,3 +162,12 @@
 def test_deeply_nested_body_is_rejected(call):
     reply = call("POST", "/v1/changes", b"[" * 100_000)
     assert reply.status == 400
+
+
+def test_limited_workspaces_are_listed(call, daemon):
+    red = Workspace("red", frozenset(), rate_per_s=8.0, burst=16.0)
+    daemon.core.workspaces.install([red, Workspace("free", frozenset())])
+    reply = call("GET", "/v1/workspaces")
+    (row,) = json.loads(reply.body)["workspaces"]
+    assert (row["workspace"], row["rate_per_s"], row["burst"]) == ("red", 8.0, 16.0)
+    assert row["owner"] == "e1"
