--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -20,6 +20,7 @@
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
+from cairnferry.entry.core._workspace_limits import build_workspace_limits
 from cairnferry.entry.http import HttpServer, ListenerLimits, PipelinedServer
 from cairnferry.entry.members import (
     STORE_UNREACHABLE,
@@ -42,12 +43,7 @@
     limit_note_registry,
 )
 from cairnferry.entry.telemetry import FaultyRowLog, Metrics
-from cairnferry.entry.workspaces import (
-    TokenCalls,
-    TokenOwner,
-    WorkspaceLimiter,
-    WorkspaceRegistry,
-)
+from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
@@ -155,7 +151,9 @@
             cfg.peers.seeds,
         )
         self._build_permits(links)
-        self._build_workspace_limits()
+        self.workspace_limits = build_workspace_limits(
+            cfg, self.cluster, self.gossip, self.services, self.workspaces, links
+        )
         self.peer_server = PeerServer(
             cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
         )
@@ -170,33 +168,6 @@
             self.cfg.name, self.services, self.limiter, issuers, issuer, links
         )
 
-    def _build_workspace_limits(self):
-        """Build the parts that limit the requests of workspaces."""
-        cfg = self.cfg
-        issuers = PermitIssuers(self.cluster)
-        self.token_owner = TokenOwner(
-            issuers,
-            self.workspaces,
-            lambda: self.services.revision,
-            cfg.workspace_limits,
-            lambda: (self.gossip.answered_at, self.gossip.answered_far_at),
-            self.gossip.check_member,
-            cfg.peers.interval_s,
-        )
-        self.gossip.tokens = self.token_owner.grant
-        links = PeerLinks(self.keys, self.peer_meter, PEER_TIMEOUT_S)
-        self.token_calls = TokenCalls(cfg.name, cfg.zone, issuers, links)
-        self.workspace_limiter = WorkspaceLimiter(
-            cfg.name,
-            self.cluster,
-            issuers,
-            self.token_owner,
-            self.token_calls,
-            lambda: self.services.revision,
-            cfg.workspace_limits,
-            self.rng,
-        )
-
     def listen_for_callers(self, serve_steering: bool) -> HttpServer:
         """Build the callers' listener.
 
@@ -222,7 +193,7 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
-            self.workspace_limiter,
+            self.workspace_limits.limiter,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
@@ -239,7 +210,7 @@
             self.guard,
             self.limiter,
             self.advisory_recorder,
-            self.workspace_limiter,
+            self.workspace_limits.limiter,
         )
         return self.callers_server
 
@@ -291,7 +262,7 @@
             self._update_shares_forever,
             self.guard.maintain,
             self.permits.run,
-            self.token_owner.run,
+            self.workspace_limits.owner.run,
             *tasks,
         ):
             self.spawn(task)
@@ -339,8 +310,7 @@
         for runtime in self.services.active().values():
             runtime.policy.set_instances(self.instances, self._relative_rank())
         if self.workspaces.is_required:
-            self.token_owner.observe()
-            self.token_calls.close_unused()
+            self.workspace_limits.maintain()
 
     def _spread_limit(self, note: Note, again: bool):
         if self.cluster.post_limit(note, again) or again:
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -148,7 +148,7 @@
             self.core.leave,
             self.core.guard.snapshot,
             self.core.guard.lift,
-            self.core.workspace_limiter.rows,
+            self.core.workspace_limits.limiter.rows,
         )
         address = cfg.get("operators", "listen")
         limits = self.core.cfg.page_limits
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -8,10 +8,12 @@
     PermitQuery,
     PermitReply,
     TableState,
+)
+from cairnferry.peers._server import PeerHandler, PeerServer
+from cairnferry.peers._token_messages import (
     TokenQuery,
     TokenReply,
 )
-from cairnferry.peers._server import PeerHandler, PeerServer
 from cairnferry.peers._transport import ByteMeter
 
 __all__ = [
--- a/packages/peers/src/cairnferry/peers/_client.py
+++ b/packages/peers/src/cairnferry/peers/_client.py
@@ -20,8 +20,6 @@
     Heartbeat,
     PermitQuery,
     PermitReply,
-    TokenQuery,
-    TokenReply,
     document_from_wire,
     heartbeat_from_wire,
     heartbeat_to_wire,
@@ -29,6 +27,10 @@
     permit_reply_from_wire,
     row_from_wire,
     table_update_from_wire,
+)
+from cairnferry.peers._token_messages import (
+    TokenQuery,
+    TokenReply,
     token_query_to_wire,
     token_reply_from_wire,
 )
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -16,8 +16,6 @@
     Heartbeat,
     PermitQuery,
     PermitReply,
-    TokenQuery,
-    TokenReply,
     document_to_wire,
     heartbeat_from_wire,
     heartbeat_to_wire,
@@ -25,6 +23,10 @@
     permit_reply_to_wire,
     row_to_wire,
     table_update_to_wire,
+)
+from cairnferry.peers._token_messages import (
+    TokenQuery,
+    TokenReply,
     token_query_from_wire,
     token_reply_to_wire,
 )
