--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -5,6 +5,7 @@
     CoreSettings,
     LeavingTimes,
     PeerSettings,
+    default_bodies_bytes,
 )
 from cairnferry.entry.http import ListenerLimits
 from cairnferry.policy import LimitTolerance, settings_for
@@ -56,6 +57,7 @@
     checks_per_s: float,
     link_bytes_per_s: float,
     workspace_limits: LimitTolerance,
+    memory_bytes: float | None = None,
 ) -> CoreSettings:
     """Return the settings of a daemon, derived from those of its platform.
 
@@ -77,6 +79,8 @@
         Rate of the instance's link in bytes per second; infinite if unknown.
     workspace_limits : LimitTolerance
         Tolerance of the limits of workspaces.
+    memory_bytes : float or None, optional
+        Memory of the instance in bytes; None for all that the machine has.
     """
     ttl = min(ANSWER_TTL_S, max_ttl_s)
     serve_s = STALE_ANSWER_FACTOR * ttl
@@ -105,4 +109,5 @@
         leaving=LeavingTimes(
             serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
         ),
+        bodies_bytes=default_bodies_bytes(memory_bytes),
     )
--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -5,9 +5,11 @@
 from collections.abc import Callable
 
 import attrs
+import gevent
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from cairnferry.wire._connection import Connection
+from cairnferry.wire._link import Link
 
 RECV_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -101,6 +103,7 @@
 
 
 STRICT_RULES = ResponseRules()
+_UNKNOWN_LINK = Link()
 
 
 def describe_outcome(outcome: Outcome) -> str:
@@ -157,10 +160,11 @@
 def exchange(
     conn: Connection,
     method: str,
-    payload: bytes,
+    payload: bytes | tuple[bytes | bytearray, ...],
     deadline: float,
     max_body: int,
     rules: ResponseRules = STRICT_RULES,
+    link: Link = _UNKNOWN_LINK,
 ) -> Outcome:
     """Send a request and read the complete response.
 
@@ -170,14 +174,17 @@
         Connection without another exchange. It is closed unless it is reusable.
     method : str
         Method of the request; determines whether a response has a body.
-    payload : bytes
-        Encoded request.
+    payload : bytes or tuple of bytes or bytearray
+        Encoded request, or its parts.
     deadline : float
         Monotonic time in seconds.
     max_body : int
         Maximum length of the response body in bytes.
     rules : ResponseRules, optional
         Conditions under which a response is accepted as complete.
+    link : Link, optional
+        Link of this instance. A large request is sent at its rate, in pieces, and the
+        bytes of the exchange are recorded there.
 
     Returns
     -------
@@ -195,10 +202,15 @@
         if remaining <= 0:
             return NotSent(Failure.TIMEOUT)
         conn.sock.settimeout(remaining)
-        outcome = _send(conn.sock, payload)
+        outcome, is_complete = _send(conn, payload, deadline, link)
         if outcome is not None:
             return outcome
-        outcome, is_reusable = _receive(conn.sock, method, deadline, max_body, rules)
+        outcome, is_reusable = _receive(
+            conn.sock, method, deadline, max_body, rules, link
+        )
+        # The rest of a request that was not sent completely would be missing at the
+        # start of the next one.
+        is_reusable = is_reusable and is_complete
         return outcome
     finally:
         if is_reusable:
@@ -207,17 +219,52 @@
             conn.close()
 
 
-def _send(sock, payload):
+def _send(conn, payload, deadline, link):
+    """Send a request; return the outcome of a failure, and whether all was sent.
+
+    A large request would otherwise occupy the link for up to some hundred milliseconds,
+    and the status checks and answers of all other requests would wait behind it.
+    """
+    parts = (payload,) if isinstance(payload, bytes) else payload
     try:
-        sock.sendall(payload)
+        for index, piece in enumerate(_pieces(parts, link.piece_bytes)):
+            if index and not _wait_for_link(conn, deadline, link):
+                return None, False
+            link.note_sent(len(piece), time.monotonic())
+            conn.sock.sendall(piece)
     except TimeoutError:
-        return Incomplete(Failure.TIMEOUT)
+        return Incomplete(Failure.TIMEOUT), False
     except OSError:
-        return Incomplete(Failure.RESET)
-    return None
+        return Incomplete(Failure.RESET), False
+    return None, True
 
 
-def _receive(sock, method, deadline, max_body, rules):
+def _pieces(parts, size):
+    """Yield the parts of a request, each cut into pieces of a size in bytes."""
+    for part in parts:
+        step = int(min(len(part), size)) or 1
+        for start in range(0, len(part), step):
+            yield memoryview(part)[start : start + step]
+
+
+def _wait_for_link(conn, deadline, link):
+    """Wait until the next piece may be sent; return False if a response has arrived.
+
+    A target may refuse a request by its head and close the connection. If the daemon
+    went on sending, the connection would be reset and the refusal would be lost.
+    """
+    while (remaining := deadline - time.monotonic()) > 0:
+        delay = link.delay(time.monotonic())
+        if delay <= 0:
+            break
+        gevent.sleep(min(delay, remaining))
+    else:
+        raise TimeoutError
+    conn.sock.settimeout(remaining)
+    return conn.is_quiet()
+
+
+def _receive(sock, method, deadline, max_body, rules, link):
     """Return the outcome and whether the connection is reusable."""
     parser = _StrictResponse(method, rules)
     head_bytes = 0
@@ -225,6 +272,7 @@
         data = _recv(sock, deadline)
         if isinstance(data, Incomplete):
             return data, False
+        link.note_received(len(data))
         try:
             parser.feed(data)
         except HTTPParseError:
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -10,7 +10,7 @@
 
 
 def service(**attempts):
-    return {"attempts": attempts, "repeats_denied": 2, "retry_tokens": 1.5}
+    return {"attempts": attempts, "repeats_denied": 2, "hung": 3, "retry_tokens": 1.5}
 
 
 @pytest.fixture
@@ -38,6 +38,7 @@
             "requests_ahead": 5,
             "targets": {"idle": 1, "opened": 2, "lost": 3},
         },
+        "bodies": {"held": 11, "refused": 12},
         "members": [{"state": "alive"}, {"state": "alive"}, {"state": "gone"}],
         "peers": {"sent_bytes": 10},
         "called_bytes": {"heartbeat far": 8, "heartbeat near": 9},
@@ -86,6 +87,9 @@
         ("store_calls_total", "nothing", "rules-feed"): 1,
         ("attempts_total", "hedge", "svc"): 1,
         ("repeats_denied_total", "svc"): 2,
+        ("hung_attempts_total", "svc"): 3,
+        ("bodies_bytes",): 11,
+        ("bodies_refused_total",): 12,
         ("repeats_left", "svc"): 1.5,
         ("target_connections_opened_total",): 2,
         ("target_connections_lost_total",): 3,
