--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -6,15 +6,15 @@
 import urllib.parse
 import uuid
 
-from cairnferry.ctl import _charts, _explain, _report
+from cairnferry.ctl import _charts, _explain, _report, _sentences
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
 from cairnferry.ctl._tables import (
     print_blocked,
+    print_limits,
     print_records,
     print_status,
-    print_workspaces,
 )
 
 POLL_S = 0.2
@@ -221,16 +221,21 @@
     return _get(api, f"/v1/records?kind={kind}", as_json)["records"]
 
 
-def send_edits(api: Api, edits, change_id, as_json) -> None:
-    """Send edits as one atomic change, and print the accepted revision."""
+def submit_edits(api: Api, edits, change_id, as_json) -> dict:
+    """Send edits as one atomic change; return the outcome if it was accepted."""
     change_id = change_id or uuid.uuid4().hex
     result = api.post("/v1/changes", {"change_id": change_id, "edits": edits})
     if result.is_error():
         fail(result.error, change_id, as_json)
+    return result.ok
+
+
+def print_accepted(outcome: dict, as_json) -> None:
+    """Print the outcome of an accepted change."""
     if as_json:
-        print(json.dumps(result.ok, indent=1))
+        print(json.dumps(outcome, indent=1))
     else:
-        revision = result.ok["revision"]
+        revision, change_id = outcome["revision"], outcome["change_id"]
         print(f"accepted at revision {revision} (change {change_id})")
 
 
@@ -240,7 +245,12 @@
     if as_json:
         print(json.dumps(document, indent=1))
     else:
-        print_workspaces(document)
+        print_limits(document)
+
+
+def send_edits(api: Api, edits, change_id, as_json) -> None:
+    """Send edits as one atomic change, and print the accepted revision."""
+    print_accepted(submit_edits(api, edits, change_id, as_json), as_json)
 
 
 def explain(request_id: str, paths: list[str], before_s: float) -> None:
@@ -254,9 +264,8 @@
             file=sys.stderr,
         )
         sys.exit(ExitCode.REFUSED)
-    print("\n".join(_explain.format_lines(lines)))
-    for sentence in _explain.sentences(lines):
-        print(sentence)
+    sentences = _sentences.explain_refusals(lines)
+    print("\n".join([*_explain.format_lines(lines), *sentences]))
 
 
 def report(output: str, paths: list[str]) -> None:
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -8,11 +8,11 @@
 import attrs
 
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
-from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
+from cairnferry.entry.callers._forward_within_limit import forward_within_limit
+from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
-    AUTHORIZATION,
     HANDLER_KEY,
     Answer,
     BadDeadline,
@@ -32,14 +32,9 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.entry.workspaces import (
-    KeyFault,
-    WorkspaceLimiter,
-    WorkspaceRegistry,
-    authenticate,
-)
+from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
 from cairnferry.policy import Call, Cause, Relay, RequestIdentity
-from cairnferry.records import Priority, Route, Workspace
+from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
@@ -48,12 +43,6 @@
 # Bounds in seconds of Retry-After if the bodies that are held leave no room. A large
 # body takes about this time on its way to a target.
 BODIES_RETRY_S = (0.2, 0.6)
-_PROBLEMS = {
-    KeyFault.MISSING: Problem.KEY_MISSING,
-    KeyFault.MALFORMED: Problem.KEY_MALFORMED,
-    KeyFault.REPEATED: Problem.KEY_REPEATED,
-    KeyFault.UNKNOWN: Problem.KEY_UNKNOWN,
-}
 
 
 @attrs.define
@@ -112,13 +101,9 @@
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
     workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
-    _limited_forwarder: LimitedForwarder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._request_log = RequestLog(self.metrics, self.services)
-        self._limited_forwarder = LimitedForwarder(
-            self.forwarder, self.workspace_limiter
-        )
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -126,7 +111,7 @@
         try:
             answer = self._answer(handler)
         except BadRequest as exc:
-            answer = self._problem(exc.problem, handler)
+            answer = self._problem(exc.problem, handler, exc.workspace)
         except CallerGone:
             handler.close_connection = True
             start_response(CALLER_GONE_STATUS, [])
@@ -143,11 +128,11 @@
         """
         if not self.workspaces.is_required or not self.services.revision:
             return None
-        route = self.services.route(handler.path, handler.headers.get("host"))
-        if route is None:
+        if self._is_steering(handler.path):
             return None
-        found = self._authenticate(handler, route)
-        return _PROBLEMS[found.error] if found.is_error() else None
+        if self.services.route(handler.path, handler.headers.get("host")) is None:
+            return None
+        return self._key_check(handler).find_problem()
 
     def check_body(self, handler: PipelinedHandler) -> Problem | Cause | None:
         """Return why a request is refused before its large body is read.
@@ -158,7 +143,7 @@
             Request whose head was read.
         """
         path = handler.path
-        if self.steering is not None and path.startswith(STEERING_PATH):
+        if self._is_steering(path):
             return None
         if not path.startswith("/"):
             return Problem.MALFORMED
@@ -168,16 +153,26 @@
         runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             return Problem.NO_ROUTE
+        key_check = self._key_check(handler)
+        problem = key_check.find_problem()
+        if problem is not None:
+            return problem
         try:
             head = self.convention.read_head(handler.header_pairs())
         except BadDeadline:
             return Problem.BAD_DEADLINE
-        call = _build_call(handler, route, head, runtime.policy.service, None)
+        call = _build_call(
+            handler, route, head, runtime.policy.service, key_check.workspace
+        )
         return runtime.policy.refusal_cause(call, time.monotonic())
 
-    def _authenticate(self, handler, route):
-        values = handler.headers.get_all(AUTHORIZATION)
-        return authenticate(values, route.anonymous, self.workspaces)
+    def _key_check(self, handler):
+        return KeyCheck(self.workspaces, self.services, handler)
+
+    def _is_steering(self, path):
+        # A steering answer names entry instances. A caller needs it before it knows
+        # where to send a key.
+        return self.steering is not None and path.startswith(STEERING_PATH)
 
     def may_run_concurrently(self, handler: PipelinedHandler) -> bool:
         """Return whether a request may run concurrently with others of its connection.
@@ -206,7 +201,7 @@
         if isinstance(handler.problem, Problem):
             raise BadRequest(handler.problem)
         path = handler.path
-        if self.steering is not None and path.startswith(STEERING_PATH):
+        if self._is_steering(path):
             return self.steering_answer(path)
         if not path.startswith("/"):
             raise BadRequest(Problem.MALFORMED)
@@ -216,37 +211,28 @@
         runtime = route and self.services.runtime(self.services.service_for(route))
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
-        return self._forward(handler, route, runtime, self._workspace(handler, route))
-
-    def _workspace(self, handler, route) -> Workspace | None:
-        """Return the caller's workspace.
-
-        The key is checked again, as it may have been revoked while the body arrived.
-        """
-        if not self.workspaces.is_required:
-            return None
-        found = self._authenticate(handler, route)
-        if found.is_error():
-            raise BadRequest(_PROBLEMS[found.error])
-        return found.ok
-
-    def _forward(self, handler: PipelinedHandler, route: Route, runtime, workspace):
+        key_check = self._key_check(handler)
+        problem = key_check.find_problem()
+        if problem is not None:
+            raise BadRequest(problem)
+        return self._forward(handler, route, runtime, key_check)
+
+    def _forward(self, handler: PipelinedHandler, route: Route, runtime, key_check):
+        pairs = handler.header_pairs()
+        if self.workspaces.is_required:
+            pairs = self.convention.without_identity(pairs)
         try:
-            head = self.convention.read_head(handler.header_pairs())
+            head = self.convention.read_head(pairs)
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        forwarded = head.forwarded
-        if self.workspaces.is_required:
-            forwarded = self.convention.without_identity(forwarded)
-        headers = [*forwarded, ("Via", head.via)]
-        req = OutboundRequest(
-            handler.command, handler.path, headers, handler.body, head
+        call = _build_call(
+            handler, route, head, runtime.policy.service, key_check.workspace
         )
-        call = _build_call(handler, route, head, runtime.policy.service, workspace)
+        req = self._outbound(handler, head, call, key_check)
         try:
             with handler.cancellable():
                 forwarded = self._forward_or_refuse(
-                    handler, req, call, runtime, workspace
+                    handler, req, call, runtime, key_check.workspace
                 )
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
@@ -263,9 +249,33 @@
             forwarded.answer, headers=[*forwarded.answer.headers, *local_headers]
         )
 
+    def _outbound(self, handler, head, call, key_check):
+        headers = [*head.forwarded, ("Via", head.via)]
+
+        admitted = self.workspaces.generation
+
+        def find_problem():
+            if self.workspaces.generation == admitted:
+                return None
+            problem = key_check.find_problem()
+            if problem is None and self.workspaces.is_required:
+                # Workspaces may have been configured, or the key assigned to another
+                # workspace, while the request waited.
+                headers[:] = self.convention.without_identity(headers)
+                workspace = key_check.workspace
+                call.workspace = workspace.name if workspace else ""
+            return problem
+
+        return OutboundRequest(
+            handler.command, handler.path, headers, handler.body, head, find_problem
+        )
+
     def _forward_or_refuse(self, handler, req, call, runtime, workspace):
         if handler.problem is None:
-            return self._limited_forwarder.forward(req, call, runtime, workspace)
+            limiter = self.workspace_limiter
+            return forward_within_limit(
+                self.forwarder, limiter, req, call, runtime, workspace
+            )
         refused = runtime.policy.refuse(handler.problem)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
@@ -287,8 +297,10 @@
         ]
         return Answer("200 OK", headers, json.dumps(document).encode())
 
-    def _problem(self, problem, handler):
-        self._request_log.note_rejected(problem.value[2], self._request_id(handler))
+    def _problem(self, problem, handler, workspace=""):
+        self._request_log.note_rejected(
+            problem.value[2], self._request_id(handler), workspace
+        )
         if problem is Problem.NOT_READY:
             now = time.monotonic()
             return problem_answer(problem, self.startup_retry.retry_after(now))
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -221,6 +221,7 @@
             self.limiter,
             self.advisory_recorder,
             self.workspace_limits.limiter,
+            self.workspaces,
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -11,7 +11,7 @@
 from cairnferry.entry.members import Cluster, Gossip
 from cairnferry.entry.targets import AdvisoryRecorder, Limiter, Services, Upstreams
 from cairnferry.entry.telemetry import Metrics, dropped_lines, render_metrics
-from cairnferry.entry.workspaces import WorkspaceLimiter
+from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
 from cairnferry.peers import ByteMeter
 
 log = logging.getLogger(__name__)
@@ -41,6 +41,8 @@
         Advisories of targets.
     workspace_limiter : WorkspaceLimiter
         Limits of workspaces.
+    workspaces : WorkspaceRegistry
+        Workspaces in force.
     """
 
     cluster: Cluster
@@ -54,6 +56,7 @@
     limiter: Limiter
     advisory_recorder: AdvisoryRecorder
     workspace_limiter: WorkspaceLimiter
+    workspaces: WorkspaceRegistry
 
     def status(self) -> dict:
         """Return this daemon's view of all daemons."""
@@ -100,6 +103,7 @@
             "blocked_requests": self.guard.snapshot(),
             "limits": self.limiter.snapshot(),
             "workspace_limits": self.workspace_limiter.snapshot(),
+            "workspaces": self.workspaces.snapshot(),
             "target_words": self.advisory_recorder.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
--- a/packages/entry/src/cairnferry/entry/workspaces/__init__.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/__init__.py
@@ -1,8 +1,9 @@
 """Workspaces: authentication of callers by API keys, and limits of requests."""
 
-from cairnferry.entry.workspaces._authentication import KeyFault, authenticate
+from cairnferry.entry.workspaces._authentication import authenticate
+from cairnferry.entry.workspaces._faults import KeyFault
 from cairnferry.entry.workspaces._limiter import Admitted, OverLimit, WorkspaceLimiter
-from cairnferry.entry.workspaces._registry import WorkspaceRegistry
+from cairnferry.entry.workspaces._registry import WorkspaceIndex, WorkspaceRegistry
 from cairnferry.entry.workspaces._token_calls import TokenCalls
 from cairnferry.entry.workspaces._token_owner import TokenOwner
 
@@ -12,6 +13,7 @@
     "OverLimit",
     "TokenCalls",
     "TokenOwner",
+    "WorkspaceIndex",
     "WorkspaceLimiter",
     "WorkspaceRegistry",
     "authenticate",
--- a/tests/adapter/_workspaces.py
+++ b/tests/adapter/_workspaces.py
@@ -53,17 +53,20 @@
         self.name = name
         self.per_s = per_s
         self.answers = []
+        self._requests = []
         self._task = gevent.spawn(self._run)
 
     def stop(self):
+        """Send no more requests, and wait for the answers to those under way."""
         self._task.kill()
+        gevent.joinall(self._requests)
 
     def _run(self):
         number = 0
         while True:
             number += 1
             process = self.processes[number % len(self.processes)]
-            gevent.spawn(self._send, process, number)
+            self._requests.append(gevent.spawn(self._send, process, number))
             gevent.sleep(1 / self.per_s)
 
     def _send(self, process, number):
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from cairnferry.ctl._explain import explain, format_lines, read_log, sentences
+from cairnferry.ctl._explain import explain, format_lines, read_log
+from cairnferry.ctl._sentences import explain_refusals
 
 ID = "9c41d07b"
 
@@ -215,7 +216,7 @@
         "tokens": -0.4,
     }
     lines = explain(read_log([line(1.0, "request given up", **refused)]), ID, 2.0)
-    (sentence,) = sentences(lines)
+    (sentence,) = explain_refusals(lines)
     assert "red was over its limit of 8.0 requests per second" in sentence
     assert "front-7, asked 2.1 ms before" in sentence
 
@@ -229,6 +230,37 @@
         "owner": "front-7",
     }
     lines = explain(read_log([line(1.0, "request given up", **refused)]), ID, 2.0)
-    (sentence,) = sentences(lines)
-    assert "front-1 reached no daemon that counts the requests" in sentence
+    (sentence,) = explain_refusals(lines)
+    assert "front-1 refused it: it reached no daemon that counts" in sentence
     assert "nothing says that the workspace was over its limit" in sentence
+
+
+def rejected(cause, **fields):
+    facts = {"request_id": ID, "cause": cause, "revision": 7, **fields}
+    return line(9.5, "request rejected", **facts)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (rejected("key-missing"), "no Authorization header"),
+        (rejected("key-malformed"), "is not `Bearer`"),
+        (rejected("key-repeated"), "more than one Authorization header"),
+        (rejected("key-unknown"), "no workspace holds its key by the rules of"),
+        (rejected("key-unknown", workspace="acme"), "workspace acme was removed"),
+        (
+            rejected("key-unknown", workspace="acme", outcome="unknown"),
+            "an earlier attempt may have run",
+        ),
+    ],
+)
+def test_refused_key_is_explained_in_a_sentence(text, expected):
+    lines = explain(read_log([text]), ID, 1.0)
+    (sentence,) = explain_refusals(lines)
+    assert expected in sentence
+    assert "front-1 refused it: " in sentence
+
+
+def test_other_outcomes_have_no_sentence():
+    lines = explain(read_log(TEXTS), ID, 2.0)
+    assert explain_refusals(lines) == []
