Merge limits of workspaces

The tables and sentences of the operators' tool are joined: sentences on refused keys and on limits are printed by one command, and the listing of workspaces' use has a name of its own.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -10,7 +10,12 @@
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode, fail
 from cairnferry.ctl._files import read_records
-from cairnferry.ctl._tables import print_blocked, print_records, print_status
+from cairnferry.ctl._tables import (
+    print_blocked,
+    print_records,
+    print_status,
+    print_workspace_use,
+)
 
 POLL_S = 0.2
 
@@ -239,6 +244,15 @@
     print_accepted(submit_edits(api, edits, change_id, as_json), as_json)
 
 
+def list_workspaces(api: Api, as_json) -> None:
+    """Print the limited workspaces and their use at one daemon."""
+    document = _get(api, "/v1/workspaces", as_json)
+    if as_json:
+        print(json.dumps(document, indent=1))
+    else:
+        print_workspace_use(document)
+
+
 def explain(request_id: str, paths: list[str], before_s: float) -> None:
     """Print the log lines that explain a request, from files or standard input."""
     log = _read_log(paths)
@@ -250,7 +264,7 @@
             file=sys.stderr,
         )
         sys.exit(ExitCode.REFUSED)
-    sentences = _sentences.explain_refusals(lines)
+    sentences = [*_sentences.explain_refusals(lines), *_explain.sentences(lines)]
     print("\n".join([*_explain.format_lines(lines), *sentences]))
 
 
--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -165,6 +165,14 @@
     as_json: _Json = False
 
 
+@cappa.command(name="workspaces", help="Show the limits of workspaces at one daemon.")
+@attrs.define
+class Workspaces:
+    """Arguments of `workspaces`."""
+
+    json: _Json = False
+
+
 @cappa.command(name="evacuate", help="Stop sending requests to the targets of a zone.")
 @attrs.define
 class Evacuate:
@@ -230,6 +238,7 @@
     | Drain
     | Blocked
     | Unblock
+    | Workspaces
     | Evacuate
     | Restore
     | _workspace_args.Workspace
@@ -303,6 +312,8 @@
             _commands.list_blocked(api, as_json)
         case Unblock(content, as_json):
             _commands.unblock(api, content, as_json)
+        case Workspaces(as_json):
+            _commands.list_workspaces(api, as_json)
         case Evacuate(zone, change_id, as_json):
             _zones.evacuate(api, zone, change_id, as_json)
         case Restore(zone, change_id, as_json):
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -9,6 +9,7 @@
 
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
+from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
@@ -31,7 +32,7 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.entry.workspaces import WorkspaceRegistry
+from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
 from cairnferry.policy import Call, Cause, Relay, RequestIdentity
 from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
@@ -86,6 +87,8 @@
         Determines Retry-After while this daemon has no rules.
     workspaces : WorkspaceRegistry, optional
         Workspaces by whose keys callers authenticate.
+    workspace_limiter : WorkspaceLimiter, optional
+        Limits the requests of workspaces.
     """
 
     services: Services
@@ -96,10 +99,15 @@
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
+    workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
+    _limited_forwarder: LimitedForwarder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._request_log = RequestLog(self.metrics, self.services)
+        self._limited_forwarder = LimitedForwarder(
+            self.forwarder, self.workspace_limiter
+        )
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -227,7 +235,9 @@
         req = self._outbound(handler, head, call, key_check)
         try:
             with handler.cancellable():
-                forwarded = self._forward_or_refuse(handler, req, call, runtime)
+                forwarded = self._forward_or_refuse(
+                    handler, req, call, runtime, key_check.workspace
+                )
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
         except CallerGone:
@@ -264,9 +274,9 @@
             handler.command, handler.path, headers, handler.body, head, find_problem
         )
 
-    def _forward_or_refuse(self, handler, req, call, runtime):
+    def _forward_or_refuse(self, handler, req, call, runtime, workspace):
         if handler.problem is None:
-            return self.forwarder.forward(req, call, runtime)
+            return self._limited_forwarder.forward(req, call, runtime, workspace)
         refused = runtime.policy.refuse(handler.problem)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -20,6 +20,7 @@
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
+from cairnferry.entry.core._workspace_limits import build_workspace_limits
 from cairnferry.entry.http import (
     BodyBudget,
     HttpServer,
@@ -158,6 +159,9 @@
             cfg.peers.seeds,
         )
         self._build_permits(links)
+        self.workspace_limits = build_workspace_limits(
+            cfg, self.cluster, self.gossip, self.services, self.workspaces, links
+        )
         self.peer_server = PeerServer(
             cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
         )
@@ -197,6 +201,7 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
+            self.workspace_limits.limiter,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
@@ -216,6 +221,7 @@
             self.limiter,
             self.advisory_recorder,
             self.workspaces,
+            self.workspace_limits.limiter,
         )
         return self.callers_server
 
@@ -267,6 +273,7 @@
             self._update_shares_forever,
             self.guard.maintain,
             self.permits.run,
+            self.workspace_limits.owner.run,
             *tasks,
         ):
             self.spawn(task)
@@ -313,6 +320,8 @@
         self.advisory_recorder.maintain(targets)
         for runtime in self.services.active().values():
             runtime.policy.set_instances(self.instances, self._relative_rank())
+        if self.workspaces.is_required:
+            self.workspace_limits.maintain()
 
     def _spread_limit(self, note: Note, again: bool):
         if self.cluster.post_limit(note, again) or again:
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -13,7 +13,7 @@
     DefaultTargetConvention,
     TargetConvention,
 )
-from cairnferry.policy import PolicySettings
+from cairnferry.policy import LimitTolerance, PolicySettings
 from cairnferry.settings import Address
 
 # Share of an instance's memory that request bodies may take. A body is held once, and
@@ -111,6 +111,8 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     bodies_bytes : float
         Largest sum in bytes of the request bodies that the daemon holds.
     seed : int or None
@@ -131,6 +133,7 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    workspace_limits: LimitTolerance = LimitTolerance()
     bodies_bytes: float = math.inf
     seed: int | None = None
 
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -35,7 +35,7 @@
 from cairnferry.entry.targets import HealthProber
 from cairnferry.entry.telemetry import render_metrics
 from cairnferry.peers import KeyRing
-from cairnferry.policy import settings_for
+from cairnferry.policy import LimitTolerance, settings_for
 from cairnferry.records import Kind
 from cairnferry.settings import Settings
 from cairnferry.wire import Client
@@ -150,6 +150,7 @@
             self.core.leave,
             self.core.guard.snapshot,
             self.core.guard.lift,
+            self.core.workspace_limits.limiter.rows,
         )
         address = cfg.get("operators", "listen")
         limits = self.core.cfg.page_limits
@@ -301,6 +302,11 @@
         leaving=LeavingTimes(
             ttl + cfg.get("drain", "margin_s"), cfg.get("drain", "limit_s")
         ),
+        workspace_limits=LimitTolerance(
+            cfg.get("workspaces", "limit_window_s"),
+            cfg.get("workspaces", "limit_over"),
+            cfg.get("workspaces", "limit_slack"),
+        ),
         bodies_bytes=cfg.get("callers", "bodies_bytes") or default_bodies_bytes(None),
         seed=cfg.get("policy", "seed"),
     )
--- a/packages/entry/src/cairnferry/entry/workspaces/_registry.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_registry.py
@@ -109,5 +109,9 @@
         """Return the state for a dump, as plain values."""
         return {"count": len(self), "required": self.is_required}
 
+    def all(self) -> list[Workspace]:
+        """Return all workspaces, by name."""
+        return sorted(self._index.by_name.values(), key=lambda each: each.name)
+
     def __len__(self):
         return len(self._index.by_name)
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -10,6 +10,10 @@
     TableState,
 )
 from cairnferry.peers._server import PeerHandler, PeerServer
+from cairnferry.peers._token_messages import (
+    TokenQuery,
+    TokenReply,
+)
 from cairnferry.peers._transport import ByteMeter
 
 __all__ = [
@@ -28,4 +32,6 @@
     "PermitReply",
     "SharedKey",
     "TableState",
+    "TokenQuery",
+    "TokenReply",
 ]
