--- a/packages/ctl/src/cairnferry/ctl/_sentences.py
+++ b/packages/ctl/src/cairnferry/ctl/_sentences.py
@@ -12,12 +12,6 @@
     "key-repeated": "it has more than one Authorization header",
     "key-unknown": "no workspace holds its key by the rules of revision {revision}: "
     "the key is wrong or was revoked, or this instance had older rules",
-    "workspace-limit": "workspace {workspace} was over its limit of {rate} requests "
-    "per second and a burst of {burst}; its owner {owner}, asked {age_ms} ms before, "
-    "had {tokens} tokens left",
-    "limit-unverified": "it reached no daemon that counts the requests of workspace "
-    "{workspace} (its owner is {owner}); nothing says that the workspace was over its "
-    "limit",
 }
 _REVOKED = (
     "its key was revoked or its workspace {workspace} was removed while it waited, "
@@ -27,7 +21,7 @@
 
 
 def explain_refusals(lines: Iterable[LogLine]) -> list[str]:
-    """Return a sentence for each refusal for a key or the limit of a workspace.
+    """Return a sentence for each line on a request that was refused for its key.
 
     Parameters
     ----------
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -8,8 +8,8 @@
 import attrs
 
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
-from cairnferry.entry.callers._forward_within_limit import forward_within_limit
 from cairnferry.entry.callers._key_check import KeyCheck
+from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
@@ -101,9 +101,13 @@
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
     workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
+    _limited_forwarder: LimitedForwarder = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self._request_log = RequestLog(self.metrics, self.services)
+        self._limited_forwarder = LimitedForwarder(
+            self.forwarder, self.workspace_limiter
+        )
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -272,10 +276,7 @@
 
     def _forward_or_refuse(self, handler, req, call, runtime, workspace):
         if handler.problem is None:
-            limiter = self.workspace_limiter
-            return forward_within_limit(
-                self.forwarder, limiter, req, call, runtime, workspace
-            )
+            return self._limited_forwarder.forward(req, call, runtime, workspace)
         refused = runtime.policy.refuse(handler.problem)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -220,8 +220,8 @@
             self.guard,
             self.limiter,
             self.advisory_recorder,
-            self.workspace_limits.limiter,
             self.workspaces,
+            self.workspace_limits.limiter,
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -39,10 +39,10 @@
         Limits that targets advertise.
     advisory_recorder : AdvisoryRecorder
         Advisories of targets.
-    workspace_limiter : WorkspaceLimiter
-        Limits of workspaces.
     workspaces : WorkspaceRegistry
         Workspaces in force.
+    workspace_limiter : WorkspaceLimiter
+        Limits of workspaces.
     """
 
     cluster: Cluster
@@ -55,8 +55,8 @@
     guard: CrashGuard
     limiter: Limiter
     advisory_recorder: AdvisoryRecorder
-    workspace_limiter: WorkspaceLimiter
     workspaces: WorkspaceRegistry
+    workspace_limiter: WorkspaceLimiter
 
     def status(self) -> dict:
         """Return this daemon's view of all daemons."""
@@ -102,8 +102,8 @@
             },
             "blocked_requests": self.guard.snapshot(),
             "limits": self.limiter.snapshot(),
-            "workspace_limits": self.workspace_limiter.snapshot(),
             "workspaces": self.workspaces.snapshot(),
+            "workspace_limits": self.workspace_limiter.snapshot(),
             "target_words": self.advisory_recorder.snapshot(),
             "log_lines_dropped": dropped_lines(),
             "metrics": self.metrics.snapshot(),
--- a/tests/entry/callers/test_keys.py
+++ b/tests/entry/callers/test_keys.py
@@ -188,7 +188,7 @@
     """Guards against an identity by the key, which blocks would show to others."""
     app = entry.server.application
     forwarder = mock.Mock(wraps=app.forwarder)
-    with mock.patch.object(app, "forwarder", forwarder):
+    with mock.patch.object(app._limited_forwarder, "forwarder", forwarder):
         assert call(entry, bearer(key)).status == 200
     req, made, _ = forwarder.forward.call_args.args
     assert key not in repr((req.headers, req.head, made))
