--- a/tests/entry/operators/test_operators.py
+++ b/tests/entry/operators/test_operators.py
@@ -242,7 +242,8 @@
 
 def test_limited_workspaces_are_listed(call, daemon):
     red = Workspace("red", frozenset(), rate_per_s=8.0, burst=16.0)
-    daemon.core.workspaces.install([red, Workspace("free", frozenset())])
+    registry = daemon.core.workspaces
+    registry.install(registry.prepare([red, Workspace("free", frozenset())]))
     reply = call("GET", "/v1/workspaces")
     (row,) = json.loads(reply.body)["workspaces"]
     assert (row["workspace"], row["rate_per_s"], row["burst"]) == ("red", 8.0, 16.0)
--- a/tests/entry/workspaces/test_usage.py
+++ b/tests/entry/workspaces/test_usage.py
@@ -19,7 +19,7 @@
 def test_rows_show_limited_workspaces_with_their_owner():
     registry = WorkspaceRegistry()
     red = Workspace("red", frozenset(), None, 8.0, 16.0)
-    registry.install([red, Workspace("free", frozenset())])
+    registry.install(registry.prepare([red, Workspace("free", frozenset())]))
     usage = LimitUsage()
     (row,) = usage.rows(registry, lambda name: "front-2")
     assert (row["workspace"], row["owner"], row["age_s"]) == ("red", "front-2", None)
