Starts: callers wait for a start that is about to end

Cause: after all daemons have lost power, callers are refused by addresses at which nothing listens yet, or with not-ready, return at once and use up their attempts within milliseconds.

Change: a process listens on the callers' address before it imports the daemon, so that the kernel queues connections; requests that arrive before the first rules wait for them, for up to 0.5 s each and in the first 3 s only (CoreSettings.hold_s, 0 switches it off; off on the own interface), bounded to 100 requests and 4 MB of bodies. The lines serving and in force show the processor time used so far.

--- a/packages/entry/src/cairnferry/entry/callers/__init__.py
+++ b/packages/entry/src/cairnferry/entry/callers/__init__.py
@@ -4,6 +4,7 @@
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._guard import CrashGuard
 from cairnferry.entry.callers._quarantine_notes import quarantine_note_registry
+from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
 
 __all__ = [
@@ -11,6 +12,7 @@
     "CallersApp",
     "CrashGuard",
     "Forwarder",
+    "StartupHold",
     "StartupRetry",
     "quarantine_note_registry",
 ]
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -8,6 +8,7 @@
 
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._request_log import RequestLog
+from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
     AUTHORIZATION,
@@ -87,6 +88,8 @@
         Determines Retry-After while this daemon has no rules.
     workspaces : WorkspaceRegistry, optional
         Workspaces by whose keys callers authenticate.
+    startup_hold : StartupHold, optional
+        Lets requests wait for the first rules; without it they are refused at once.
     """
 
     services: Services
@@ -97,6 +100,7 @@
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
+    startup_hold: StartupHold | None = None
     _request_log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -143,8 +147,11 @@
         handler : PipelinedHandler
             Parsed request.
         """
-        if handler.problem is not None or not self.services.revision:
+        if handler.problem is not None:
             return True
+        if not self.services.revision:
+            # Requests that wait for the first rules are not known to be safe to mix.
+            return self.startup_hold is None
         route = self.services.route(handler.path, handler.headers.get("host"))
         return route is None or route.may_resend(handler.command)
 
@@ -166,7 +173,7 @@
             return self.steering_answer(path)
         if not path.startswith("/"):
             raise BadRequest(Problem.MALFORMED)
-        if self.services.revision == 0:
+        if self.services.revision == 0 and not self._wait_for_rules(handler):
             raise BadRequest(Problem.NOT_READY)
         route = self.services.route(path, handler.headers.get("host"))
         runtime = route and self.services.runtime(self.services.service_for(route))
@@ -174,6 +181,12 @@
             raise BadRequest(Problem.NO_ROUTE)
         return self._forward(handler, route, runtime, self._workspace(handler, route))
 
+    def _wait_for_rules(self, handler):
+        if self.startup_hold is None:
+            return False
+        with handler.cancellable():
+            return self.startup_hold.wait(len(handler.body))
+
     def _workspace(self, handler, route) -> Workspace | None:
         """Return the caller's workspace.
 
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import gevent
+import gevent.socket
 from gevent.event import Event
 
 from cairnferry.coordination import Note, NoteRegistry, lowest_ranked
@@ -15,6 +16,7 @@
     CallersApp,
     CrashGuard,
     Forwarder,
+    StartupHold,
     StartupRetry,
     quarantine_note_registry,
 )
@@ -60,6 +62,8 @@
 # Seconds for which the listeners of pages finish their requests when the daemon leaves.
 PAGES_FINISH_S = 1.0
 
+MS_PER_S = 1000
+
 log = logging.getLogger(__name__)
 
 
@@ -116,6 +120,8 @@
         self._leaving = Event()
         self.leave_hooks: list[Callable[[], None]] = []
         self.reload = Event()
+        # Set once the first rules are in force.
+        self.has_rules = Event()
 
     # -- parts ------------------------------------------------------------------
 
@@ -164,13 +170,17 @@
             self.cfg.name, self.services, self.limiter, issuers, issuer, links
         )
 
-    def listen_for_callers(self, serve_steering: bool) -> HttpServer:
+    def listen_for_callers(
+        self, serve_steering: bool, listener: gevent.socket.socket | None = None
+    ) -> HttpServer:
         """Build the callers' listener.
 
         Parameters
         ----------
         serve_steering : bool
             Whether the listener also serves steering answers.
+        listener : gevent.socket.socket, optional
+            Socket that listens on the callers' address already.
         """
         cfg = self.cfg
         app = CallersApp(
@@ -189,10 +199,11 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
+            self._startup_hold(),
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
-        self.callers_server = PipelinedServer(address, app, cfg.caller_limits)
+        self.callers_server = PipelinedServer(address, app, cfg.caller_limits, listener)
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
             self.cluster,
@@ -208,6 +219,11 @@
         )
         return self.callers_server
 
+    def _startup_hold(self):
+        if not self.cfg.hold_s:
+            return None
+        return StartupHold(self.has_rules, time.monotonic() + self.cfg.hold_s)
+
     def listen(self, address: Address, app, limits: ListenerLimits) -> HttpServer:
         """Build a further listener, which runs for the daemon's lifetime.
 
@@ -259,7 +275,13 @@
             *tasks,
         ):
             self.spawn(task)
-        log.info("serving", extra={"callers": str(self.cfg.callers)})
+        log.info(
+            "serving",
+            extra={
+                "callers": str(self.cfg.callers),
+                "cpu_ms": round(MS_PER_S * time.process_time()),
+            },
+        )
 
     def stop(self) -> None:
         """Stop all tasks, listeners and connections at once."""
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -93,6 +93,9 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    hold_s : float
+        Seconds after the start in which requests wait for the first rules; 0 to refuse
+        them at once.
     seed : int or None
         Seed of the random number generator; None to use the time.
     """
@@ -111,6 +114,7 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    hold_s: float = 0.0
     seed: int | None = None
 
 
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -40,6 +40,9 @@
 # Timeout in seconds to open a connection to a target; it takes some milliseconds unless
 # the target is lost.
 CONNECT_S = 1.0
+# Seconds after the start in which requests wait for the first rules: several times what
+# a start takes unless the store is unreachable.
+HOLD_S = 3.0
 # Maximum size in bytes of a target's response body, which is held in memory.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -101,4 +104,5 @@
         leaving=LeavingTimes(
             serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
         ),
+        hold_s=HOLD_S,
     )
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -35,6 +35,7 @@
 CONFIRM_S = 0.5
 # Name of the table of targets in messages between daemons.
 TARGETS = "targets"
+MS_PER_S = 1000
 log = logging.getLogger(__name__)
 
 
@@ -268,8 +269,10 @@
                 "before": before,
                 "routes": len(rules.routes),
                 "services": len(rules.services),
+                "cpu_ms": round(MS_PER_S * time.process_time()),
             },
         )
+        self.core.has_rules.set()
         self.core.gossip.trigger_round()
 
     def redecode_rules(self) -> None:
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -226,13 +226,15 @@
         WSGI application.
     limits : ListenerLimits
         Limits of connections.
+    listener : gevent.socket.socket, optional
+        Socket that listens on the address already.
     """
 
     handler_class = Handler
 
-    def __init__(self, address, application, limits):
+    def __init__(self, address, application, limits, listener=None):
         super().__init__(
-            address,
+            address if listener is None else listener,
             application,
             spawn=Pool(),
             log=None,
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -234,6 +234,6 @@
 
     handler_class = PipelinedHandler
 
-    def __init__(self, address, application, limits):
-        super().__init__(address, application, limits)
+    def __init__(self, address, application, limits, listener=None):
+        super().__init__(address, application, limits, listener)
         self.lookahead = Lookahead()
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cairnferry.coordination import Row, TableUpdate
+from cairnferry.entry.callers import _startup_hold
 from cairnferry.entry.following import _handover
 from cairnferry.entry.following._handover import Handover
 from cairnferry.policy import ALL_CALLERS, Block
@@ -87,6 +88,26 @@
     assert has_all(starting)
 
 
+def test_a_request_waits_for_the_first_rules(
+    complete, store, start_daemon, monkeypatch
+):
+    """Guards against callers that use up their attempts while all daemons start."""
+    store.drop("op", EVACUATION_KEY)
+    event = store.held["servers"] = gevent.event.Event()
+    starting = start_daemon("front-2", wait=False)
+    records = starting.core.cluster.configuration
+    wait_for(lambda: records.tables["evacuations"].is_known)
+    # Not as many as the wait may take, so that the request does not run into its end.
+    monkeypatch.setattr(_startup_hold, "WAIT_S", 1000.0)
+    starting.core.callers_app.startup_hold.ends_at += 1000.0
+    call = gevent.spawn(starting.call, "/other/x")
+    wait_for(lambda: starting.core.callers_server.busy == 1)
+    assert records.revision == 0
+    event.set()
+    # The rules are in force: they have no such route.
+    assert call.get().status == 404
+
+
 def test_daemon_whose_peer_is_lost_after_the_rules_gets_a_handover(
     complete, store, start_daemon, monkeypatch
 ):
--- a/tests/adapter/test_startup.py
+++ b/tests/adapter/test_startup.py
@@ -1,4 +1,4 @@
-"""Preparation of the process: deferred modules and the cache of compiled methods."""
+"""Preparation of the process, before the daemon's modules are imported."""
 
 import os
 import subprocess
@@ -6,7 +6,11 @@
 
 import pytest
 
+from cairnferry.settings import parse_address
+from cairnferry.standins import free_port
+from hosting._early_listener import open_listener
 from hosting._method_cache import MethodCache
+from hosting.command import _adopt
 
 from .test_process import ROOT
 
@@ -97,3 +101,46 @@
     read.load()
     assert read.entries == {}
     assert MethodCache(str(tmp_path / "missing")).entries == {}
+
+
+def open_from(folder, text):
+    path = folder / "boot.conf"
+    path.write_text(text)
+    return open_listener(str(path))
+
+
+def test_the_callers_address_is_listened_on_before_the_imports(tmp_path):
+    address = f"127.0.0.1:{free_port()}"
+    listener = open_from(tmp_path, f"zone=z\nlisten.front={address}\nseeds=\n")
+    assert listener.getsockname() == parse_address(address).as_tuple()
+    adopted = _adopt(listener, parse_address(address))
+    assert adopted.getsockname() == parse_address(address).as_tuple()
+    adopted.close()
+
+
+def test_a_listener_on_another_address_is_not_used(tmp_path):
+    """Guards against a daemon that listens elsewhere than its settings say."""
+    listener = open_from(tmp_path, f"listen.front=127.0.0.1:{free_port()}\n")
+    assert _adopt(listener, parse_address(f"127.0.0.1:{free_port()}")) is None
+    assert listener.fileno() == -1
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "listen.front=\n",
+        "listen.front=host\n",
+        "listen.front=127.0.0.1:99999\n",
+        "listen.front=127.0.0.1:-1\n",
+        "listen.front=203.0.113.9:80\n",
+        "listen.front=no such host:80\n",
+    ],
+)
+def test_a_listener_that_cannot_be_opened_early_is_left_to_the_daemon(tmp_path, text):
+    """Guards against a start that fails without the daemon's message."""
+    assert open_from(tmp_path, text) is None
+
+
+def test_missing_settings_are_left_to_the_daemon(tmp_path):
+    assert open_listener(str(tmp_path / "missing")) is None
--- a/tests/entry/http/test_http_server.py
+++ b/tests/entry/http/test_http_server.py
@@ -6,7 +6,14 @@
 import pytest
 from gevent.socket import SHUT_WR, create_connection
 
-from cairnferry.entry.http import _http_server, _lingering
+from cairnferry.entry.http import (
+    HttpServer,
+    ListenerLimits,
+    Page,
+    PagesApp,
+    _http_server,
+    _lingering,
+)
 from cairnferry.standins import wait_for
 from cairnferry.wire import connect
 
@@ -26,6 +33,22 @@
     return start_entry(*records_for(target), max_body=1000, body_s=0.2)
 
 
+def test_connections_to_a_socket_that_listens_already_are_served():
+    """Guards against callers that connected before the server began, and are lost."""
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    address = listener.getsockname()
+    early = create_connection(address)
+    early.sendall(b"GET /page HTTP/1.0\r\n\r\n")
+    app = PagesApp({"/page": lambda url: Page.of("200 OK", {})})
+    server = HttpServer(address, app, ListenerLimits(10, 10.0, 10.0), listener)
+    server.start()
+    assert early.recv(100).startswith(b"HTTP/1.1 200 OK\r\n")
+    early.close()
+    server.stop(timeout=0)
+
+
 @pytest.mark.parametrize(
     ("data", "status", "cause"),
     [
