Starts: questions to the directory wait as requests do

Cause: callers that ask a starting daemon where to connect were refused, or told of that daemon alone, as it knows no other one before its first rules.

Change: the directory is listened on early too, and its answers wait for the first rules under the same bounds as requests.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -1,10 +1,12 @@
 """WSGI application for callers: forwarded requests and steering answers."""
 
 import json
+import math
 import time
 import urllib.parse
 
 import attrs
+from gevent.event import Event
 
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._request_log import RequestLog
@@ -66,6 +68,10 @@
     return StartupRetry(time.monotonic(), lambda: False)
 
 
+def _no_startup_hold():
+    return StartupHold(Event(), -math.inf)
+
+
 @attrs.define
 class CallersApp:
     """WSGI application that serves callers.
@@ -89,7 +95,7 @@
     workspaces : WorkspaceRegistry, optional
         Workspaces by whose keys callers authenticate.
     startup_hold : StartupHold, optional
-        Lets requests wait for the first rules; without it they are refused at once.
+        Lets requests wait for the first rules; by default they are refused at once.
     """
 
     services: Services
@@ -100,7 +106,7 @@
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
-    startup_hold: StartupHold | None = None
+    startup_hold: StartupHold = attrs.field(factory=_no_startup_hold)
     _request_log: RequestLog = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -151,7 +157,7 @@
             return True
         if not self.services.revision:
             # Requests that wait for the first rules are not known to be safe to mix.
-            return self.startup_hold is None
+            return not self.startup_hold.is_active
         route = self.services.route(handler.path, handler.headers.get("host"))
         return route is None or route.may_resend(handler.command)
 
@@ -182,8 +188,6 @@
         return self._forward(handler, route, runtime, self._workspace(handler, route))
 
     def _wait_for_rules(self, handler):
-        if self.startup_hold is None:
-            return False
         with handler.cancellable():
             return self.startup_hold.wait(len(handler.body))
 
--- a/packages/entry/src/cairnferry/entry/callers/_startup_hold.py
+++ b/packages/entry/src/cairnferry/entry/callers/_startup_hold.py
@@ -27,13 +27,23 @@
         Set once rules are in force.
     ends_at : float
         Monotonic time in seconds from which requests do not wait.
+
+    Attributes
+    ----------
+    waiting : int
+        Number of requests that wait.
     """
 
     in_force: Event
     ends_at: float
-    _waiting: int = 0
+    waiting: int = 0
     _bytes: int = 0
 
+    @property
+    def is_active(self) -> bool:
+        """Whether requests may wait."""
+        return time.monotonic() < self.ends_at
+
     def wait(self, size: int) -> bool:
         """Wait for the first rules; return whether they are in force.
 
@@ -43,13 +53,13 @@
             Bytes of the request's body.
         """
         seconds = min(WAIT_S, self.ends_at - time.monotonic())
-        is_full = self._waiting >= MAX_WAITING or self._bytes + size > MAX_BYTES
+        is_full = self.waiting >= MAX_WAITING or self._bytes + size > MAX_BYTES
         if seconds <= 0 or is_full:
             return self.in_force.is_set()
-        self._waiting += 1
+        self.waiting += 1
         self._bytes += size
         try:
             return self.in_force.wait(seconds)
         finally:
-            self._waiting -= 1
+            self.waiting -= 1
             self._bytes -= size
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -120,8 +120,7 @@
         self._leaving = Event()
         self.leave_hooks: list[Callable[[], None]] = []
         self.reload = Event()
-        # Set once the first rules are in force.
-        self.has_rules = Event()
+        self.startup_hold = StartupHold(Event(), time.monotonic() + cfg.hold_s)
 
     # -- parts ------------------------------------------------------------------
 
@@ -199,7 +198,7 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
-            self._startup_hold(),
+            self.startup_hold,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
@@ -219,12 +218,13 @@
         )
         return self.callers_server
 
-    def _startup_hold(self):
-        if not self.cfg.hold_s:
-            return None
-        return StartupHold(self.has_rules, time.monotonic() + self.cfg.hold_s)
-
-    def listen(self, address: Address, app, limits: ListenerLimits) -> HttpServer:
+    def listen(
+        self,
+        address: Address,
+        app,
+        limits: ListenerLimits,
+        listener: gevent.socket.socket | None = None,
+    ) -> HttpServer:
         """Build a further listener, which runs for the daemon's lifetime.
 
         Parameters
@@ -235,8 +235,10 @@
             WSGI application.
         limits : ListenerLimits
             Limits of its connections.
+        listener : gevent.socket.socket, optional
+            Socket that listens on the address already.
         """
-        server = HttpServer(address.as_tuple(), app, limits)
+        server = HttpServer(address.as_tuple(), app, limits, listener)
         self._listeners.append(server)
         return server
 
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -272,7 +272,7 @@
                 "cpu_ms": round(MS_PER_S * time.process_time()),
             },
         )
-        self.core.has_rules.set()
+        self.core.startup_hold.in_force.set()
         self.core.gossip.trigger_round()
 
     def redecode_rules(self) -> None:
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -88,9 +88,7 @@
     assert has_all(starting)
 
 
-def test_a_request_waits_for_the_first_rules(
-    complete, store, start_daemon, monkeypatch
-):
+def test_callers_wait_for_the_first_rules(complete, store, start_daemon, monkeypatch):
     """Guards against callers that use up their attempts while all daemons start."""
     store.drop("op", EVACUATION_KEY)
     event = store.held["servers"] = gevent.event.Event()
@@ -102,10 +100,15 @@
     starting.core.callers_app.startup_hold.ends_at += 1000.0
     call = gevent.spawn(starting.call, "/other/x")
     wait_for(lambda: starting.core.callers_server.busy == 1)
+    # A daemon that starts knows no other one to name to callers.
+    path = "/api/resolve?name=shop.example&zone=hall"
+    directory = gevent.spawn(starting.get, starting.cfg.directory, path)
+    wait_for(lambda: starting.core.startup_hold.waiting == 2)
     assert records.revision == 0
     event.set()
     # The rules are in force: they have no such route.
     assert call.get().status == 404
+    assert directory.get().status == 200
 
 
 def test_daemon_whose_peer_is_lost_after_the_rules_gets_a_handover(
--- a/tests/adapter/test_startup.py
+++ b/tests/adapter/test_startup.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from cairnferry.settings import parse_address
+from cairnferry.settings import Address, parse_address
 from cairnferry.standins import free_port
-from hosting._early_listener import open_listener
+from hosting._early_listeners import open_listeners
 from hosting._method_cache import MethodCache
 from hosting.command import _adopt
 
@@ -106,22 +106,32 @@
 def open_from(folder, text):
     path = folder / "boot.conf"
     path.write_text(text)
-    return open_listener(str(path))
+    return open_listeners(str(path))
 
 
-def test_the_callers_address_is_listened_on_before_the_imports(tmp_path):
-    address = f"127.0.0.1:{free_port()}"
-    listener = open_from(tmp_path, f"zone=z\nlisten.front={address}\nseeds=\n")
-    assert listener.getsockname() == parse_address(address).as_tuple()
-    adopted = _adopt(listener, parse_address(address))
-    assert adopted.getsockname() == parse_address(address).as_tuple()
-    adopted.close()
+def free_address():
+    return parse_address(f"127.0.0.1:{free_port()}")
+
+
+def test_the_addresses_of_callers_are_listened_on_before_the_imports(tmp_path):
+    addresses = [free_address(), free_address()]
+    front, directory = addresses
+    text = f"zone=z\nlisten.front={front}\nlisten.directory={directory}\nseeds=\n"
+    listeners = open_from(tmp_path, text)
+    assert [Address(*each.getsockname()) for each in listeners] == addresses
+    adopted = _adopt(listeners, *addresses)
+    assert {a: Address(*s.getsockname()) for a, s in adopted.items()} == {
+        front: front,
+        directory: directory,
+    }
+    for sock in adopted.values():
+        sock.close()
 
 
 def test_a_listener_on_another_address_is_not_used(tmp_path):
     """Guards against a daemon that listens elsewhere than its settings say."""
-    listener = open_from(tmp_path, f"listen.front=127.0.0.1:{free_port()}\n")
-    assert _adopt(listener, parse_address(f"127.0.0.1:{free_port()}")) is None
+    (listener,) = open_from(tmp_path, f"listen.front={free_address()}\n")
+    assert _adopt([listener], free_address()) == {}
     assert listener.fileno() == -1
 
 
@@ -139,8 +149,10 @@
 )
 def test_a_listener_that_cannot_be_opened_early_is_left_to_the_daemon(tmp_path, text):
     """Guards against a start that fails without the daemon's message."""
-    assert open_from(tmp_path, text) is None
+    assert open_from(tmp_path, text) == []
 
 
 def test_missing_settings_are_left_to_the_daemon(tmp_path):
-    assert open_listener(str(tmp_path / "missing")) is None
+    assert open_listeners(str(tmp_path / "missing")) == []
+    (tmp_path / "binary").write_bytes(b"\xff\xfe=")
+    assert open_listeners(str(tmp_path / "binary")) == []
