Starts: join requests wait at a seed, and readiness is confirmed at once

Cause, read from the code: instances that join call each seed again and again until it is enrolled, and each answer takes processor time from the seed's own start. A daemon reported no confirmation of its rules for up to 0.5 s after they came into force, so that the peers that it called in that time steered callers away from it until the next exchange, seconds later.

The confirmation is reported as rules come into force.

The effect of 200 joining instances was not measured.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -19,7 +19,7 @@
     RegistryContents,
     Rules,
 )
-from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.callers import BodyLimits, StartupHold
 from cairnferry.entry.core import (
     Conventions,
     Core,
@@ -101,6 +101,7 @@
     "Row",
     "Rules",
     "SettingsWatch",
+    "StartupHold",
     "Steering",
     "TargetConvention",
     "configure_logs",
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -193,11 +193,14 @@
 
     def _confirm(self):
         """Report the time of the last confirmation to the cluster periodically."""
-        follower = self._rules_follower
         while True:
             gevent.sleep(CONFIRM_S)
-            if follower.confirmed_at is not None:
-                self.core.cluster.confirmation.confirm(follower.confirmed_at)
+            self._report_confirmation()
+
+    def _report_confirmation(self):
+        confirmed_at = self._rules_follower.confirmed_at
+        if confirmed_at is not None:
+            self.core.cluster.confirmation.confirm(confirmed_at)
 
     # -- rules ------------------------------------------------------------------
 
@@ -256,6 +259,8 @@
         self._install(before=0)
 
     def _install(self, before):
+        # Peers would steer callers away from a daemon that reports no confirmation yet.
+        self._report_confirmation()
         rules = self._rules
         services = self.core.services
         self.core.workspaces.install(rules.workspaces)
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -10,6 +10,7 @@
 
 import attrs
 import gevent
+from gevent.event import Event
 
 from cairnferry.coordination import MemberState
 from cairnferry.entry._ports import EntryRow, KeyExists, Registry
@@ -94,6 +95,8 @@
     joined_by : str or None
         Address of the instance through which this one joined; None if this instance
         enrolled itself.
+    enrolled : Event
+        Set once this instance is enrolled, so that others can join through it.
     """
 
     registry: Registry
@@ -105,6 +108,7 @@
     joiner: Joiner | None = None
     watcher_role: WatcherRole | None = None
     joined_by: str | None = None
+    enrolled: Event = attrs.field(factory=Event)
     _incarnation: int = 0
     _is_leaving: bool = False
     _missing_since: dict[str, float] = attrs.field(factory=dict)
@@ -133,6 +137,7 @@
         while not self._join() and not self._enrol():
             gevent.sleep(pause * (0.5 + self.rng.random()))
             pause = min(MAX_RETRY_S, 2 * pause)
+        self.enrolled.set()
         self._allow_watching(time.monotonic())
 
     def _allow_watching(self, joined_at):
--- a/packages/entry/src/cairnferry/entry/members/_joining.py
+++ b/packages/entry/src/cairnferry/entry/members/_joining.py
@@ -21,9 +21,11 @@
 TIMEOUT_S = 1.0
 # First and longest pause in seconds between two rounds of calls. The called instances
 # start at the same moment and enrol themselves shortly after they listen, unless the
-# store is unreachable. Callers are refused until then.
+# store is unreachable. Callers are refused until then. A connection that is refused
+# costs the called instance nothing; an answer that it is not enrolled yet does.
 ROUND_S = 0.05
-MAX_ROUND_S = 0.4
+MAX_ROUND_S = 0.2
+MAX_NOT_READY_ROUND_S = 0.4
 # Seconds for which other instances are called before the store is used.
 MAX_JOIN_S = 2.0
 # The same if an instance answers that it is not enrolled yet, because it will be soon.
@@ -116,7 +118,7 @@
         time_limit = 0.0 if self._was_requested else MAX_JOIN_S
         time_limit *= 0.8 + 0.4 * self.rng.random()
         self._was_requested = True
-        pause = ROUND_S
+        pause, max_pause = ROUND_S, MAX_ROUND_S
         while True:
             for other in self.rng.sample(self.others, len(self.others)):
                 match self._request_from(other, me):
@@ -124,10 +126,11 @@
                         return reply
                     case answer if answer == UNAVAILABLE_STATUS and time_limit:
                         time_limit = MAX_JOIN_NOT_READY_S
+                        max_pause = MAX_NOT_READY_ROUND_S
             if time.monotonic() - begin >= time_limit:
                 return None
             gevent.sleep(pause * (0.5 + self.rng.random()))
-            pause = min(MAX_ROUND_S, 1.6 * pause)
+            pause = min(max_pause, 1.6 * pause)
 
     def _request_from(self, other, me):
         """Return the reply, the status of another response, or None on a failure."""
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -12,8 +12,9 @@
 from cairnferry.entry.following._handover import Handover
 from cairnferry.policy import ALL_CALLERS, Block
 from cairnferry.standins import wait_for
+from cairnferry.wire import Client
 
-from ._standins import configuration, target_row
+from ._standins import HOST, configuration, target_row
 
 EVACUATION_KEY = "evacuate/hall"
 RULES = json.dumps(configuration()).encode()
@@ -111,6 +112,39 @@
     assert directory.get().status == 200
 
 
+def test_a_daemon_with_its_first_rules_is_not_steered_away_from(store, start_daemon):
+    """Guards against peers that steer callers away for seconds after a start.
+
+    The first heartbeats said that no rules were confirmed yet.
+    """
+    store.put("op", "config", configuration())
+    starting = start_and_wait_for_rules(start_daemon)
+    assert starting.core.cluster.is_up_to_date(time.monotonic())
+
+
+def test_a_request_to_join_waits_for_the_enrolment(
+    daemon, store, start_daemon, monkeypatch
+):
+    """Guards against hundreds of instances that call a starting seed repeatedly."""
+    monkeypatch.setattr(_startup_hold, "WAIT_S", 1000.0)
+    event = store.held["cairnferry-entries"] = gevent.event.Event()
+    seed = start_daemon("front-2", wait=False)
+    row = {
+        "name": "front-3",
+        "zone": "hall",
+        "peer_address": "127.0.0.1:1",
+        "caller_address": "127.0.0.1:2",
+    }
+    control = Client(HOST, seed.cfg.handover.port)
+    body = json.dumps(row).encode()
+    call = gevent.spawn(control.call, "POST", "/join", timeout=30, body=body)
+    wait_for(lambda: seed.built.join_hold.waiting == 1)
+    event.set()
+    reply = call.get()
+    assert reply.status == 200
+    assert json.loads(reply.body)["told_by"] == str(seed.core.cfg.peers.advertise)
+
+
 def test_daemon_whose_peer_is_lost_after_the_rules_gets_a_handover(
     complete, store, start_daemon, monkeypatch
 ):
