--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -22,7 +22,12 @@
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
-from cairnferry.entry.http import HttpServer, ListenerLimits, PipelinedServer
+from cairnferry.entry.http import (
+    BodyBudget,
+    HttpServer,
+    ListenerLimits,
+    PipelinedServer,
+)
 from cairnferry.entry.members import (
     STORE_UNREACHABLE,
     Cluster,
@@ -48,6 +53,7 @@
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
 from cairnferry.policy import DrainSource
 from cairnferry.settings import Address
+from cairnferry.wire import Link
 
 # Seconds between two updates of this instance's share of common budgets. After
 # instances are lost or added, the sum of all shares is wrong for this time, in
@@ -89,8 +95,10 @@
         self.faulty_rows = FaultyRowLog(self.metrics)
         self.services = Services(cfg.zone, self.rng, self._apply_notes, cfg.policy)
         self.workspaces = WorkspaceRegistry()
+        self.link = Link(cfg.peers.link_bytes_per_s)
+        self.body_budget = BodyBudget(cfg.bodies_bytes)
         self.upstreams = Upstreams(
-            cfg.connect_s, cfg.max_answer_bytes, conventions.targets
+            cfg.connect_s, cfg.max_answer_bytes, conventions.targets, self.link
         )
         self.limiter = Limiter(self.services.limits, self.metrics, self._spread_limit)
         self.advisory_recorder = AdvisoryRecorder(
@@ -202,7 +210,9 @@
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
-        self.callers_server = PipelinedServer(address, app, cfg.caller_limits, listener)
+        self.callers_server = PipelinedServer(
+            address, app, cfg.caller_limits, self.link, self.body_budget, listener
+        )
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
             self.cluster,
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -1,6 +1,7 @@
 """Settings and protocols of the daemon's core."""
 
 import math
+import os
 
 import attrs
 
@@ -15,6 +16,23 @@
 from cairnferry.policy import PolicySettings
 from cairnferry.settings import Address
 
+# Share of an instance's memory that request bodies may take. A body is held once, and
+# the rest is for the process itself, answers and the buffers of sockets.
+BODIES_SHARE = 0.2
+
+
+def default_bodies_bytes(memory_bytes: float | None) -> float:
+    """Return the largest sum of request bodies on an instance of a given memory.
+
+    Parameters
+    ----------
+    memory_bytes : float or None
+        Memory of the instance in bytes; None for all that the machine has.
+    """
+    if memory_bytes is None:
+        memory_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return BODIES_SHARE * memory_bytes
+
 
 @attrs.frozen
 class LeavingTimes:
@@ -96,6 +114,8 @@
     hold_s : float
         Seconds after the start in which requests wait for the first rules; 0 to refuse
         them at once.
+    bodies_bytes : float
+        Largest sum in bytes of the request bodies that the daemon holds.
     seed : int or None
         Seed of the random number generator; None to use the time.
     """
@@ -115,6 +135,7 @@
     checks_per_s: float
     leaving: LeavingTimes
     hold_s: float = 0.0
+    bodies_bytes: float = math.inf
     seed: int | None = None
 
 
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -18,8 +18,9 @@
     exchange,
     find_header,
 )
+from cairnferry.wire._link import Link
 from cairnferry.wire._pool import ConnectionPool
-from cairnferry.wire._request import HeaderInvalid, encode_request
+from cairnferry.wire._request import HeaderInvalid, encode_parts, encode_request
 from cairnferry.wire._sockets import is_quiet, refuse_connections, set_no_delay
 
 __all__ = [
@@ -32,11 +33,13 @@
     "Failure",
     "HeaderInvalid",
     "Incomplete",
+    "Link",
     "NotSent",
     "Outcome",
     "Reply",
     "connect",
     "describe_outcome",
+    "encode_parts",
     "encode_request",
     "exchange",
     "find_header",
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -104,11 +104,14 @@
     # A daemon that starts knows no other one to name to callers.
     path = "/api/resolve?name=shop.example&zone=hall"
     directory = gevent.spawn(starting.get, starting.cfg.directory, path)
-    wait_for(lambda: starting.core.startup_hold.waiting == 2)
+    # Refused before the body is read, unless it waits.
+    upload = gevent.spawn(starting.call, "/other/x", "POST", body=b"x" * 70_000)
+    wait_for(lambda: starting.core.startup_hold.waiting == 3)
     assert records.revision == 0
     event.set()
     # The rules are in force: they have no such route.
     assert call.get().status == 404
+    assert upload.get().status == 404
     assert directory.get().status == 200
 
 
