--- a/packages/ctl/src/cairnferry/ctl/command.py
+++ b/packages/ctl/src/cairnferry/ctl/command.py
@@ -6,7 +6,7 @@
 import attrs
 import cappa
 
-from cairnferry.ctl import _commands, _zones
+from cairnferry.ctl import _commands, _workspace_args, _zones
 from cairnferry.ctl._api import Api
 from cairnferry.ctl._exits import ExitCode
 from cairnferry.settings import parse_address
@@ -68,7 +68,8 @@
     """Arguments of `list`."""
 
     kind: typing.Annotated[
-        str | None, cappa.Arg(long="--kind", help="service, target, route or zone")
+        str | None,
+        cappa.Arg(long="--kind", help="service, target, route, zone or workspace"),
     ] = None
     json: _Json = False
 
@@ -164,6 +165,14 @@
     as_json: _Json = False
 
 
+@cappa.command(name="workspaces", help="Show the limits of workspaces at one daemon.")
+@attrs.define
+class Workspaces:
+    """Arguments of `workspaces`."""
+
+    json: _Json = False
+
+
 @cappa.command(name="evacuate", help="Stop sending requests to the targets of a zone.")
 @attrs.define
 class Evacuate:
@@ -229,8 +238,10 @@
     | Drain
     | Blocked
     | Unblock
+    | Workspaces
     | Evacuate
     | Restore
+    | _workspace_args.Workspace
     | Explain
     | Report
 )
@@ -301,10 +312,21 @@
             _commands.list_blocked(api, as_json)
         case Unblock(content, as_json):
             _commands.unblock(api, content, as_json)
+        case Workspaces(as_json):
+            _commands.list_workspaces(api, as_json)
         case Evacuate(zone, change_id, as_json):
             _zones.evacuate(api, zone, change_id, as_json)
         case Restore(zone, change_id, as_json):
             _zones.restore(api, zone, change_id, as_json)
+        case _workspace_args.Workspace(command):
+            _run_workspace_command(command, api)
+
+
+def _run_workspace_command(command, api):
+    try:
+        _workspace_args.run(command, api)
+    except ValueError as exc:
+        _exit_with_usage_error(str(exc))
 
 
 def _make_api(args):
--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -19,6 +19,7 @@
     RegistryContents,
     Rules,
 )
+from cairnferry.entry._steps import Steps
 from cairnferry.entry.callers import BodyLimits, StartupHold
 from cairnferry.entry.core import (
     Conventions,
@@ -103,6 +104,7 @@
     "SettingsWatch",
     "StartupHold",
     "Steering",
+    "Steps",
     "TargetConvention",
     "configure_logs",
     "ephemeral_instance_settings",
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -13,7 +13,7 @@
     DefaultTargetConvention,
     TargetConvention,
 )
-from cairnferry.policy import PolicySettings
+from cairnferry.policy import LimitTolerance, PolicySettings
 from cairnferry.settings import Address
 
 # Share of an instance's memory that request bodies may take. A body is held once, and
@@ -114,6 +114,8 @@
     hold_s : float
         Seconds after the start in which requests wait for the first rules; 0 to refuse
         them at once.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     bodies_bytes : float
         Largest sum in bytes of the request bodies that the daemon holds.
     seed : int or None
@@ -135,6 +137,7 @@
     checks_per_s: float
     leaving: LeavingTimes
     hold_s: float = 0.0
+    workspace_limits: LimitTolerance = LimitTolerance()
     bodies_bytes: float = math.inf
     seed: int | None = None
 
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -34,6 +34,10 @@
 # Bytes of an answer that are handed to the socket, and recorded on the link, at once.
 ANSWER_PIECE_BYTES = 64 * 1024
 
+# Size in bytes up to which the body of a rejected request is discarded, so that the
+# connection stays open for other requests. A larger one would delay them.
+MAX_REFUSED_BODY_BYTES = 64 * 1024
+
 
 class PipelinedHandler(Handler):
     """Reads the requests of a connection, and runs each in a separate task.
@@ -56,6 +60,7 @@
     body = b""
     arrived = 0.0
     _exchange = None
+    _refused_body = None
     _is_reading = False
     _held = None
 
@@ -88,6 +93,8 @@
             try:
                 self._read_request()
                 self._enqueue_request()
+                if self._refused_body and not self._discard_refused_body():
+                    return self._discard_rest()
             finally:
                 self._is_reading = False
                 self._forget_body()
@@ -132,9 +139,7 @@
         self.headers = HeadFields([])
         try:
             self._read_head()
-            problem = self.server.application.check_head(self)
-            if problem is not None:
-                self._reject_by_head(problem)
+            if self.has_body and self._is_rejected_by_head():
                 return
             self._admit_body()
             if self.headers.get("expect") is not None:
@@ -157,14 +162,44 @@
             self.read_request(line)
         self.open_body()
 
-    @property
-    def _has_body(self):
-        is_chunked = self.headers.get("transfer-encoding") is not None
-        return bool(self.content_length) or is_chunked
+    def _is_rejected_by_head(self):
+        """Return whether a request is rejected before its body is read.
+
+        A request without a body is checked when its turn comes, by the rules that are
+        in force then.
+        """
+        problem = self.server.application.check_head(self)
+        if problem is None:
+            return False
+        is_small = (self.content_length or 0) <= MAX_REFUSED_BODY_BYTES
+        if self.headers.get("expect") is not None or not is_small:
+            # A sender that waits for "100 Continue" may send the body or not.
+            self._skip_body()
+            raise BadRequest(problem)
+        self.problem = problem
+        self._refused_body = self.wsgi_input
+        return True
+
+    def _discard_refused_body(self):
+        """Discard the body of a rejected request; return whether the next one follows.
+
+        The request is answered meanwhile.
+        """
+        body, self._refused_body = self._refused_body, None
+        seconds = self.server.application.limits.seconds
+        discarded = 0
+        with contextlib.suppress(OSError), gevent.Timeout(seconds, False):
+            while discarded <= MAX_REFUSED_BODY_BYTES:
+                data = body.read(DISCARD_READ_BYTES)
+                if not data:
+                    return True
+                self.server.link.note_received(len(data))
+                discarded += len(data)
+        return False
 
     def _admit_body(self):
         """Refuse a request before its body is read, if that is known by its head."""
-        if not self._has_body:
+        if not self.has_body:
             return
         length = self.content_length or 0
         if length >= LARGE_BYTES or self.headers.get("expect") is not None:
@@ -190,14 +225,6 @@
         if self._held is not None:
             self._held.release()
 
-    def _reject_by_head(self, problem):
-        """Reject a request without reading its body, if it has one."""
-        if self._has_body:
-            self._skip_body()
-            self._reject(problem)
-        else:
-            self.problem = problem
-
     def _reject(self, problem):
         self.problem = problem
         self.request_version = "HTTP/1.1"
@@ -291,8 +318,10 @@
     Notes
     -----
     The application has `limits`, the limits of request bodies, and three methods.
-    `check_head` is called when a head was read; it returns the problem for which the
-    request is rejected before its body is read, or None. `may_run_concurrently` is
+    `check_head` is called when the head of a request with a body was read; it returns
+    the problem for which the request is rejected before its body is read, or None.
+    `check_body` is called then for a large body; it returns a problem or the cause of a
+    refusal, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
     others of its connection do.
     """
--- a/packages/entry/src/cairnferry/entry/operators/_operators.py
+++ b/packages/entry/src/cairnferry/entry/operators/_operators.py
@@ -21,6 +21,7 @@
 from cairnferry.entry.operators._submissions import Submissions
 from cairnferry.records import (
     Change,
+    DuplicateKeyDigest,
     Kind,
     MalformedChange,
     MalformedRecord,
@@ -41,6 +42,7 @@
     MalformedRecord: "422 Unprocessable Content",
     UnknownSchemaVersion: "422 Unprocessable Content",
     UnknownReference: "422 Unprocessable Content",
+    DuplicateKeyDigest: "422 Unprocessable Content",
     LogTooLarge: "413 Content Too Large",
     RecordExists: "409 Conflict",
     RevisionConflict: "409 Conflict",
@@ -107,6 +109,8 @@
         Returns the blocked requests, as plain values.
     unblock : callable
         Lifts the block of a request, by its digest; returns whether it was blocked.
+    workspaces : callable
+        Returns the limited workspaces and their use, as plain values.
     """
 
     configuration: Configuration
@@ -118,6 +122,7 @@
     drain: Callable[[], None]
     blocked: Callable[[], list[dict]]
     unblock: Callable[[str], bool]
+    workspaces: Callable[[], list[dict]]
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -154,6 +159,8 @@
                 return Answer("200 OK", headers, self.metrics().encode())
             case "GET", ("v1", "blocked"):
                 return _json_answer("200 OK", {"blocked": self.blocked()})
+            case "GET", ("v1", "workspaces"):
+                return _json_answer("200 OK", {"workspaces": self.workspaces()})
             case "POST", ("v1", "blocked", content, "lift"):
                 if self.unblock(content):
                     return _json_answer("200 OK", {"state": "let through"})
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -25,6 +25,12 @@
     table_update_to_wire,
 )
 from cairnferry.peers._packed_tables import TablePacker
+from cairnferry.peers._token_messages import (
+    TokenQuery,
+    TokenReply,
+    token_query_from_wire,
+    token_reply_to_wire,
+)
 from cairnferry.peers._transport import (
     MAX_FRAME_BYTES,
     ByteMeter,
@@ -65,6 +71,11 @@
     ) -> list[PermitReply]:
         """Issue permits for requests to limited targets to a daemon."""
 
+    def grant_tokens(
+        self, requester: str, queries: list[TokenQuery]
+    ) -> list[TokenReply]:
+        """Grant tokens for requests of workspaces to a daemon."""
+
 
 class _ThriftAdapter:
     """Implements the generated Thrift interface by means of a `PeerHandler`."""
@@ -106,6 +117,11 @@
         replies = self._handler.issue_permits(requester, parsed)
         return [permit_reply_to_wire(each) for each in replies]
 
+    def ask_tokens(self, requester, queries):
+        parsed = [token_query_from_wire(each) for each in queries]
+        replies = self._handler.grant_tokens(requester, parsed)
+        return [token_reply_to_wire(each) for each in replies]
+
 
 class PeerServer:
     """Serves peers on one address.
