--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -1,16 +1,19 @@
 """WSGI application for callers: forwarded requests and steering answers."""
 
 import json
+import math
 import random
 import time
 import urllib.parse
 
 import attrs
+from gevent.event import Event
 
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
 from cairnferry.entry.callers._request_log import RequestLog
+from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
 from cairnferry.entry.http import (
     HANDLER_KEY,
@@ -65,6 +68,10 @@
     return StartupRetry(time.monotonic(), lambda: False)
 
 
+def _no_startup_hold():
+    return StartupHold(Event(), -math.inf)
+
+
 @attrs.define
 class CallersApp:
     """WSGI application that serves callers.
@@ -87,6 +94,8 @@
         Determines Retry-After while this daemon has no rules.
     workspaces : WorkspaceRegistry, optional
         Workspaces by whose keys callers authenticate.
+    startup_hold : StartupHold, optional
+        Lets requests wait for the first rules; by default they are refused at once.
     workspace_limiter : WorkspaceLimiter, optional
         Limits the requests of workspaces.
     """
@@ -99,6 +108,7 @@
     convention: CallerConvention = attrs.field(factory=DefaultCallerConvention)
     startup_retry: StartupRetry = attrs.field(factory=_startup_without_peers)
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
+    startup_hold: StartupHold = attrs.field(factory=_no_startup_hold)
     workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
     _limited_forwarder: LimitedForwarder = attrs.field(init=False)
@@ -151,7 +161,7 @@
             return None
         if not path.startswith("/"):
             return Problem.MALFORMED
-        if self.services.revision == 0:
+        if self.services.revision == 0 and not self.startup_hold.wait(0):
             return Problem.NOT_READY
         route = self.services.route(path, handler.headers.get("host"))
         runtime = route and self.services.runtime(self.services.service_for(route))
@@ -186,8 +196,11 @@
         handler : PipelinedHandler
             Parsed request.
         """
-        if handler.problem is not None or not self.services.revision:
+        if handler.problem is not None:
             return True
+        if not self.services.revision:
+            # Requests that wait for the first rules are not known to be safe to mix.
+            return not self.startup_hold.is_active
         route = self.services.route(handler.path, handler.headers.get("host"))
         return route is None or route.may_resend(handler.command)
 
@@ -209,7 +222,7 @@
             return self.steering_answer(path)
         if not path.startswith("/"):
             raise BadRequest(Problem.MALFORMED)
-        if self.services.revision == 0:
+        if self.services.revision == 0 and not self._wait_for_rules(handler):
             raise BadRequest(Problem.NOT_READY)
         route = self.services.route(path, handler.headers.get("host"))
         runtime = route and self.services.runtime(self.services.service_for(route))
@@ -221,6 +234,10 @@
             raise BadRequest(problem)
         return self._forward(handler, route, runtime, key_check)
 
+    def _wait_for_rules(self, handler):
+        with handler.cancellable():
+            return self.startup_hold.wait(len(handler.body))
+
     def _forward(self, handler: PipelinedHandler, route: Route, runtime, key_check):
         pairs = handler.header_pairs()
         if self.workspaces.is_required:
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -111,6 +111,9 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    hold_s : float
+        Seconds after the start in which requests wait for the first rules; 0 to refuse
+        them at once.
     workspace_limits : LimitTolerance
         Tolerance of the limits of workspaces.
     bodies_bytes : float
@@ -133,6 +136,7 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    hold_s: float = 0.0
     workspace_limits: LimitTolerance = LimitTolerance()
     bodies_bytes: float = math.inf
     seed: int | None = None
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -328,8 +328,10 @@
 
     handler_class = PipelinedHandler
 
-    def __init__(self, address, application, limits, link=None, bodies=None):
-        super().__init__(address, application, limits)
+    def __init__(
+        self, address, application, limits, link=None, bodies=None, listener=None
+    ):
+        super().__init__(address, application, limits, listener)
         self.lookahead = Lookahead()
         self.link = link or Link()
         self.bodies = bodies or BodyBudget()
--- a/tests/adapter/test_complete_state.py
+++ b/tests/adapter/test_complete_state.py
@@ -7,12 +7,14 @@
 import pytest
 
 from cairnferry.coordination import Row, TableUpdate
+from cairnferry.entry.callers import _startup_hold
 from cairnferry.entry.following import _handover
 from cairnferry.entry.following._handover import Handover
 from cairnferry.policy import ALL_CALLERS, Block
 from cairnferry.standins import wait_for
+from cairnferry.wire import Client
 
-from ._standins import configuration, target_row
+from ._standins import HOST, configuration, target_row
 
 EVACUATION_KEY = "evacuate/hall"
 RULES = json.dumps(configuration()).encode()
@@ -87,6 +89,65 @@
     assert has_all(starting)
 
 
+def test_callers_wait_for_the_first_rules(complete, store, start_daemon, monkeypatch):
+    """Guards against callers that use up their attempts while all daemons start."""
+    store.drop("op", EVACUATION_KEY)
+    event = store.held["servers"] = gevent.event.Event()
+    starting = start_daemon("front-2", wait=False)
+    records = starting.core.cluster.configuration
+    wait_for(lambda: records.tables["evacuations"].is_known)
+    # Not as many as the wait may take, so that the request does not run into its end.
+    monkeypatch.setattr(_startup_hold, "WAIT_S", 1000.0)
+    starting.core.callers_app.startup_hold.ends_at += 1000.0
+    call = gevent.spawn(starting.call, "/other/x")
+    wait_for(lambda: starting.core.callers_server.busy == 1)
+    # A daemon that starts knows no other one to name to callers.
+    path = "/api/resolve?name=shop.example&zone=hall"
+    directory = gevent.spawn(starting.get, starting.cfg.directory, path)
+    # Refused before the body is read, unless it waits.
+    upload = gevent.spawn(starting.call, "/other/x", "POST", body=b"x" * 70_000)
+    wait_for(lambda: starting.core.startup_hold.waiting == 3)
+    assert records.revision == 0
+    event.set()
+    # The rules are in force: they have no such route.
+    assert call.get().status == 404
+    assert upload.get().status == 404
+    assert directory.get().status == 200
+
+
+def test_a_daemon_with_its_first_rules_is_not_steered_away_from(store, start_daemon):
+    """Guards against peers that steer callers away for seconds after a start.
+
+    The first heartbeats said that no rules were confirmed yet.
+    """
+    store.put("op", "config", configuration())
+    starting = start_and_wait_for_rules(start_daemon)
+    assert starting.core.cluster.is_up_to_date(time.monotonic())
+
+
+def test_a_request_to_join_waits_for_the_enrolment(
+    daemon, store, start_daemon, monkeypatch
+):
+    """Guards against hundreds of instances that call a starting seed repeatedly."""
+    monkeypatch.setattr(_startup_hold, "WAIT_S", 1000.0)
+    event = store.held["cairnferry-entries"] = gevent.event.Event()
+    seed = start_daemon("front-2", wait=False)
+    row = {
+        "name": "front-3",
+        "zone": "hall",
+        "peer_address": "127.0.0.1:1",
+        "caller_address": "127.0.0.1:2",
+    }
+    control = Client(HOST, seed.cfg.handover.port)
+    body = json.dumps(row).encode()
+    call = gevent.spawn(control.call, "POST", "/join", timeout=30, body=body)
+    wait_for(lambda: seed.built.join_hold.waiting == 1)
+    event.set()
+    reply = call.get()
+    assert reply.status == 200
+    assert json.loads(reply.body)["told_by"] == str(seed.core.cfg.peers.advertise)
+
+
 def test_daemon_whose_peer_is_lost_after_the_rules_gets_a_handover(
     complete, store, start_daemon, monkeypatch
 ):
