Limits of workspaces: an owner whose answer is late is not taken for lost

Cause: a request waited 120 ms for its owner's answer, and a single late answer marked the owner as unresponsive for 2 s. On links of 5 and 10 Mbit/s, bodies that arrive delay a call by 100 ms each.

Change: a request waits for 0.3 of the time to its objective, at most 350 ms. A daemon is taken for lost if its call failed, or has had no answer for 500 ms.

--- a/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
@@ -9,7 +9,7 @@
 
 from cairnferry.entry.members import Cluster, PermitIssuers
 from cairnferry.entry.workspaces._owner_search import OwnerSearch
-from cairnferry.entry.workspaces._token_calls import TokenCalls
+from cairnferry.entry.workspaces._token_calls import PATIENCE_S, TokenCalls
 from cairnferry.entry.workspaces._token_owner import TokenOwner
 from cairnferry.entry.workspaces._usage import LimitUsage, owned_rows
 from cairnferry.peers import TokenQuery, TokenReply
@@ -26,6 +26,10 @@
 # maximum time in seconds.
 WAIT_SHARE = 0.2
 MAX_WAIT_S = 0.5
+# Share of that time for which it may wait for the answer of an owner, and the minimum
+# in seconds: 20 times what a call between zones takes.
+PATIENCE_SHARE = 0.3
+MIN_PATIENCE_S = 0.06
 # Minimum and maximum Retry-After in seconds if no owner is reached. Another daemon, or
 # this one after a change of owner, can serve the request.
 UNVERIFIED_RETRY_S = (0.05, 0.2)
@@ -136,7 +140,7 @@
             return Admitted()
         started = time.monotonic()
         max_wait_s = _max_wait(call, started)
-        replied = self._ask(workspace, call.rank, max_wait_s)
+        replied = self._ask(workspace, call.rank, max_wait_s, _patience(call, started))
         if replied is None:
             return self._fall_back(workspace, started)
         self.usage.note_reply(workspace.name, replied.owner, replied.reply.level)
@@ -194,24 +198,24 @@
 
     # -- owners ----------------------------------------------------------------------
 
-    def _ask(self, workspace, rank, max_wait_s):
+    def _ask(self, workspace, rank, max_wait_s, patience_s):
         """Return the reply of the workspace's owner; None if none is reached."""
         search = OwnerSearch(self.issuers, self.name, workspace.name)
         name = search.next()
         while name is not None:
             query = self._query(workspace, rank, 1, max_wait_s)
             started = time.monotonic()
-            reply = self._ask_one(name, query)
+            reply = self._ask_one(name, query, patience_s)
             if reply is not None and reply.is_ready:
                 return _Replied(reply, name, time.monotonic() - started)
             name = search.next(reply)
         return None
 
-    def _ask_one(self, name, query):
+    def _ask_one(self, name, query, patience_s):
         if name == self.name:
             return self.owner.grant(self.name, [query])[0]
         peer = self.issuers.find(name)
-        return None if peer is None else self.calls.ask(peer, query)
+        return None if peer is None else self.calls.ask(peer, query, patience_s)
 
     def _query(self, workspace, rank, count, max_wait_s):
         return TokenQuery(
@@ -280,5 +284,14 @@
 
 
 def _max_wait(call, now):
+    return max(0.0, min(MAX_WAIT_S, WAIT_SHARE * _time_left(call, now)))
+
+
+def _patience(call, now):
+    share = PATIENCE_SHARE * _time_left(call, now)
+    return min(PATIENCE_S, max(MIN_PATIENCE_S, share))
+
+
+def _time_left(call, now):
     until = call.deadline if call.objective is None else call.objective
-    return max(0.0, min(MAX_WAIT_S, WAIT_SHARE * (until - now)))
+    return until - now
--- a/packages/entry/src/cairnferry/entry/workspaces/_token_calls.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_token_calls.py
@@ -1,6 +1,7 @@
 """Calls to the owners of workspaces; queries to one owner are combined."""
 
 import logging
+import math
 import time
 from collections import Counter
 
@@ -13,9 +14,13 @@
 from cairnferry.entry.workspaces._owner_search import Reachability
 from cairnferry.peers import PeerCallFailed, PeerLinks, TokenQuery, TokenReply
 
-# Seconds for which a request waits for an owner's answer. A call takes 3 ms between
-# zones, and the objective of a request is some 500 ms.
-PATIENCE_S = 0.12
+# Maximum seconds for which a request waits for an owner's answer. A call takes 3 ms
+# between zones. Bodies that arrive on an owner's link of 5 Mbit/s delay it by 100 ms
+# each; with 120 ms, healthy owners were taken for lost in bursts of uploads.
+PATIENCE_S = 0.35
+# Seconds without an answer after which a daemon is taken for lost. Until then, requests
+# wait for their own patience only, and the next ones call it again.
+SILENT_S = 0.5
 # Seconds beyond that time after which this process itself was late, and seconds for
 # which an answer that has arrived meanwhile may still be read.
 LATE_S = 0.03
@@ -67,10 +72,13 @@
     outcomes: Counter = attrs.field(factory=Counter)
     returned: Counter = attrs.field(factory=Counter)
     _waiting: dict[str, list[_Ask]] = attrs.field(factory=dict)
+    _called_at: dict[str, float] = attrs.field(factory=dict)
     reachability: Reachability = attrs.field(factory=Reachability)
     _log_limit: RateLimit = attrs.field(factory=RateLimit)
 
-    def ask(self, peer: PermitIssuer, query: TokenQuery) -> TokenReply | None:
+    def ask(
+        self, peer: PermitIssuer, query: TokenQuery, patience_s: float = PATIENCE_S
+    ) -> TokenReply | None:
         """Return the reply of a daemon; None if it does not answer in time.
 
         A daemon in a zone that calls do not reach is not called.
@@ -81,16 +89,18 @@
             Daemon to call.
         query : TokenQuery
             The query.
+        patience_s : float, optional
+            Seconds for which to wait for the reply.
         """
         if not self.reachability.may_call(peer.zone, time.monotonic()):
             return None
         ask = self.post(peer, query)
         try:
-            self._wait(ask)
+            self._wait(ask, patience_s)
         finally:
             ask.is_abandoned = not ask.reply.ready()
         if ask.is_abandoned:
-            self._note_failure(peer, "late")
+            self._note_late(peer)
             return None
         return ask.reply.get()
 
@@ -105,14 +115,22 @@
             waiting.append(ask)
         return ask
 
-    def _wait(self, ask):
+    def _wait(self, ask, patience_s):
         started = time.monotonic()
-        ask.reply.wait(PATIENCE_S)
+        ask.reply.wait(patience_s)
         if not ask.reply.ready():
             # If this process stood still, the answer may be there already.
-            if time.monotonic() - started > PATIENCE_S + LATE_S:
+            if time.monotonic() - started > patience_s + LATE_S:
                 ask.reply.wait(LATE_READ_S)
 
+    def _note_late(self, peer):
+        """Record that a reply is late; take its daemon for lost if it is silent."""
+        silent_since = self._called_at.get(peer.name, math.inf)
+        if time.monotonic() - silent_since >= SILENT_S:
+            self._note_failure(peer, "late")
+        else:
+            self.outcomes["late"] += 1
+
     def _run(self, peer):
         """Call a daemon until no query waits for it."""
         waiting = self._waiting[peer.name]
@@ -124,12 +142,14 @@
                 self._call(peer, asks)
         finally:
             del self._waiting[peer.name]
+            self._called_at.pop(peer.name, None)
             for ask in (*asks, *waiting):
                 if not ask.reply.ready():
                     ask.reply.set(None)
 
     def _call(self, peer, asks):
         link = self.links.link_to(peer.peer_address, peer.zone != self.zone)
+        self._called_at[peer.name] = time.monotonic()
         try:
             replies = link.request_tokens(self.name, [ask.query for ask in asks])
         except PeerCallFailed as exc:
