Limits of workspaces: requests that are late in any case go last

Cause: callers that return after a refusal took the tokens of requests that could still be answered in time.

Change: the time that a caller has spent is estimated from the time limit that it declares, against the longest one of recent requests of its route. Once its objective has passed, counted from the first attempt, a request ranks behind the others of its workspace and leaves them 0.8 of the bucket. Without limits of workspaces, nothing changes. The log line of a refusal has `spent_s`.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -36,7 +36,7 @@
 )
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
-from cairnferry.policy import Call, Cause, Relay, RequestIdentity
+from cairnferry.policy import Call, Cause, DeclaredTimeouts, Relay, RequestIdentity
 from cairnferry.records import Priority, Route
 from cairnferry.wire import HeaderInvalid
 
@@ -112,6 +112,7 @@
     workspace_limiter: WorkspaceLimiter | None = None
     _request_log: RequestLog = attrs.field(init=False)
     _limited_forwarder: LimitedForwarder = attrs.field(init=False)
+    _timeouts: DeclaredTimeouts = attrs.field(factory=DeclaredTimeouts, init=False)
 
     def __attrs_post_init__(self):
         self._request_log = RequestLog(self.metrics, self.services)
@@ -249,6 +250,8 @@
         call = _build_call(
             handler, route, head, runtime.policy.service, key_check.workspace
         )
+        if key_check.workspace is not None and head.timeout_ms is not None:
+            call.spent = self._timeouts.note(route.name, head.timeout_ms)
         req = self._outbound(handler, head, call, key_check)
         try:
             with handler.cancellable():
--- a/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_limiter.py
@@ -14,6 +14,7 @@
 from cairnferry.entry.workspaces._usage import LimitUsage, owned_rows
 from cairnferry.peers import TokenQuery, TokenReply
 from cairnferry.policy import (
+    OVERDUE_RANKS,
     Call,
     Cause,
     FallbackBucket,
@@ -140,13 +141,15 @@
             return Admitted()
         started = time.monotonic()
         max_wait_s = _max_wait(call, started)
-        replied = self._ask(workspace, call.rank, max_wait_s, _patience(call, started))
+        replied = self._ask(
+            workspace, _rank(call, started), max_wait_s, _patience(call, started)
+        )
         if replied is None:
             return self._fall_back(workspace, started)
         self.usage.note_reply(workspace.name, replied.owner, replied.reply.level)
         if not replied.reply.delays:
             self.usage.note(workspace.name, "over-limit")
-            facts = self._facts(workspace, replied)
+            facts = self._facts(workspace, replied) | {"spent_s": round(call.spent, 3)}
             retry_after = max(UNVERIFIED_RETRY_S[0], replied.reply.retry_s)
             return OverLimit(Cause.WORKSPACE_LIMIT, retry_after, facts)
         return self._wait(workspace, replied.reply.delays[0], started)
@@ -283,6 +286,15 @@
         }
 
 
+def _rank(call, now):
+    """Return the rank of a request among those of its workspace.
+
+    A request that is late in any case goes last. Otherwise, callers that return after
+    a refusal take the tokens of others that can still be answered in time.
+    """
+    return call.rank + OVERDUE_RANKS * call.is_overdue(now)
+
+
 def _max_wait(call, now):
     return max(0.0, min(MAX_WAIT_S, WAIT_SHARE * _time_left(call, now)))
 
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -15,6 +15,7 @@
 
 from cairnferry.policy._service import ServicePolicy
 from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
+from cairnferry.policy.admission import DeclaredTimeouts
 from cairnferry.policy.choice import (
     LeastInFlight,
     LoadAware,
@@ -50,6 +51,7 @@
     ISOLATED_RETRY_S,
     ISSUER_HOLD_OFF_S,
     NO_LIMIT,
+    OVERDUE_RANKS,
     SAME_CRASH_S,
     TRIAL_RETRY_S,
     AdvertisedLimit,
@@ -95,6 +97,7 @@
     "ISSUER_HOLD_OFF_S",
     "EVIDENCE_RETENTION_S",
     "NO_LIMIT",
+    "OVERDUE_RANKS",
     "NO_ADVISORY",
     "SAME_CRASH_S",
     "STRATEGY_NAMES",
@@ -114,6 +117,7 @@
     "ColdPeriod",
     "ColdRegistry",
     "Decision",
+    "DeclaredTimeouts",
     "DrainSource",
     "TargetCrash",
     "Unrestricted",
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -75,6 +75,8 @@
         Whether the request tests if targets no longer crash under requests like it.
     workspace : str
         Name of the caller's workspace; empty if it has none.
+    spent : float
+        Seconds that the caller has spent on earlier attempts; 0 if not known.
     """
 
     arrived: float
@@ -94,6 +96,11 @@
     is_isolated: bool = False
     is_trial: bool = False
     workspace: str = ""
+    spent: float = 0.0
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the objective, counted from the first attempt, has passed."""
+        return self.objective is not None and now >= self.objective - self.spent
 
     def tried(self, target: TargetState) -> bool:
         """Return whether an attempt was sent to this run of a target."""
--- a/packages/policy/src/cairnferry/policy/shared/__init__.py
+++ b/packages/policy/src/cairnferry/policy/shared/__init__.py
@@ -29,6 +29,7 @@
 )
 from cairnferry.policy.shared._target_limits import Permit, PermitRequest, TargetLimits
 from cairnferry.policy.shared._workspace_bucket import (
+    OVERDUE_RANKS,
     LimitTolerance,
     TokenGrant,
     WorkspaceBucket,
@@ -36,6 +37,7 @@
 )
 
 __all__ = [
+    "OVERDUE_RANKS",
     "ISOLATED_RETRY_S",
     "Quarantined",
     "Block",
--- a/packages/policy/src/cairnferry/policy/shared/_workspace_bucket.py
+++ b/packages/policy/src/cairnferry/policy/shared/_workspace_bucket.py
@@ -19,6 +19,11 @@
 SLOT_S = 0.05
 # Share of the bucket that less urgent requests leave to more urgent ones.
 RESERVED_SHARE = 0.2
+# Added to the rank of requests that are late in any case: more than any rank of routes.
+OVERDUE_RANKS = 1000
+# Share of the bucket that such requests leave to others. A late answer is of little
+# use, while a token that is kept serves the next request in time.
+OVERDUE_RESERVED_SHARE = 0.8
 # Seconds for which a rank counts as in use after its last request.
 RANK_RETENTION_S = 10.0
 # Share of the tolerance that a bucket holds beyond the burst.
@@ -254,8 +259,10 @@
         self._ranks = {r: at for r, at in self._ranks.items() if at > since}
         if rank == min(self._ranks):
             return 0.0
+        is_overdue = rank >= OVERDUE_RANKS
+        share = OVERDUE_RESERVED_SHARE if is_overdue else RESERVED_SHARE
         capacity = self.capacity
-        return max(0.0, min(RESERVED_SHARE * capacity, capacity - 1))
+        return max(0.0, min(share * capacity, capacity - 1))
 
     def _delay(self, reserved, now):
         """Return the seconds until a request may run."""
