--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -20,7 +20,7 @@
     Rules,
 )
 from cairnferry.entry._steps import Steps
-from cairnferry.entry.callers import BodyLimits
+from cairnferry.entry.callers import BodyLimits, StartupHold
 from cairnferry.entry.core import (
     Conventions,
     Core,
@@ -102,6 +102,7 @@
     "Row",
     "Rules",
     "SettingsWatch",
+    "StartupHold",
     "Steering",
     "Steps",
     "TargetConvention",
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import gevent
+import gevent.socket
 from gevent.event import Event
 
 from cairnferry.coordination import Note, NoteRegistry, lowest_ranked
@@ -15,11 +16,13 @@
     CallersApp,
     CrashGuard,
     Forwarder,
+    StartupHold,
     StartupRetry,
     quarantine_note_registry,
 )
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
+from cairnferry.entry.core._workspace_limits import build_workspace_limits
 from cairnferry.entry.http import (
     BodyBudget,
     HttpServer,
@@ -66,6 +69,8 @@
 # Seconds for which the listeners of pages finish their requests when the daemon leaves.
 PAGES_FINISH_S = 1.0
 
+MS_PER_S = 1000
+
 log = logging.getLogger(__name__)
 
 
@@ -124,6 +129,7 @@
         self._leaving = Event()
         self.leave_hooks: list[Callable[[], None]] = []
         self.reload = Event()
+        self.startup_hold = StartupHold(Event(), time.monotonic() + cfg.hold_s)
 
     # -- parts ------------------------------------------------------------------
 
@@ -158,6 +164,9 @@
             cfg.peers.seeds,
         )
         self._build_permits(links)
+        self.workspace_limits = build_workspace_limits(
+            cfg, self.cluster, self.gossip, self.services, self.workspaces, links
+        )
         self.peer_server = PeerServer(
             cfg.peers.listen.as_tuple(), self.gossip, self.keys, self.peer_meter
         )
@@ -172,13 +181,17 @@
             self.cfg.name, self.services, self.limiter, issuers, issuer, links
         )
 
-    def listen_for_callers(self, serve_steering: bool) -> HttpServer:
+    def listen_for_callers(
+        self, serve_steering: bool, listener: gevent.socket.socket | None = None
+    ) -> HttpServer:
         """Build the callers' listener.
 
         Parameters
         ----------
         serve_steering : bool
             Whether the listener also serves steering answers.
+        listener : gevent.socket.socket, optional
+            Socket that listens on the callers' address already.
         """
         cfg = self.cfg
         app = CallersApp(
@@ -197,11 +210,13 @@
             self.conventions.callers,
             StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
             self.workspaces,
+            self.startup_hold,
+            self.workspace_limits.limiter,
         )
         self.callers_app = app
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(
-            address, app, cfg.caller_limits, self.link, self.body_budget
+            address, app, cfg.caller_limits, self.link, self.body_budget, listener
         )
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
@@ -216,10 +231,17 @@
             self.limiter,
             self.advisory_recorder,
             self.workspaces,
+            self.workspace_limits.limiter,
         )
         return self.callers_server
 
-    def listen(self, address: Address, app, limits: ListenerLimits) -> HttpServer:
+    def listen(
+        self,
+        address: Address,
+        app,
+        limits: ListenerLimits,
+        listener: gevent.socket.socket | None = None,
+    ) -> HttpServer:
         """Build a further listener, which runs for the daemon's lifetime.
 
         Parameters
@@ -230,8 +252,10 @@
             WSGI application.
         limits : ListenerLimits
             Limits of its connections.
+        listener : gevent.socket.socket, optional
+            Socket that listens on the address already.
         """
-        server = HttpServer(address.as_tuple(), app, limits)
+        server = HttpServer(address.as_tuple(), app, limits, listener)
         self._listeners.append(server)
         return server
 
@@ -267,10 +291,17 @@
             self._update_shares_forever,
             self.guard.maintain,
             self.permits.run,
+            self.workspace_limits.owner.run,
             *tasks,
         ):
             self.spawn(task)
-        log.info("serving", extra={"callers": str(self.cfg.callers)})
+        log.info(
+            "serving",
+            extra={
+                "callers": str(self.cfg.callers),
+                "cpu_ms": round(MS_PER_S * time.process_time()),
+            },
+        )
 
     def stop(self) -> None:
         """Stop all tasks, listeners and connections at once."""
@@ -313,6 +344,8 @@
         self.advisory_recorder.maintain(targets)
         for runtime in self.services.active().values():
             runtime.policy.set_instances(self.instances, self._relative_rank())
+        if self.workspaces.is_required:
+            self.workspace_limits.maintain()
 
     def _spread_limit(self, note: Note, again: bool):
         if self.cluster.post_limit(note, again) or again:
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -13,7 +13,7 @@
     DefaultTargetConvention,
     TargetConvention,
 )
-from cairnferry.policy import PolicySettings
+from cairnferry.policy import LimitTolerance, PolicySettings
 from cairnferry.settings import Address
 
 # Share of an instance's memory that request bodies may take. A body is held once, and
@@ -111,6 +111,11 @@
         Status checks per second and target, over all instances; 0 for no limit.
     leaving : LeavingTimes
         Durations of the phases of the daemon's departure.
+    hold_s : float
+        Seconds after the start in which requests wait for the first rules; 0 to refuse
+        them at once.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     bodies_bytes : float
         Largest sum in bytes of the request bodies that the daemon holds.
     seed : int or None
@@ -131,6 +136,8 @@
     policy: PolicySettings
     checks_per_s: float
     leaving: LeavingTimes
+    hold_s: float = 0.0
+    workspace_limits: LimitTolerance = LimitTolerance()
     bodies_bytes: float = math.inf
     seed: int | None = None
 
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -8,7 +8,7 @@
     default_bodies_bytes,
 )
 from cairnferry.entry.http import ListenerLimits
-from cairnferry.policy import settings_for
+from cairnferry.policy import LimitTolerance, settings_for
 from cairnferry.settings import Address
 
 # Seconds for which callers cache a steering answer. Callers continue to try a lost
@@ -41,6 +41,9 @@
 # Timeout in seconds to open a connection to a target; it takes some milliseconds unless
 # the target is lost.
 CONNECT_S = 1.0
+# Seconds after the start in which requests wait for the first rules: several times what
+# a start takes unless the store is unreachable.
+HOLD_S = 3.0
 # Maximum size in bytes of a target's response body, which is held in memory.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -56,6 +59,7 @@
     max_files: int,
     checks_per_s: float,
     link_bytes_per_s: float,
+    workspace_limits: LimitTolerance,
     memory_bytes: float | None = None,
 ) -> CoreSettings:
     """Return the settings of a daemon, derived from those of its platform.
@@ -76,6 +80,8 @@
         Status checks per second and target, over all instances.
     link_bytes_per_s : float
         Rate of the instance's link in bytes per second; infinite if unknown.
+    workspace_limits : LimitTolerance
+        Tolerance of the limits of workspaces.
     memory_bytes : float or None, optional
         Memory of the instance in bytes; None for all that the machine has.
     """
@@ -102,8 +108,10 @@
         max_answer_bytes=MAX_ANSWER_BYTES,
         policy=settings_for("ask-first"),
         checks_per_s=checks_per_s,
+        workspace_limits=workspace_limits,
         leaving=LeavingTimes(
             serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
         ),
+        hold_s=HOLD_S,
         bodies_bytes=default_bodies_bytes(memory_bytes),
     )
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -36,6 +36,7 @@
 CONFIRM_S = 0.5
 # Name of the table of targets in messages between daemons.
 TARGETS = "targets"
+MS_PER_S = 1000
 log = logging.getLogger(__name__)
 
 
@@ -194,11 +195,14 @@
 
     def _confirm(self):
         """Report the time of the last confirmation to the cluster periodically."""
-        follower = self._rules_follower
         while True:
             gevent.sleep(CONFIRM_S)
-            if follower.confirmed_at is not None:
-                self.core.cluster.confirmation.confirm(follower.confirmed_at)
+            self._report_confirmation()
+
+    def _report_confirmation(self):
+        confirmed_at = self._rules_follower.confirmed_at
+        if confirmed_at is not None:
+            self.core.cluster.confirmation.confirm(confirmed_at)
 
     # -- rules ------------------------------------------------------------------
 
@@ -263,6 +267,8 @@
         self._install(before=0)
 
     def _install(self, before):
+        # Peers would steer callers away from a daemon that reports no confirmation yet.
+        self._report_confirmation()
         rules = self._rules
         services = self.core.services
         self.core.workspaces.install(self._workspaces)
@@ -276,8 +282,10 @@
                 "before": before,
                 "routes": len(rules.routes),
                 "services": len(rules.services),
+                "cpu_ms": round(MS_PER_S * time.process_time()),
             },
         )
+        self.core.startup_hold.in_force.set()
         self.core.gossip.trigger_round()
 
     def redecode_rules(self) -> None:
--- a/packages/peers/peer.thrift
+++ b/packages/peers/peer.thrift
@@ -41,6 +41,9 @@
   1: required bool whole,
   2: required i64 version,
   3: required list<TableRow> rows,
+  // The same update with its rows, in the compact protocol and compressed; `rows` is
+  // empty then. Only for peers that ask for it.
+  4: optional binary packed,
 }
 
 struct Heartbeat {
@@ -95,6 +98,34 @@
   3: required i32 retry_ms,
 }
 
+// Request for tokens for requests of one workspace.
+struct TokenQuery {
+  1: required string workspace,
+  // Urgency of the requests; 0 is the most urgent.
+  2: required i32 rank,
+  3: required i32 count,
+  // Tokens granted earlier whose requests did not run.
+  4: required i32 returned,
+  // Milliseconds for which a request may wait for its token.
+  5: required i32 max_wait_ms,
+  // Revision of the asker's rules, and the limit that they set.
+  6: required i64 revision,
+  7: required double rate_per_s,
+  8: required double burst,
+}
+
+struct TokenReply {
+  // Milliseconds from now after which each request may run, for each token granted.
+  1: required list<i32> delays_ms,
+  // Milliseconds until there is capacity for a request without a token.
+  2: required i32 retry_ms,
+  // Name of the daemon that owns the workspace; empty if the called daemon does.
+  3: required string owner,
+  // Tokens in the bucket, and its size; the size is -1 if the owner grants none yet.
+  4: required double level,
+  5: required double capacity,
+}
+
 // Update of the document that contains the rules.
 struct DocumentNews {
   // Revision after the update; 0 if there is no update now.
@@ -119,10 +150,15 @@
   // object store; for a peer that is too far behind for `pull`.
   binary snapshot(),
   // Update for a copy of a table at the given version, as much as fits in a frame.
-  TableNews news_since(1: string table, 2: i64 version),
+  // `packed` tells whether the caller reads compressed rows; daemons of earlier releases
+  // neither send nor read it.
+  TableNews news_since(1: string table, 2: i64 version, 3: bool packed),
   // Update of the rules for a daemon that has the given revision of them, 0 for none.
   // Daemons of earlier releases implement only `snapshot`.
   DocumentNews document_since(1: i64 revision),
   // Requests permits from the daemon that issues them for some limited targets.
   list<PermitsGiven> ask_permits(1: string asker, 2: list<PermitsWanted> wanted),
+  // Requests tokens from the daemon that owns some workspaces. Daemons of earlier
+  // releases do not implement this call.
+  list<TokenReply> ask_tokens(1: string asker, 2: list<TokenQuery> queries),
 }
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -24,6 +24,13 @@
     row_to_wire,
     table_update_to_wire,
 )
+from cairnferry.peers._packed_tables import TablePacker
+from cairnferry.peers._token_messages import (
+    TokenQuery,
+    TokenReply,
+    token_query_from_wire,
+    token_reply_to_wire,
+)
 from cairnferry.peers._transport import (
     MAX_FRAME_BYTES,
     ByteMeter,
@@ -64,12 +71,18 @@
     ) -> list[PermitReply]:
         """Issue permits for requests to limited targets to a daemon."""
 
+    def grant_tokens(
+        self, requester: str, queries: list[TokenQuery]
+    ) -> list[TokenReply]:
+        """Grant tokens for requests of workspaces to a daemon."""
+
 
 class _ThriftAdapter:
     """Implements the generated Thrift interface by means of a `PeerHandler`."""
 
     def __init__(self, handler):
         self._handler = handler
+        self._packer = TablePacker()
 
     def heartbeat(self, heartbeat):
         return heartbeat_to_wire(
@@ -93,14 +106,22 @@
     def document_since(self, revision):
         return document_to_wire(self._handler.document_since(revision))
 
-    def news_since(self, table, version):
-        return table_update_to_wire(self._handler.news_since(table, version))
+    def news_since(self, table, version, packed):
+        update = self._handler.news_since(table, version)
+        if not packed:
+            return table_update_to_wire(update)
+        return self._packer.pack(table, version, update)
 
     def ask_permits(self, requester, queries):
         parsed = [permit_query_from_wire(each) for each in queries]
         replies = self._handler.issue_permits(requester, parsed)
         return [permit_reply_to_wire(each) for each in replies]
 
+    def ask_tokens(self, requester, queries):
+        parsed = [token_query_from_wire(each) for each in queries]
+        replies = self._handler.grant_tokens(requester, parsed)
+        return [token_reply_to_wire(each) for each in replies]
+
 
 class PeerServer:
     """Serves peers on one address.
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -15,6 +15,7 @@
 
 from cairnferry.policy._service import ServicePolicy
 from cairnferry.policy._settings import STRATEGY_NAMES, PolicySettings, settings_for
+from cairnferry.policy.admission import DeclaredTimeouts
 from cairnferry.policy.choice import (
     LeastInFlight,
     LoadAware,
@@ -50,6 +51,7 @@
     ISOLATED_RETRY_S,
     ISSUER_HOLD_OFF_S,
     NO_LIMIT,
+    OVERDUE_RANKS,
     SAME_CRASH_S,
     TRIAL_RETRY_S,
     AdvertisedLimit,
@@ -58,7 +60,9 @@
     BlockRef,
     ColdPeriod,
     ColdRegistry,
+    FallbackBucket,
     LimitRegistry,
+    LimitTolerance,
     Permit,
     PermitGrant,
     PermitRequest,
@@ -71,7 +75,10 @@
     Suspect,
     TargetCrash,
     TargetLimits,
+    TokenGrant,
     Unrestricted,
+    WorkspaceBucket,
+    WorkspaceLimit,
     probe_share,
 )
 from cairnferry.policy.targets import (
@@ -90,6 +97,7 @@
     "ISSUER_HOLD_OFF_S",
     "EVIDENCE_RETENTION_S",
     "NO_LIMIT",
+    "OVERDUE_RANKS",
     "NO_ADVISORY",
     "SAME_CRASH_S",
     "STRATEGY_NAMES",
@@ -109,6 +117,7 @@
     "ColdPeriod",
     "ColdRegistry",
     "Decision",
+    "DeclaredTimeouts",
     "DrainSource",
     "TargetCrash",
     "Unrestricted",
@@ -147,6 +156,11 @@
     "Wait",
     "PermitRequest",
     "AdvisoryFault",
+    "FallbackBucket",
+    "LimitTolerance",
+    "TokenGrant",
+    "WorkspaceBucket",
+    "WorkspaceLimit",
     "probe_share",
     "settings_for",
 ]
--- a/packages/policy/src/cairnferry/policy/choice/_status_check_settings.py
+++ b/packages/policy/src/cairnferry/policy/choice/_status_check_settings.py
@@ -87,8 +87,8 @@
     max_report_age_s: float = 0.15
     good_share: float = 0.5
     near_share: float = 0.68
-    spill_round: bool = True
-    search_before_refusal: bool = True
+    spill_round: bool = False
+    search_before_refusal: bool = False
     good_costs: tuple[float, float, float] = (1.2, 1.6, 2.0)
     near_costs: tuple[float, float, float] = (1.4, 2.2, 3.0)
     load_cost: float = 0.1
--- a/tests/policy/_status_checks.py
+++ b/tests/policy/_status_checks.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from cairnferry.policy import (
     Answered,
     Call,
@@ -21,8 +23,12 @@
     )
 
 
-def policy_of(*targets, now=0.0):
-    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings_for("ask-first"))
+def policy_of(*targets, now=0.0, **checks):
+    """Return a policy; keywords change the settings of its status checks."""
+    settings = settings_for("ask-first")
+    checks = attrs.evolve(settings.status_checks, **checks)
+    settings = attrs.evolve(settings, status_checks=checks)
+    policy = ServicePolicy(SERVICE, "near", random.Random(3), settings)
     policy.update(SERVICE, list(targets), now)
     return policy
 
--- a/tests/policy/choice/test_status_checks.py
+++ b/tests/policy/choice/test_status_checks.py
@@ -66,7 +66,7 @@
     left for the other zones.
     """
     busy = {f"n{index}": LoadReport(4) for index in range(20)}
-    policy = policy_of(*near(20), *far(20))
+    policy = policy_of(*near(20), *far(20), spill_round=True)
     train_route(policy, "r", 0.1)
     req = call(now=2.0, objective=2.25, route="r")
     decision, rounds = decide(policy, req, now=2.0, **busy)
@@ -76,7 +76,7 @@
 
 def test_last_round_stays_in_the_own_zone_if_a_target_there_is_in_time():
     crowded = {f"n{index}": LoadReport(3) for index in range(20)}
-    policy = policy_of(*near(20), *far(20))
+    policy = policy_of(*near(20), *far(20), spill_round=True)
     train_route(policy, "r", 0.1)
     req = call(now=2.0, objective=2.35, route="r")
     decision, rounds = decide(policy, req, now=2.0, **crowded)
--- a/tests/policy/test_crests.py
+++ b/tests/policy/test_crests.py
@@ -11,13 +11,20 @@
 # the requests, so that each daemon decides as in the whole deployment.
 LENGTH_S = 15.0
 SIZE = 1 / 3
-SETTINGS = settings_for("ask-first")
+DEFAULTS = settings_for("ask-first")
 
 
-def with_checks(**changes):
-    return attrs.evolve(
-        SETTINGS, status_checks=attrs.evolve(SETTINGS.status_checks, **changes)
+def with_checks(spill_round=True, search_before_refusal=True):
+    """Return settings with both switches on, which are off by default."""
+    checks = attrs.evolve(
+        DEFAULTS.status_checks,
+        spill_round=spill_round,
+        search_before_refusal=search_before_refusal,
     )
+    return attrs.evolve(DEFAULTS, status_checks=checks)
+
+
+SETTINGS = with_checks()
 
 
 def replay(name, demand, settings):
--- a/tests/policy/test_pressure.py
+++ b/tests/policy/test_pressure.py
@@ -35,7 +35,7 @@
     The queue of the fast target costs less than the slow target's free slot, but is too
     long to be worth sending.
     """
-    policy = policy_of(*near(2, slots=2))
+    policy = policy_of(*near(2, slots=2), search_before_refusal=True)
     train_route(policy, "r", 0.1)
     reports = {"n0": LoadReport(2), "n1": LoadReport(0, slowdown=4.0)}
     req = call(now=2.0, objective=2.5, route="r")
@@ -48,7 +48,7 @@
 
     The queues of the own zone are within `near_share`, and too long to be sent to.
     """
-    policy = policy_of(*near(3), *far(3))
+    policy = policy_of(*near(3), *far(3), search_before_refusal=True)
     train_route(policy, "r", 0.1)
     train_route(policy, "urgent", 0.1, rank=0, start=1.0)
     req = call(now=2.0, objective=2.8, route="r", rank=1)
