The state of a caller's request is built in a module of its own

Change: `build_call` and its parts moved to `callers/_calls.py`, unchanged.

Measured: tests/entry/callers, tests/entry/http and the test of overdue requests passed.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -9,6 +9,7 @@
 import attrs
 from gevent.event import Event
 
+from cairnferry.entry.callers._calls import build_call
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
@@ -23,7 +24,6 @@
     CallerGone,
     PipelinedHandler,
     Problem,
-    RequestHead,
     not_run_answer,
     problem_answer,
 )
@@ -36,8 +36,8 @@
 )
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
-from cairnferry.policy import Call, Cause, DeclaredTimeouts, Relay, RequestIdentity
-from cairnferry.records import Priority, Route
+from cairnferry.policy import Cause, DeclaredTimeouts, Relay
+from cairnferry.records import Route
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
@@ -176,7 +176,7 @@
             head = self.convention.read_head(handler.header_pairs())
         except BadDeadline:
             return Problem.BAD_DEADLINE
-        call = _build_call(
+        call = build_call(
             handler, route, head, runtime.policy.service, key_check.workspace
         )
         return runtime.policy.refusal_cause(call, time.monotonic())
@@ -247,7 +247,7 @@
             head = self.convention.read_head(pairs)
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        call = _build_call(
+        call = build_call(
             handler, route, head, runtime.policy.service, key_check.workspace
         )
         if key_check.workspace is not None and head.timeout_ms is not None:
@@ -335,45 +335,3 @@
         except BadDeadline:
             # The malformed header makes the parser fail, so that the ID is unknown.
             return None
-
-
-def _build_call(handler, route, head: RequestHead, service, workspace):
-    arrived = handler.arrived
-    timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
-    if route.max_deadline_ms is not None:
-        timeout_ms = min(timeout_ms, route.max_deadline_ms)
-    objective = route.objective_ms and arrived + route.objective_ms / MS_PER_S
-    priority = route.priority
-    if head.priority is Priority.BACKGROUND:
-        priority = Priority.BACKGROUND
-    return Call(
-        arrived=arrived,
-        deadline=arrived + timeout_ms / MS_PER_S,
-        idempotent=route.may_resend(handler.command),
-        priority=priority,
-        may_retry=not head.is_retry,
-        max_attempts=route.max_attempts,
-        objective=objective,
-        rank=_rank(route, workspace),
-        route=route.name,
-        identity=_identity(handler, route, head, workspace),
-        workspace=workspace.name if workspace else "",
-    )
-
-
-def _rank(route, workspace):
-    if workspace is None or workspace.rank is None:
-        return route.rank
-    return workspace.rank
-
-
-def _identity(handler, route: Route, head: RequestHead, workspace):
-    # Uses the host of the route. For a route that matches any host, callers put the
-    # daemon's address into Host, and the same request would have a different identity
-    # at each daemon.
-    caller = head.credentials or handler.client_address[0]
-    if workspace is not None:
-        caller = workspace.name
-    return RequestIdentity(
-        handler.command, route.host or "", handler.path, handler.body, caller
-    )
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/callers/_calls.py
@@ -0,0 +1,70 @@
+"""State of a caller's request for the policy."""
+
+from cairnferry.entry.http import PipelinedHandler, RequestHead
+from cairnferry.policy import Call, RequestIdentity
+from cairnferry.records import Priority, Route, Service, Workspace
+
+MS_PER_S = 1000
+
+
+def build_call(
+    handler: PipelinedHandler,
+    route: Route,
+    head: RequestHead,
+    service: Service,
+    workspace: Workspace | None,
+) -> Call:
+    """Return the state of a request for the policy.
+
+    Parameters
+    ----------
+    handler : PipelinedHandler
+        Request that was read.
+    route : Route
+        Its route.
+    head : RequestHead
+        Its parsed headers.
+    service : Service
+        Service that receives it.
+    workspace : Workspace or None
+        Workspace of its caller.
+    """
+    arrived = handler.arrived
+    timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
+    if route.max_deadline_ms is not None:
+        timeout_ms = min(timeout_ms, route.max_deadline_ms)
+    objective = route.objective_ms and arrived + route.objective_ms / MS_PER_S
+    priority = route.priority
+    if head.priority is Priority.BACKGROUND:
+        priority = Priority.BACKGROUND
+    return Call(
+        arrived=arrived,
+        deadline=arrived + timeout_ms / MS_PER_S,
+        idempotent=route.may_resend(handler.command),
+        priority=priority,
+        may_retry=not head.is_retry,
+        max_attempts=route.max_attempts,
+        objective=objective,
+        rank=_rank(route, workspace),
+        route=route.name,
+        identity=_identity(handler, route, head, workspace),
+        workspace=workspace.name if workspace else "",
+    )
+
+
+def _rank(route, workspace):
+    if workspace is None or workspace.rank is None:
+        return route.rank
+    return workspace.rank
+
+
+def _identity(handler, route: Route, head: RequestHead, workspace):
+    # Uses the host of the route. For a route that matches any host, callers put the
+    # daemon's address into Host, and the same request would have a different identity
+    # at each daemon.
+    caller = head.credentials or handler.client_address[0]
+    if workspace is not None:
+        caller = workspace.name
+    return RequestIdentity(
+        handler.command, route.host or "", handler.path, handler.body, caller
+    )
