--- a/tests/standins/test_test_runs.py
+++ b/tests/standins/test_test_runs.py
@@ -10,10 +10,12 @@
 from cairnferry.standins import start_child, wait_for
 from cairnferry.standins._ports import BLOCK_PORTS, PortBlock
 
-# Starts a child, prints its process ID and waits.
+# Starts a child, prints its process ID and waits. Under nohup, SIGHUP is ignored, and
+# processes that are started inherit that.
 PARENT = """
-import sys, time
+import signal, sys, time
 from cairnferry.standins import start_child
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 child = start_child([sys.executable, "-c", "import time; time.sleep(600)"])
 print(child.pid, flush=True)
 time.sleep(600)
