--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
 .PHONY: demo test lint format generate golden install
-.PHONY: bench capacity propagation overhead shards days model
+.PHONY: bench capacity propagation overhead shards startup days model
 
 install: $(VENV)/installed
 
@@ -58,6 +58,11 @@
 shards: install
 	$(BIN)/python -m bench.shards
 
+# Compares the processor time of a start with that of an earlier commit, in half a
+# minute: make startup REF=commit
+startup: install
+	$(BIN)/python -m bench.startup $(REF)
+
 # Runs the days in deploy/days with the users' benchmark program:
 # make days FLEETBENCH=program SITE=file
 days: install
--- /dev/null
+++ b/tests/adapter/test_startup.py
@@ -0,0 +1,99 @@
+"""Preparation of the process: deferred modules and the cache of compiled methods."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from hosting._method_cache import MethodCache
+
+from .test_process import ROOT
+
+# Modules that a start must not execute, each of which takes a notable part of it.
+UNUSED = ("asyncio", "geventhttpclient.client", "subprocess", "urllib.request", "_ssl")
+
+
+def run(code, **environment):
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "platform"), **environment},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return done.stdout.split()
+
+
+def test_a_start_does_not_execute_unused_modules():
+    """An import added anywhere in the daemon brings a deferred module back."""
+    loaded = run("import hosting.__main__, sys; print(*sys.modules)")
+    assert "hosting.command" in loaded
+    assert not set(loaded) & set(UNUSED)
+
+
+def test_a_deferred_module_keeps_its_whole_interface():
+    """A library's name outside of the table would be missing in the daemon."""
+    code = (
+        "from hosting._startup import prepare_process; prepare_process();"
+        "from expression import Ok, Result, pipe;"
+        "import expression, fastjsonschema, ssl;"
+        "from geventhttpclient import HTTPClient;"
+        "from geventhttpclient.connectionpool import SSLConnectionPool;"
+        "print(pipe(1, str), expression.Ok is Ok, isinstance(Ok(1), Result),"
+        " HTTPClient.__name__, SSLConnectionPool.__name__, ssl.CERT_NONE.name,"
+        " callable(fastjsonschema.compile))"
+    )
+    expected = "1 True True HTTPClient SSLConnectionPool CERT_NONE True"
+    assert run(code) == expected.split()
+
+
+CACHED = """\
+import sys
+import attr, attrs
+from hosting._method_cache import MethodCache
+cache = MethodCache({path!r})
+with cache:
+    cache.load()
+    @attrs.frozen
+    class Pair:
+        left: int
+        right: str = "r"
+    if {write}:
+        cache.write()
+same = Pair(1) == Pair(1) and hash(Pair(1)) == hash(Pair(1)) and Pair(1) != Pair(2)
+print(cache.misses, repr(Pair(1)), same, hasattr(attr._make, "compile"))
+"""
+
+
+def test_methods_of_classes_come_from_the_cache(tmp_path):
+    """The source of a hash differs in each process, so that nothing would be found."""
+    path = str(tmp_path / "methods")
+    built = run(CACHED.format(path=path, write=True), PYTHONHASHSEED="1")
+    started = run(CACHED.format(path=path, write=False), PYTHONHASHSEED="2")
+    assert built == ["1", "Pair(left=1,", "right='r')", "True", "False"]
+    assert started == ["0", *built[1:]]
+
+
+def test_a_changed_class_is_compiled_anew(tmp_path):
+    """Methods of a class as it was at build time would lack its new attributes."""
+    path = str(tmp_path / "methods")
+    run(CACHED.format(path=path, write=True))
+    changed = CACHED.replace('right: str = "r"', 'right: str = "r"; third: int = 3')
+    started = run(changed.format(path=path, write=False))
+    assert started[:4] == ["1", "Pair(left=1,", "right='r',", "third=3)"]
+
+
+@pytest.mark.parametrize("damage", [b"", b"other", "half"])
+def test_an_unusable_cache_is_ignored(tmp_path, damage):
+    """A start would fail with a file of another interpreter, or a truncated one."""
+    path = tmp_path / "methods"
+    cache = MethodCache(str(path))
+    cache.compile("a = 1", "name", "exec")
+    cache.write()
+    data = path.read_bytes()
+    path.write_bytes(data[: len(data) // 2] if damage == "half" else damage)
+    read = MethodCache(str(path))
+    read.load()
+    assert read.entries == {}
+    assert MethodCache(str(tmp_path / "missing")).entries == {}
