Evidence, log lines and metrics on whether any path to a service works

The logs of the incident could not tell apart an instance without paths from targets that are silent, nor how an attempt ended. A line says when no target of a service has answered, by which exchanges, and when one answers again; the dump and two gauges show the same, and each attempt of a request's line names how its exchange failed. No decision uses the evidence yet.

--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -14,6 +14,8 @@
     "in force",
     "rules cannot be read",
     "targets",
+    "no target reachable",
+    "targets reachable",
     "target silent",
     "target heard again",
     "target ejected",
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -38,7 +38,7 @@
     Send,
     Wait,
 )
-from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply
+from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply, describe_outcome
 
 
 @attrs.frozen
@@ -226,6 +226,8 @@
         """
         result = self.upstreams.classify(outcome, attempt)
         reply = outcome if isinstance(outcome, Reply) else None
+        if reply is None:
+            attempt.failure = describe_outcome(outcome)
         if self.limiter is not None:
             self.limiter.note_outcome(attempt, outcome, self.upstreams.convention)
         if self.advisory_recorder is not None:
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -174,6 +174,7 @@
 
 
 def _describe_attempt(attempt, call):
-    """Return an attempt's kind, target and time of sending as text."""
+    """Return an attempt's kind, target, time of sending and failure as text."""
     sent = (attempt.started - call.arrived) * MS_PER_S
-    return f"{attempt.kind} {attempt.target_name} at {sent:.1f} ms"
+    text = f"{attempt.kind} {attempt.target_name} at {sent:.1f} ms"
+    return f"{text}: {attempt.failure}" if attempt.failure else text
--- a/packages/entry/src/cairnferry/entry/targets/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/targets/_runtime.py
@@ -52,9 +52,20 @@
         decision = self.policy.finished(attempt, result, time.monotonic())
         self._track_waiting(attempt.call, decision)
         self.release_waiting()
+        self.log_path_changes()
         self._log_events()
         return decision
 
+    def log_path_changes(self) -> None:
+        """Log whether the paths to the targets have broken or work again."""
+        policy = self.policy
+        policy.paths.are_broken(time.monotonic())
+        for change in policy.paths.take_changes():
+            message = "targets reachable" if change.works else "no target reachable"
+            level = logging.INFO if change.works else logging.WARNING
+            extra = {"service": policy.service.name, **change.inputs}
+            log.log(level, message, extra=extra)
+
     def _log_events(self):
         """Log changes in the assumed condition of targets, at a limited rate."""
         for event in self.policy.take_events():
@@ -78,6 +89,7 @@
         """Record that this daemon cancelled an attempt because it hangs."""
         self.policy.retire(attempt, time.monotonic())
         self.release_waiting()
+        self.log_path_changes()
         self._log_events()
 
     def wait(self, call: Call) -> Decision:
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -148,6 +148,10 @@
             if not check.done.is_set():
                 # Spares the next request the wait for this target.
                 runtime.policy.note_missed_check(check.target.identity, self.clock())
+                runtime.policy.paths.note_no_answer(
+                    check.target.identity, check.started
+                )
+        runtime.log_path_changes()
 
     def _check(self, target, runtime):
         running = self._running.get(target.identity)
@@ -171,11 +175,22 @@
                 self.metrics.probes["delayed-here"] += 1
             else:
                 check.has_report = result.report is not None
+                self._record_path(check, result, runtime)
                 self._report(check, result, runtime)
         finally:
             self._running.pop(target.identity, None)
             check.done.set()
 
+    def _record_path(self, check, result, runtime):
+        paths = runtime.policy.paths
+        if not result.answered and result.report is None:
+            paths.note_no_answer(check.target.identity, check.started)
+            return
+        was_broken = paths.broken_since is not None
+        paths.note_answer(check.target.identity, self.clock())
+        if was_broken:
+            runtime.log_path_changes()
+
     def _was_delayed(self, check, timeout):
         """Return whether a check failed because this instance was busy or stalled."""
         now = self.clock()
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -108,6 +108,8 @@
     yield "overload_refusals_total", "counter", ranks
     yield "hung_attempts_total", "counter", _by_service(services, "hung")
     yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
+    yield "paths_broken_seconds", "gauge", _by_paths(services, "broken_s")
+    yield "paths_quiet_seconds", "gauge", _by_paths(services, "quiet_s")
     yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
     yield "target_connections_lost_total", "counter", [Sample(targets["lost"])]
     yield "target_connections_idle", "gauge", [Sample(targets["idle"])]
@@ -157,6 +159,11 @@
             yield Sample(count, {"service": service, label: key})
 
 
+def _by_paths(services, field):
+    for service, state in services.items():
+        yield Sample(state["paths"][field] or 0, {"service": service})
+
+
 def _by_target(limits, field):
     for target, state in limits.items():
         yield Sample(state[field], {"target": target})
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -25,6 +25,7 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy.paths import PathChange, ServicePaths
 from cairnferry.policy.requests import (
     Answered,
     Attempt,
@@ -130,6 +131,7 @@
     "Lost",
     "AdvertisedLimit",
     "NotRun",
+    "PathChange",
     "Pause",
     "Permit",
     "PermitSchedule",
@@ -144,6 +146,7 @@
     "RoundRobin",
     "Send",
     "StatusCheckSettings",
+    "ServicePaths",
     "ServicePolicy",
     "Suspect",
     "Strategy",
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -133,6 +133,7 @@
             self._hangs.note_unanswered(attempt, now)
         self._attempts.end(attempt)
         self._targets.record_result(attempt, result, now)
+        self._record_path(attempt, result, now)
         if isinstance(result, Answered) and not result.failed:
             self._work.record(call.route, now - attempt.started, attempt.cost)
         if getattr(result, "report", None) is not None:
@@ -143,6 +144,16 @@
             return _decide_with_open_attempts(result)
         return self._continue_after(call, result, now)
 
+    def _record_path(self, attempt, result, now):
+        identity = attempt.target.identity
+        match result:
+            case Answered() | TargetRefused():
+                self.paths.note_answer(identity, now)
+            case NotRun(deadline=False, withdrawn=False):
+                self.paths.note_no_answer(identity, attempt.started)
+            case Lost(timed_out=timed_out, broken=broken) if timed_out or broken:
+                self.paths.note_no_answer(identity, attempt.started)
+
     def resume(self, call: Call, now: float) -> Decision:
         """Return the next decision about a request after status checks or a pause.
 
@@ -435,6 +446,7 @@
                 str(rank): n for rank, n in self._refusals.overload_by_rank.items()
             },
             "given_up": {str(cause): n for cause, n in self.given_up.items()},
+            "paths": self.paths.snapshot(now),
             "targets": self._targets.snapshot(now),
         }
 
--- a/packages/policy/src/cairnferry/policy/_service_state.py
+++ b/packages/policy/src/cairnferry/policy/_service_state.py
@@ -6,6 +6,7 @@
 from cairnferry.policy._settings import PolicySettings
 from cairnferry.policy.admission import Capacity, DemandEstimate, create_budget
 from cairnferry.policy.choice import WorkEstimates
+from cairnferry.policy.paths import ServicePaths
 from cairnferry.policy.search import TargetSet
 from cairnferry.policy.shared import AdvisoryRegistry, PermitRequest, TargetLimits
 from cairnferry.policy.targets import DrainSource, LoadReport, TargetAdvisory
@@ -31,6 +32,11 @@
     advisories : AdvisoryRegistry, optional
         Back-offs and departures that targets announced, shared by all services of the
         daemon.
+
+    Attributes
+    ----------
+    paths : ServicePaths
+        Whether the paths from this daemon to the targets work.
     """
 
     def __init__(
@@ -46,6 +52,7 @@
         self.service = service
         self.limits = TargetLimits() if limits is None else limits
         self._rng = rng
+        self.paths = ServicePaths()
         self._work = WorkEstimates()
         self._demand = DemandEstimate()
         self.advisories = AdvisoryRegistry() if advisories is None else advisories
@@ -78,6 +85,7 @@
         self.service = service
         self._budget.update(service, self.settings, self._instances)
         self._targets.update(targets, now)
+        self.paths.targets = len(targets)
         self._capacity.set_slots(sum(target.slots for target in targets), is_new)
 
     def evacuate(self, zones: frozenset[str]) -> None:
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -157,6 +157,9 @@
         Expected time as a multiple of the usual time.
     ended : bool
         Whether the attempt has a result.
+    failure : str
+        Description of an exchange without an answer, for the log; empty if there was
+        an answer or none is due yet.
     """
 
     call: Call
@@ -166,6 +169,7 @@
     trial: bool = False
     cost: float = 1.0
     ended: bool = False
+    failure: str = ""
 
     @property
     def target_name(self) -> str:
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -18,6 +18,7 @@
         "reported_load": 0.7,
         "zones": {"hall": 3, "yard": 2},
         "overload_by_rank": {"1": 6},
+        "paths": {"broken_s": None, "quiet_s": 0.25},
     }
 
 
@@ -101,6 +102,8 @@
         ("overload_refusals_total", "1", "svc"): 6,
         ("bodies_bytes",): 11,
         ("bodies_refused_total",): 12,
+        ("paths_broken_seconds", "svc"): 0,
+        ("paths_quiet_seconds", "svc"): 0.25,
         ("repeats_left", "svc"): 1.5,
         ("target_connections_opened_total",): 2,
         ("target_connections_lost_total",): 3,
