Requests are served by a peer while no path to their service works

Callers of an instance without paths to the targets were refused or waited until their deadlines, although all other instances reached the targets.

Cause: an instance takes its own view of the targets for the truth. If none answers, it goes on to choose among them, and has no other way.

Change: the policy counts the paths to a service as broken once a round of status checks has no answer and no target has answered for 0.15 s. From then on requests are passed on to a peer over an authenticated connection on the peers' port. The peer serves them as if their callers had sent them there (keys, limits, budgets, permits and blocks are counted there alone), and never passes them on. One that reaches no target either, or has older rules, declines, and another one is asked; if all decline, the request is refused at once. A request that was sent once and whose peer is lost is only repeated if it is idempotent. Status checks go on beside, and one answer ends the detours. A request that finds no room while a quarter of the targets are silent is passed on too, until a peer finds no room either. The directory names an instance last whose requests peers serve.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -45,6 +45,7 @@
     Page,
     PagesApp,
     RequestHead,
+    end_to_end_headers,
     read_request_head,
     without_identity,
 )
@@ -107,6 +108,7 @@
     "Steps",
     "TargetConvention",
     "configure_logs",
+    "end_to_end_headers",
     "ephemeral_instance_settings",
     "era_of",
     "lost_result",
--- a/packages/entry/src/cairnferry/entry/callers/__init__.py
+++ b/packages/entry/src/cairnferry/entry/callers/__init__.py
@@ -1,6 +1,7 @@
 """Callers' requests: forwarding to targets, and blocking of harmful requests."""
 
 from cairnferry.entry.callers._callers import BodyLimits, CallersApp
+from cairnferry.entry.callers._detour_app import DetourApp
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._guard import CrashGuard
 from cairnferry.entry.callers._quarantine_notes import quarantine_note_registry
@@ -11,6 +12,7 @@
     "BodyLimits",
     "CallersApp",
     "CrashGuard",
+    "DetourApp",
     "Forwarder",
     "StartupHold",
     "StartupRetry",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -10,12 +10,19 @@
 from gevent.event import Event
 
 from cairnferry.entry.callers._calls import build_call
+from cairnferry.entry.callers._detouring_forwarder import DetouringForwarder
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
+from cairnferry.entry.detours import (
+    DetourClient,
+    DetourHead,
+    DetourRequest,
+    without_detour_fields,
+)
 from cairnferry.entry.http import (
     HANDLER_KEY,
     Answer,
@@ -24,6 +31,7 @@
     CallerGone,
     PipelinedHandler,
     Problem,
+    RequestHead,
     not_run_answer,
     problem_answer,
 )
@@ -32,12 +40,13 @@
     CallerConvention,
     DefaultCallerConvention,
     OutboundRequest,
+    ServiceRuntime,
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
 from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
-from cairnferry.policy import Cause, DeclaredTimeouts, Relay
-from cairnferry.records import Route
+from cairnferry.policy import Call, Cause, DeclaredTimeouts, Relay
+from cairnferry.records import Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
 STEERING_PATH = "/.well-known/cairnferry/entries"
@@ -98,6 +107,10 @@
         Lets requests wait for the first rules; by default they are refused at once.
     workspace_limiter : WorkspaceLimiter, optional
         Limits the requests of workspaces.
+    detours : DetourClient, optional
+        Passes requests on to peers while no path to their service works.
+    name : str, optional
+        Name of this daemon.
     """
 
     services: Services
@@ -110,8 +123,11 @@
     workspaces: WorkspaceRegistry = attrs.field(factory=WorkspaceRegistry)
     startup_hold: StartupHold = attrs.field(factory=_no_startup_hold)
     workspace_limiter: WorkspaceLimiter | None = None
+    detours: DetourClient | None = None
+    name: str = ""
     _request_log: RequestLog = attrs.field(init=False)
     _limited_forwarder: LimitedForwarder = attrs.field(init=False)
+    _detouring_forwarder: DetouringForwarder = attrs.field(init=False)
     _timeouts: DeclaredTimeouts = attrs.field(factory=DeclaredTimeouts, init=False)
 
     def __attrs_post_init__(self):
@@ -119,6 +135,14 @@
         self._limited_forwarder = LimitedForwarder(
             self.forwarder, self.workspace_limiter
         )
+        self._detouring_forwarder = DetouringForwarder(
+            self._limited_forwarder, self.detours, self.checks, self.metrics
+        )
+
+    @property
+    def checks(self):
+        """Status checks of targets; None if there are none."""
+        return self.forwarder.checks
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -164,8 +188,7 @@
             return Problem.MALFORMED
         if self.services.revision == 0 and not self.startup_hold.wait(0):
             return Problem.NOT_READY
-        route = self.services.route(path, handler.headers.get("host"))
-        runtime = route and self.services.runtime(self.services.service_for(route))
+        route, runtime = self.find_route(handler)
         if runtime is None:
             return Problem.NO_ROUTE
         key_check = self._key_check(handler)
@@ -173,12 +196,10 @@
         if problem is not None:
             return problem
         try:
-            head = self.convention.read_head(handler.header_pairs())
+            head = self.convention.read_head(self.header_pairs(handler))
         except BadDeadline:
             return Problem.BAD_DEADLINE
-        call = build_call(
-            handler, route, head, runtime.policy.service, key_check.workspace
-        )
+        call = self._call(handler, route, runtime, head, key_check)
         return runtime.policy.refusal_cause(call, time.monotonic())
 
     def _key_check(self, handler):
@@ -225,8 +246,7 @@
             raise BadRequest(Problem.MALFORMED)
         if self.services.revision == 0 and not self._wait_for_rules(handler):
             raise BadRequest(Problem.NOT_READY)
-        route = self.services.route(path, handler.headers.get("host"))
-        runtime = route and self.services.runtime(self.services.service_for(route))
+        route, runtime = self.find_route(handler)
         if runtime is None:
             raise BadRequest(Problem.NO_ROUTE)
         key_check = self._key_check(handler)
@@ -240,22 +260,20 @@
             return self.startup_hold.wait(len(handler.body))
 
     def _forward(self, handler: PipelinedHandler, route: Route, runtime, key_check):
-        pairs = handler.header_pairs()
+        pairs = self.header_pairs(handler)
         if self.workspaces.is_required:
             pairs = self.convention.without_identity(pairs)
         try:
             head = self.convention.read_head(pairs)
         except BadDeadline as exc:
             raise BadRequest(Problem.BAD_DEADLINE) from exc
-        call = build_call(
-            handler, route, head, runtime.policy.service, key_check.workspace
-        )
+        call = self._call(handler, route, runtime, head, key_check)
         if key_check.workspace is not None and head.timeout_ms is not None:
             call.spent = self._timeouts.note(route.name, head.timeout_ms)
         req = self._outbound(handler, head, call, key_check)
         try:
             with handler.cancellable():
-                forwarded = self._forward_or_refuse(
+                forwarded = self.forward_call(
                     handler, req, call, runtime, key_check.workspace
                 )
         except HeaderInvalid as exc:
@@ -266,6 +284,10 @@
         self._request_log.note_answered(
             runtime.policy, call, forwarded, head.request_id
         )
+        return self.finish_answer(forwarded, head)
+
+    def finish_answer(self, forwarded: Forwarded, head: RequestHead) -> Answer:
+        """Return the answer to write, given the result and the head of a request."""
         if isinstance(forwarded.decision, Relay):
             return forwarded.answer
         local_headers = self.convention.local_answer_headers(head)
@@ -273,6 +295,38 @@
             forwarded.answer, headers=[*forwarded.answer.headers, *local_headers]
         )
 
+    def find_route(
+        self, handler: PipelinedHandler
+    ) -> tuple[Route | None, ServiceRuntime | None]:
+        """Return the route of a request, and the runtime of its service."""
+        route = self.services.route(handler.path, handler.headers.get("host"))
+        if route is None:
+            return None, None
+        return route, self.services.runtime(self.services.service_for(route))
+
+    def _call(self, handler, route, runtime, head, key_check):
+        call = build_call(
+            handler,
+            route,
+            head,
+            runtime.policy.service,
+            key_check.workspace,
+            self.caller_address(handler),
+        )
+        self.complete_call(call, handler)
+        return call
+
+    def header_pairs(self, handler: PipelinedHandler) -> list[tuple[str, str]]:
+        """Return the headers of a request."""
+        return handler.header_pairs()
+
+    def caller_address(self, handler: PipelinedHandler) -> str:
+        """Return the IP address of the caller of a request."""
+        return handler.client_address[0]
+
+    def complete_call(self, call: Call, handler: PipelinedHandler) -> None:
+        """Add what is known of a request beside its head and its route."""
+
     def _outbound(self, handler, head, call, key_check):
         headers = [*head.forwarded, ("Via", head.via)]
 
@@ -294,12 +348,41 @@
             handler.command, handler.path, headers, handler.body, head, find_problem
         )
 
-    def _forward_or_refuse(self, handler, req, call, runtime, workspace):
+    def forward_call(
+        self,
+        handler: PipelinedHandler,
+        req: OutboundRequest,
+        call: Call,
+        runtime: ServiceRuntime,
+        workspace: Workspace | None,
+    ) -> Forwarded:
+        """Forward a request, or refuse it for a cause that was found at its head."""
         if handler.problem is None:
-            return self._limited_forwarder.forward(req, call, runtime, workspace)
+            return self._detouring_forwarder.forward(
+                req, call, runtime, workspace, lambda: self._detour(handler, req, call)
+            )
         refused = runtime.policy.refuse(handler.problem)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
+    def _detour(self, handler, req, call):
+        left_ms = int((call.deadline - time.monotonic()) * MS_PER_S)
+        pairs = self.convention.passed_on(handler.header_pairs(), left_ms)
+        return DetourRequest(
+            handler.command,
+            handler.path,
+            req.head.host or "",
+            without_detour_fields(pairs),
+            handler.body,
+            DetourHead(
+                self.name,
+                self.caller_address(handler),
+                self.services.revision,
+                len(call.attempts),
+            ),
+            call.deadline,
+            call.idempotent,
+        )
+
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
 
--- a/packages/entry/src/cairnferry/entry/callers/_calls.py
+++ b/packages/entry/src/cairnferry/entry/callers/_calls.py
@@ -13,6 +13,7 @@
     head: RequestHead,
     service: Service,
     workspace: Workspace | None,
+    address: str,
 ) -> Call:
     """Return the state of a request for the policy.
 
@@ -28,6 +29,8 @@
         Service that receives it.
     workspace : Workspace or None
         Workspace of its caller.
+    address : str
+        IP address of its caller.
     """
     arrived = handler.arrived
     timeout_ms = head.timeout_ms or route.deadline_ms or service.deadline_ms
@@ -47,7 +50,7 @@
         objective=objective,
         rank=_rank(route, workspace),
         route=route.name,
-        identity=_identity(handler, route, head, workspace),
+        identity=_identity(handler, route, head, workspace, address),
         workspace=workspace.name if workspace else "",
     )
 
@@ -58,11 +61,11 @@
     return workspace.rank
 
 
-def _identity(handler, route: Route, head: RequestHead, workspace):
+def _identity(handler, route: Route, head: RequestHead, workspace, address):
     # Uses the host of the route. For a route that matches any host, callers put the
     # daemon's address into Host, and the same request would have a different identity
     # at each daemon.
-    caller = head.credentials or handler.client_address[0]
+    caller = head.credentials or address
     if workspace is not None:
         caller = workspace.name
     return RequestIdentity(
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -1,5 +1,7 @@
 """Forward a caller's request to targets as the policy decides."""
 
+import time
+from collections.abc import Callable
 from http.client import responses
 
 import attrs
@@ -40,6 +42,9 @@
 )
 from cairnferry.wire import BODILESS_STATUSES, Outcome, Reply, describe_outcome
 
+# Retry-After in seconds if neither this daemon nor a peer reaches a target.
+UNREACHABLE_RETRY_S = 0.5
+
 
 @attrs.frozen
 class Forwarded:
@@ -78,6 +83,9 @@
         Records the limits that targets advertise.
     advisory_recorder : AdvisoryRecorder, optional
         Records the advisories of targets.
+    can_detour : callable, optional
+        Returns whether a request may be served by another daemon. If so, it is refused
+        as unreachable as soon as no path to its service works.
     """
 
     upstreams: Upstreams
@@ -86,6 +94,7 @@
     guard: CrashGuard | None = None
     limiter: Limiter | None = None
     advisory_recorder: AdvisoryRecorder | None = None
+    can_detour: Callable[[], bool] = lambda: False
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -135,14 +144,15 @@
                     case CheckStatus(targets):
                         latest = runtime.policy.latest_start(call)
                         self.checks.check_all(targets, runtime, latest)
-                        decision = runtime.resume(call)
+                        decision = self._unreachable(runtime, call)
+                        decision = decision or runtime.resume(call)
                     case Pause(seconds):
                         gevent.sleep(seconds)
                         decision = runtime.resume(call)
                     case Wait():
                         decision = runtime.wait(call)
                     case Relay():
-                        return Forwarded(_relayed_answer(reply), decision)
+                        return Forwarded(relayed_answer(reply), decision)
                     case Refuse() if (problem := req.find_problem()) is not None:
                         raise BadRequest(problem, call.workspace)
                     case Refuse(cause, retry_after):
@@ -153,6 +163,17 @@
             runtime.abandon(call)
             raise
 
+    def _unreachable(self, runtime, call):
+        """Return the refusal of a request whose service is not reachable, or None."""
+        if not self._needs_detour(runtime):
+            return None
+        kind = GiveUp if call.possibly_run else Refuse
+        return kind(Cause.UNREACHABLE, UNREACHABLE_RETRY_S)
+
+    def _needs_detour(self, runtime):
+        now = time.monotonic()
+        return runtime.policy.paths.are_broken(now) and self.can_detour()
+
     def _refuse_key(self, attempt, runtime, problem):
         """Give up a request whose key was revoked while it waited.
 
@@ -192,7 +213,12 @@
         if delay is None or not call.may_retry:
             return self._single(req, attempt, runtime)
         attempts = HedgedAttempts(
-            self.upstreams, self.checks, self.conclude, req, runtime
+            self.upstreams,
+            self.checks,
+            self.conclude,
+            req,
+            runtime,
+            lambda: self._needs_detour(runtime),
         )
         return attempts.run(attempt, delay)
 
@@ -269,7 +295,8 @@
                     self.guard.recheck(call)
 
 
-def _relayed_answer(reply):
+def relayed_answer(reply: Reply) -> Answer:
+    """Return the answer of a target, or of a peer, for the caller."""
     phrase = responses.get(reply.status, "Status")
     headers = answer_headers(reply.headers)
     status = f"{reply.status} {phrase}"
--- a/packages/entry/src/cairnferry/entry/callers/_hedging.py
+++ b/packages/entry/src/cairnferry/entry/callers/_hedging.py
@@ -46,6 +46,8 @@
         Request to send.
     runtime : ServiceRuntime
         Runtime of the service.
+    needs_detour : callable, optional
+        Returns whether another daemon should serve the request, as no path works here.
     """
 
     upstreams: Upstreams
@@ -53,6 +55,7 @@
     conclude: Callable[..., tuple[Decision, Reply | None]]
     req: OutboundRequest
     runtime: ServiceRuntime
+    needs_detour: Callable[[], bool] = lambda: False
     _results: SimpleQueue = attrs.field(factory=SimpleQueue)
     _running: dict[Attempt, gevent.Greenlet] = attrs.field(factory=dict)
 
@@ -68,6 +71,9 @@
                     if not self._running and self.req.find_problem() is not None:
                         # All attempts were retired, and any of them may have run.
                         return GiveUp(Cause.KEY_UNKNOWN, REVOKED_RETRY_AFTER_S), None
+                    if self.needs_detour() and self._may_repeat():
+                        first.call.possibly_run = True
+                        return GiveUp(Cause.UNREACHABLE, 0.0), None
                     timeout = self._hedge(first.call, delay)
                     continue
                 del self._running[attempt]
@@ -105,6 +111,9 @@
                 gevent.spawn(self.checks.check_all, targets, self.runtime)
         return delay if self.runtime.policy.repeats_hedge_check else None
 
+    def _may_repeat(self):
+        return self.runtime.policy.spend_retry(time.monotonic())
+
     def _retire_hanging(self, call):
         """Cancel attempts that hang, so that the request may go elsewhere.
 
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -25,6 +25,8 @@
 
     ANSWERED = "request answered"
     REPEATED = "request sent more than once"
+    PASSED_ON = "request passed on"
+    RECEIVED = "request from a peer"
     GIVEN_UP = "request given up"
     REJECTED = "request rejected"
     GONE = "caller gone"
@@ -76,7 +78,7 @@
         match forwarded.decision:
             case Relay():
                 outcome, cause = "relayed", "-"
-                line = LogLine.REPEATED if len(call.attempts) > 1 else LogLine.ANSWERED
+                line = _line_of_answer(call)
                 status = forwarded.answer.status.partition(" ")[0]
                 details = {"status": int(status)}
             case decision:
@@ -160,10 +162,20 @@
             "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
             "repeats_left": round(policy.retries_left, 1),
             **({"workspace": call.workspace} if call.workspace else {}),
+            **({"passed_on": call.detours} if call.detours else {}),
+            **({"received_from": call.received_from} if call.received_from else {}),
             **_identity_facts(call),
         }
 
 
+def _line_of_answer(call):
+    if call.detours:
+        return LogLine.PASSED_ON
+    if call.received_from:
+        return LogLine.RECEIVED
+    return LogLine.REPEATED if len(call.attempts) > 1 else LogLine.ANSWERED
+
+
 def _identity_facts(call):
     """Return digest and caller of an unusual request, so that it is recognizable."""
     identity = call.identity
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -15,6 +15,7 @@
 from cairnferry.entry.callers import (
     CallersApp,
     CrashGuard,
+    DetourApp,
     Forwarder,
     StartupHold,
     StartupRetry,
@@ -23,7 +24,9 @@
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
 from cairnferry.entry.core._workspace_limits import build_workspace_limits
+from cairnferry.entry.detours import DetourClient
 from cairnferry.entry.http import (
+    AdoptedServer,
     BodyBudget,
     HttpServer,
     ListenerLimits,
@@ -52,7 +55,7 @@
 from cairnferry.entry.telemetry import FaultyRowLog, Metrics
 from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
-from cairnferry.policy import DrainSource
+from cairnferry.policy import DrainSource, PeerChoice
 from cairnferry.settings import Address
 from cairnferry.wire import Link
 
@@ -164,6 +167,14 @@
             cfg.peers.seeds,
         )
         self._build_permits(links)
+        self.detours = DetourClient(
+            self.cluster,
+            PeerChoice(cfg.zone, self.rng),
+            self.keys,
+            cfg.max_answer_bytes,
+            self.link,
+        )
+        self.cluster.is_cut_off = self._is_cut_off
         self.workspace_limits = build_workspace_limits(
             cfg, self.cluster, self.gossip, self.services, self.workspaces, links
         )
@@ -194,26 +205,14 @@
             Socket that listens on the callers' address already.
         """
         cfg = self.cfg
-        app = CallersApp(
-            self.services,
-            Forwarder(
-                self.upstreams,
-                self.checks,
-                self.crash_detector,
-                self.guard,
-                self.limiter,
-                self.advisory_recorder,
-            ),
+        app = self._build_app(
+            CallersApp,
+            self.detours.has_peers,
             self.steering if serve_steering else None,
-            self.metrics,
-            cfg.bodies,
-            self.conventions.callers,
-            StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
-            self.workspaces,
-            self.startup_hold,
-            self.workspace_limits.limiter,
+            self.detours,
         )
         self.callers_app = app
+        self._build_detour_server()
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(
             address, app, cfg.caller_limits, self.link, self.body_budget, listener
@@ -235,6 +234,46 @@
         )
         return self.callers_server
 
+    def _build_app(self, app_class, can_detour, steering=None, detours=None):
+        """Build an application for requests of callers, or of peers' callers."""
+        forwarder = Forwarder(
+            self.upstreams,
+            self.checks,
+            self.crash_detector,
+            self.guard,
+            self.limiter,
+            self.advisory_recorder,
+            can_detour,
+        )
+        return app_class(
+            self.services,
+            forwarder,
+            steering,
+            self.metrics,
+            self.cfg.bodies,
+            self.conventions.callers,
+            StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
+            self.workspaces,
+            self.startup_hold,
+            self.workspace_limits.limiter,
+            detours,
+            self.cfg.name,
+        )
+
+    def _build_detour_server(self):
+        """Build the server of requests that peers pass on."""
+        # No further daemon is asked, so a request whose service is not reachable from
+        # here either goes back to the peer.
+        app = self._build_app(DetourApp, lambda: True)
+        self.detour_server = AdoptedServer(
+            self.cfg.peers.listen.as_tuple(),
+            app,
+            self.cfg.caller_limits,
+            self.link,
+            self.body_budget,
+        )
+        self.peer_server.on_requests = self.detour_server.handle
+
     def listen(
         self,
         address: Address,
@@ -344,9 +383,19 @@
         self.advisory_recorder.maintain(targets)
         for runtime in self.services.active().values():
             runtime.policy.set_instances(self.instances, self._relative_rank())
+        self.detours.close_unused()
         if self.workspaces.is_required:
             self.workspace_limits.maintain()
 
+    def _is_cut_off(self):
+        """Return whether peers serve a service to which no path from here works."""
+        now = time.monotonic()
+        return any(
+            runtime.policy.paths.broken_since is not None
+            and self.detours.choice.is_served_elsewhere(name, now)
+            for name, runtime in self.services.active().items()
+        )
+
     def _spread_limit(self, note: Note, again: bool):
         if self.cluster.post_limit(note, again) or again:
             self.gossip.trigger_round()
@@ -378,11 +427,16 @@
         self.cluster.membership.leave()
         self.gossip.trigger_round()
         self.callers_server.start_closing()
+        self.detour_server.start_closing()
         for hook in self.leave_hooks:
             # The hooks run concurrently, so that no hook delays the shutdown.
             self.spawn(hook)
         gevent.sleep(self.cfg.leaving.serve_s)
-        all_answered = self.callers_server.finish(self.cfg.leaving.limit_s)
+        ends = [
+            gevent.spawn(each.finish, self.cfg.leaving.limit_s)
+            for each in (self.callers_server, self.detour_server)
+        ]
+        all_answered = all(end.get() for end in ends)
         others = [each for each in self._listeners if each is not self.callers_server]
         gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
         self.stop()
--- /dev/null
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -0,0 +1,302 @@
+"""Passing a request on to a peer, and reading what became of it there."""
+
+import time
+
+import attrs
+
+from cairnferry.entry.detours._fields import (
+    CAUSE,
+    DECISION,
+    MS_PER_S,
+    RETRY_MS,
+    DetourDecision,
+    DetourHead,
+    without_detour_fields,
+)
+from cairnferry.entry.members import Cluster
+from cairnferry.peers import KeyRing, PeerRequestPool, SharedKey
+from cairnferry.policy import Cause, Peer, PeerChoice
+from cairnferry.wire import (
+    ConnectFailed,
+    Failure,
+    Link,
+    Reply,
+    describe_outcome,
+    encode_parts,
+    exchange,
+)
+
+# Maximum seconds to open a connection to a peer. Zones are some milliseconds apart, and
+# a peer that is down or cut off as well must not use up the caller's time.
+CONNECT_S = 0.25
+FULL_SPARE = 1000
+# Seconds of idle time after which a connection to a peer is closed. It is shorter than
+# the time for which the peer keeps it.
+MAX_IDLE_S = 10.0
+
+
+@attrs.frozen
+class DetourRequest:
+    """A request as it is passed on to any peer.
+
+    Attributes
+    ----------
+    method, path, host : str
+        Method, path and Host header.
+    headers : list of (str, str)
+        End-to-end headers of the caller, with its credentials and the time left.
+    body : bytes or bytearray
+        Complete body.
+    head : DetourHead
+        What the peer is told of the request.
+    deadline : float
+        Monotonic time in seconds.
+    idempotent : bool
+        Whether the request may run more than once.
+    """
+
+    method: str
+    path: str
+    host: str
+    headers: list[tuple[str, str]]
+    body: bytes | bytearray
+    head: DetourHead
+    deadline: float
+    idempotent: bool
+
+
+@attrs.frozen
+class Served:
+    """The peer relayed a target's answer, or rejected the request for good.
+
+    Attributes
+    ----------
+    reply : Reply
+        The answer.
+    by_target : bool
+        Whether a target made the answer.
+    """
+
+    reply: Reply
+    by_target: bool
+
+
+@attrs.frozen
+class NotRunThere:
+    """The request did not run, and no other peer could serve it better.
+
+    Attributes
+    ----------
+    cause : Cause
+        Cause of the refusal.
+    retry_after : float
+        Delay in seconds before a retry.
+    """
+
+    cause: Cause
+    retry_after: float
+
+
+@attrs.frozen
+class UnknownThere:
+    """The peer does not know whether the request ran.
+
+    Attributes
+    ----------
+    cause : Cause
+        Cause of the unknown outcome.
+    retry_after : float
+        Delay in seconds before a retry.
+    """
+
+    cause: Cause
+    retry_after: float
+
+
+@attrs.frozen
+class Declined:
+    """The request did not run there, and another peer may serve it.
+
+    Attributes
+    ----------
+    reason : str
+        Reason, for the log.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class DetourLost:
+    """The request was sent, and no complete answer was received.
+
+    Attributes
+    ----------
+    timed_out : bool
+        Whether the deadline passed.
+    """
+
+    timed_out: bool
+
+
+DetourOutcome = Served | NotRunThere | UnknownThere | Declined | DetourLost
+
+
+@attrs.define
+class DetourClient:
+    """Passes requests on to peers.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        The peers.
+    choice : PeerChoice
+        Decides which peer to ask.
+    keys : KeyRing or SharedKey
+        Keys shared by the peers.
+    max_answer : int
+        Maximum size of an answer's body in bytes.
+    link : Link
+        Link of this instance.
+    """
+
+    cluster: Cluster
+    choice: PeerChoice
+    keys: KeyRing | SharedKey
+    max_answer: int
+    link: Link
+    _pools: dict[str, PeerRequestPool] = attrs.field(factory=dict)
+
+    def has_peers(self) -> bool:
+        """Return whether there is a live peer to pass requests on to."""
+        return bool(self._peers())
+
+    def next_peer(self, service: str, tried: set[str]) -> Peer | None:
+        """Return the peer to ask next for a service; None if none is left.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        tried : set of str
+            Names of the peers that were asked for this request.
+        """
+        now = time.monotonic()
+        return self.choice.choose(service, self._peers(), tried, now)
+
+    def send(self, peer: Peer, request: DetourRequest, service: str) -> DetourOutcome:
+        """Pass a request on to a peer: a single exchange, which is never repeated here.
+
+        Parameters
+        ----------
+        peer : Peer
+            The peer.
+        request : DetourRequest
+            The request.
+        service : str
+            Name of its service.
+        """
+        outcome = self._exchange(peer, request)
+        now = time.monotonic()
+        match outcome:
+            case Declined():
+                self.choice.note_declined(service, peer, now)
+            case NotRunThere(cause=Cause.OVERLOAD):
+                self.choice.note_full(service, now)
+            case Served(by_target=True):
+                self.choice.note_served(service, now)
+        return outcome
+
+    def _exchange(self, peer, request):
+        pool = self._pool(peer.address)
+        left = request.deadline - time.monotonic()
+        conn = pool.acquire(request.idempotent, min(CONNECT_S, left))
+        if isinstance(conn, ConnectFailed):
+            return Declined(f"no connection ({conn.reason})")
+        left_ms = int((request.deadline - time.monotonic()) * MS_PER_S)
+        payload = encode_parts(
+            request.method,
+            request.path,
+            request.host,
+            [*request.headers, *request.head.headers()],
+            request.body,
+        )
+        if left_ms <= 0:
+            pool.release(conn)
+            return NotRunThere(Cause.DEADLINE, 0.0)
+        outcome = exchange(
+            conn,
+            request.method,
+            payload,
+            request.deadline,
+            self.max_answer,
+            link=self.link,
+        )
+        if not isinstance(outcome, Reply):
+            return _without_answer(outcome)
+        if conn.is_open:
+            pool.release(conn)
+        return _read_answer(outcome)
+
+    def _pool(self, address):
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = self._pools[address] = PeerRequestPool(
+                (host, int(port)), max_idle_s=MAX_IDLE_S, keys=self.keys
+            )
+        return pool
+
+    def _peers(self):
+        membership = self.cluster.membership
+        usable = {member.name for member in self.cluster.usable(time.monotonic())}
+        return [
+            Peer(
+                member.name,
+                member.zone,
+                member.peer_address,
+                self.cluster.spare_of(member.name) / FULL_SPARE,
+                member.name not in usable,
+            )
+            for member in membership.live()
+            if member.name != membership.me.name
+        ]
+
+    def close_unused(self) -> None:
+        """Close the connections to daemons that are no longer live."""
+        live = {peer.address for peer in self._peers()}
+        for address in [each for each in self._pools if each not in live]:
+            self._pools.pop(address).close()
+
+
+def _without_answer(outcome):
+    failure = outcome.failure
+    if describe_outcome(outcome).startswith("not sent"):
+        return Declined(f"not sent ({failure})")
+    return DetourLost(failure is Failure.TIMEOUT)
+
+
+def _read_answer(reply):
+    decision = reply.header(DECISION)
+    cleaned = attrs.evolve(reply, headers=without_detour_fields(reply.headers))
+    match decision:
+        case DetourDecision.RELAYED:
+            return Served(cleaned, by_target=True)
+        case DetourDecision.REJECTED:
+            return Served(cleaned, by_target=False)
+        case DetourDecision.NOT_RUN:
+            return NotRunThere(*_cause_of(reply))
+        case DetourDecision.UNKNOWN:
+            return UnknownThere(*_cause_of(reply))
+        case _:
+            # The peer turned the connection away before it read the request.
+            return Declined(reply.header(CAUSE) or f"status {reply.status}")
+
+
+def _cause_of(reply):
+    try:
+        cause = Cause(reply.header(CAUSE))
+    except ValueError:
+        # A peer of a later release may have other causes.
+        cause = Cause.RETRIES_EXHAUSTED
+    return cause, int(reply.header(RETRY_MS) or 0) / MS_PER_S
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -17,6 +17,7 @@
     FieldNames,
     RequestHead,
     answer_headers,
+    end_to_end_headers,
     read_request_head,
     without_identity,
 )
@@ -27,11 +28,16 @@
     ListenerLimits,
 )
 from cairnferry.entry.http._pipeline import CallerGone
-from cairnferry.entry.http._pipelined_server import PipelinedHandler, PipelinedServer
+from cairnferry.entry.http._pipelined_server import (
+    AdoptedServer,
+    PipelinedHandler,
+    PipelinedServer,
+)
 from cairnferry.entry.http._small_apps import JSON, TEXT, Page, PagesApp
 
 __all__ = [
     "ATTEMPT_HEADER",
+    "AdoptedServer",
     "AUTHORIZATION",
     "Answer",
     "BadDeadline",
@@ -53,6 +59,7 @@
     "TIMEOUT_HEADER",
     "WORKSPACE_HEADER",
     "answer_headers",
+    "end_to_end_headers",
     "not_run_answer",
     "problem_answer",
     "read_request_head",
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -151,6 +151,7 @@
     Cause.LIMIT_UNVERIFIED: "proxy_internal_error",
     Cause.BODIES_FULL: "connection_limit_reached",
     Cause.KEY_UNKNOWN: "http_request_denied",
+    Cause.UNREACHABLE: "destination_unavailable",
 }
 _NOT_RUN_STATUSES = {
     Cause.WORKSPACE_LIMIT: "429 Too Many Requests",
--- a/packages/entry/src/cairnferry/entry/http/_headers.py
+++ b/packages/entry/src/cairnferry/entry/http/_headers.py
@@ -139,6 +139,32 @@
     )
 
 
+def end_to_end_headers(
+    pairs: list[tuple[str, str]], timeout_ms: int, names: FieldNames = DEFAULT_FIELDS
+) -> list[tuple[str, str]]:
+    """Return the headers of a request for another daemon, with another time limit.
+
+    Parameters
+    ----------
+    pairs : list of (str, str)
+        Headers as the caller sent them.
+    timeout_ms : int
+        Time left in milliseconds.
+    names : FieldNames, optional
+        Names of the headers for the load balancer.
+    """
+    dropped = _connection_options(pairs)
+    excluded = {"host", "content-length", "expect", names.timeout}
+    kept = [
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in _HOP_BY_HOP
+        and name.lower() not in dropped
+        and name.lower() not in excluded
+    ]
+    return [*kept, (names.timeout, str(max(1, timeout_ms)))]
+
+
 def without_identity(
     pairs: list[tuple[str, str]], names: FieldNames = DEFAULT_FIELDS
 ) -> list[tuple[str, str]]:
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -335,3 +335,18 @@
         self.lookahead = Lookahead()
         self.link = link or Link()
         self.bodies = bodies or BodyBudget()
+
+
+class AdoptedServer(PipelinedServer):
+    """Serves connections that another listener has accepted and authenticated.
+
+    Its parameters are those of `PipelinedServer`; it does not listen on the address.
+    """
+
+    def finish(self, seconds: float) -> bool:
+        """Wait until no request is in progress; see `HttpServer.finish`."""
+        self.start_closing()
+        with gevent.Timeout(max(0.0, seconds), False):
+            while self.busy:
+                gevent.sleep(0.01)
+        return not self.busy
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -97,6 +97,8 @@
         Notes on requests that crashed targets.
     limits : NoteRegistry or None
         Notes on limits that targets advertise.
+    is_cut_off : callable
+        Returns whether this daemon reaches no target of some service that others reach.
     block_notes : callable
         Returns a note for each blocked request.
     listed : dict of str to ListedInstance
@@ -117,6 +119,7 @@
     confirmation: HeadConfirmation = attrs.field(factory=HeadConfirmation)
     suspicions: NoteRegistry | None = None
     limits: NoteRegistry | None = None
+    is_cut_off: Callable[[], bool] = lambda: False
     block_notes: Callable[[], list[Note]] = list
     listed: dict[str, ListedInstance] = attrs.field(factory=dict)
     tables: dict[str, SharedTable] = attrs.field(factory=dict)
@@ -180,8 +183,8 @@
         )
 
     def _own_spare(self, now):
-        """Return the spare capacity in thousandths, or STEER_AWAY if stale."""
-        if not self.is_up_to_date(now):
+        """Return the spare capacity in thousandths, or STEER_AWAY."""
+        if not self.is_up_to_date(now) or self.is_cut_off():
             return STEER_AWAY
         return int(self.spare() * FULL_SPARE)
 
@@ -293,7 +296,7 @@
 
     def _is_usable(self, member, now):
         if member.name == self.membership.me.name:
-            return self.is_up_to_date(now)
+            return self.is_up_to_date(now) and not self.is_cut_off()
         listed = self.listed.get(member.name)
         if listed is not None and listed.leaving:
             return False
--- a/packages/entry/src/cairnferry/entry/targets/_conventions.py
+++ b/packages/entry/src/cairnferry/entry/targets/_conventions.py
@@ -14,6 +14,7 @@
     TIMEOUT_HEADER,
     WORKSPACE_HEADER,
     RequestHead,
+    end_to_end_headers,
     read_request_head,
     without_identity,
 )
@@ -99,6 +100,19 @@
     def without_identity(self, pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return headers without credentials and without a claim of a workspace."""
 
+    def passed_on(
+        self, pairs: list[tuple[str, str]], timeout_ms: int
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request for another daemon, with another time limit.
+
+        Parameters
+        ----------
+        pairs : list of (str, str)
+            Headers as the caller sent them.
+        timeout_ms : int
+            Time left in milliseconds.
+        """
+
 
 class TargetConvention(typing.Protocol):
     """Header conventions between the daemon and its targets."""
@@ -162,6 +176,12 @@
         """Return headers without credentials and without a claim of a workspace."""
         return without_identity(pairs)
 
+    def passed_on(
+        self, pairs: list[tuple[str, str]], timeout_ms: int
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request for another daemon."""
+        return end_to_end_headers(pairs, timeout_ms)
+
 
 @attrs.frozen
 class DefaultTargetConvention:
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -36,6 +36,10 @@
 # Seconds' worth of the rate that may be spent at once, so that a burst of requests can
 # still check targets.
 BUDGET_BURST_S = 4.0
+# Targets checked together, and seconds between two such checks, while no path to a
+# service works.
+PATH_CHECKS = 3
+PATH_CHECK_INTERVAL_S = 0.2
 # Seconds for which a target gets no requests after another target answered at its
 # address.
 ADDRESS_REUSED_S = 30.0
@@ -85,6 +89,7 @@
         factory=lambda: TokenBucket(0.0, 0.0, time.monotonic())
     )
     _running: dict[str, _Check] = attrs.field(factory=dict)
+    _watched: set[str] = attrs.field(factory=set)
 
     def set_instances(self, instances: int, targets: int) -> None:
         """Update this instance's share of the check budget.
@@ -153,6 +158,36 @@
                 )
         runtime.log_path_changes()
 
+    def watch_paths(self, runtime: ServiceRuntime) -> None:
+        """Check targets of a service until a path to one of them works again.
+
+        Parameters
+        ----------
+        runtime : ServiceRuntime
+            Runtime of a service to which no path works.
+        """
+        name = runtime.policy.service.name
+        if name not in self._watched:
+            self._watched.add(name)
+            gevent.spawn(self._watch_paths, runtime, name)
+
+    def _watch_paths(self, runtime, name):
+        try:
+            start = 0
+            while runtime.policy.paths.broken_since is not None:
+                targets = runtime.policy.target_records()
+                if not targets:
+                    return
+                chosen = [
+                    targets[(start + step) % len(targets)]
+                    for step in range(min(PATH_CHECKS, len(targets)))
+                ]
+                start += len(chosen)
+                self.check_all(tuple(chosen), runtime)
+                gevent.sleep(PATH_CHECK_INTERVAL_S)
+        finally:
+            self._watched.discard(name)
+
     def _check(self, target, runtime):
         running = self._running.get(target.identity)
         if running is not None:
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -85,6 +85,8 @@
     target_advisories : Counter
         Advisories of targets by kind: back-off, leaving, or an advisory header that
         cannot be parsed.
+    detours : Counter
+        Requests passed on to peers, and received from them, by outcome.
     latency : dict of str to Durations
         Time from a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -105,6 +107,7 @@
     quarantine: collections.Counter = attrs.field(factory=collections.Counter)
     limits: collections.Counter = attrs.field(factory=collections.Counter)
     target_advisories: collections.Counter = attrs.field(factory=collections.Counter)
+    detours: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=_by_service)
     waits: dict[str, Durations] = attrs.field(factory=_by_service)
     store_era: int = 0
@@ -155,6 +158,7 @@
             "target_ends": dict(sorted(self.target_crashes.items())),
             "quarantine": dict(sorted(self.quarantine.items())),
             "limits": dict(sorted(self.limits.items())),
+            "detours": _joined_keys(self.detours),
             "target_words": dict(sorted(self.target_advisories.items())),
             "latency_us": {
                 service: durations.quantiles()
--- a/packages/peers/src/cairnferry/peers/__init__.py
+++ b/packages/peers/src/cairnferry/peers/__init__.py
@@ -9,6 +9,7 @@
     PermitReply,
     TableState,
 )
+from cairnferry.peers._request_pool import PeerRequestPool
 from cairnferry.peers._server import PeerHandler, PeerServer
 from cairnferry.peers._token_messages import (
     TokenQuery,
@@ -27,6 +28,7 @@
     "PeerHandler",
     "PeerLink",
     "PeerLinks",
+    "PeerRequestPool",
     "PeerServer",
     "PermitQuery",
     "PermitReply",
--- a/packages/peers/src/cairnferry/peers/_server.py
+++ b/packages/peers/src/cairnferry/peers/_server.py
@@ -10,7 +10,11 @@
 
 from cairnferry.coordination import DocumentNews, LogRow, TableUpdate
 from cairnferry.peers._generated.peer import Peer
-from cairnferry.peers._handshake import HandshakeFailed, authenticate_client
+from cairnferry.peers._handshake import (
+    REQUESTS,
+    HandshakeFailed,
+    authenticate_client,
+)
 from cairnferry.peers._keys import KeyFileFault, KeyRing
 from cairnferry.peers._messages import (
     Heartbeat,
@@ -42,6 +46,9 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 120.0
 MAX_CONNECTIONS = 512
+# Those of them that may carry requests of callers. The rest is for calls, without which
+# peers would consider this daemon lost.
+MAX_REQUEST_CONNECTIONS = 256
 # Leaves space in a frame for the Thrift envelope of the list of rows.
 MAX_PULL_BYTES = MAX_FRAME_BYTES // 2
 
@@ -141,6 +148,9 @@
     ----------
     connections : int
         Open connections.
+    on_requests : callable or None
+        Serves a connection on which a peer passes requests of callers on, given its
+        socket and address; None if they are not served here.
     """
 
     def __init__(self, address, handler: PeerHandler, keys: KeyRing, meter: ByteMeter):
@@ -150,6 +160,8 @@
         self._meter = meter
         self._server = StreamServer(address, self._serve, spawn=MAX_CONNECTIONS)
         self.connections = 0
+        self.on_requests = None
+        self._request_connections = 0
 
     @property
     def port(self) -> int:
@@ -169,7 +181,10 @@
         sock.settimeout(HANDSHAKE_TIMEOUT_S)
         self.connections += 1
         try:
-            authenticate_client(sock, self._keys)
+            protocol = authenticate_client(sock, self._keys)
+            if protocol == REQUESTS:
+                self._serve_requests(sock, address)
+                return
             sock.settimeout(IDLE_TIMEOUT_S)
             self._process(framed(SocketTransport(sock, self._meter)))
         except HandshakeFailed as exc:
@@ -192,6 +207,19 @@
             self.connections -= 1
             sock.close()
 
+    def _serve_requests(self, sock, address):
+        if self.on_requests is None:
+            return
+        if self._request_connections >= MAX_REQUEST_CONNECTIONS:
+            log.warning("too many peers pass requests on", extra={"peer": address[0]})
+            return
+        self._request_connections += 1
+        try:
+            sock.settimeout(None)
+            self.on_requests(sock, address)
+        finally:
+            self._request_connections -= 1
+
     def _process(self, transport):
         protocol = self._factory.getProtocol(transport)
         while True:
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -25,7 +25,7 @@
     Strategy,
     TwoChoices,
 )
-from cairnferry.policy.paths import PathChange, ServicePaths
+from cairnferry.policy.paths import PathChange, Peer, PeerChoice, ServicePaths
 from cairnferry.policy.requests import (
     Answered,
     Attempt,
@@ -132,6 +132,8 @@
     "AdvertisedLimit",
     "NotRun",
     "PathChange",
+    "Peer",
+    "PeerChoice",
     "Pause",
     "Permit",
     "PermitSchedule",
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -150,6 +150,7 @@
             case Answered() | TargetRefused():
                 self.paths.note_answer(identity, now)
             case NotRun(deadline=False, withdrawn=False):
+                attempt.call.is_unreached = True
                 self.paths.note_no_answer(identity, attempt.started)
             case Lost(timed_out=timed_out, broken=broken) if timed_out or broken:
                 self.paths.note_no_answer(identity, attempt.started)
@@ -384,6 +385,14 @@
 
     # -- attempts --------------------------------------------------------------
 
+    def spend_retry(self, now: float) -> bool:
+        """Spend a token of the retry budget; return whether there was one.
+
+        A request that may have run at a target and is passed on to a peer arrives at
+        a second target.
+        """
+        return self._spend(now)
+
     def refuse_with_delay(self, cause: Cause, retry_after: float) -> Refuse:
         """Refuse a request for a cause outside of this service."""
         return self._refusals.refuse_with_delay(cause, retry_after)
--- a/packages/policy/src/cairnferry/policy/_service_state.py
+++ b/packages/policy/src/cairnferry/policy/_service_state.py
@@ -85,9 +85,13 @@
         self.service = service
         self._budget.update(service, self.settings, self._instances)
         self._targets.update(targets, now)
-        self.paths.targets = len(targets)
+        self.paths.keep_only({target.identity for target in targets})
         self._capacity.set_slots(sum(target.slots for target in targets), is_new)
 
+    def target_records(self) -> list[Target]:
+        """Return the records of all targets."""
+        return [target.record for target in self._targets]
+
     def evacuate(self, zones: frozenset[str]) -> None:
         """Set the evacuated availability zones; their targets get no requests."""
         self._targets.evacuate(zones)
--- a/packages/policy/src/cairnferry/policy/paths/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/paths/_evidence.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Collection
 
 import attrs
 
@@ -16,6 +17,9 @@
 # Seconds without an answer from any target before that. It exceeds the usual time
 # between two answers, so that some targets that crash together do not count as all.
 MIN_QUIET_S = 0.15
+# Share of the targets that do not answer from which the paths count as impaired: other
+# daemons may reach targets with room that this one does not.
+IMPAIRED_SHARE = 0.25
 
 
 @attrs.frozen
@@ -53,6 +57,7 @@
     answered_at: float = -math.inf
     broken_since: float | None = None
     _unanswered: dict[str, float] = attrs.field(factory=dict)
+    _silent: set[str] = attrs.field(factory=set)
     _changes: list[PathChange] = attrs.field(factory=list)
 
     def note_answer(self, target: str, now: float) -> None:
@@ -67,6 +72,7 @@
         """
         self.answered_at = now
         self._unanswered.clear()
+        self._silent.discard(target)
         if self.broken_since is not None:
             inputs = {"after_s": round(now - self.broken_since, 3), "target": target}
             self._changes.append(PathChange(True, inputs))
@@ -83,6 +89,7 @@
             Time in seconds at which the exchange began. One that began before the last
             answer of any target says nothing about the time since.
         """
+        self._silent.add(target)
         if began >= self.answered_at:
             self._unanswered.setdefault(target, began)
 
@@ -114,6 +121,17 @@
         )
         return True
 
+    def are_impaired(self) -> bool:
+        """Return whether a large part of the targets do not answer this daemon."""
+        return len(self._silent) >= max(1.0, IMPAIRED_SHARE * self.targets)
+
+    def keep_only(self, targets: Collection[str]) -> None:
+        """Set the targets of the service, and forget all others."""
+        self.targets = len(targets)
+        self._silent.intersection_update(targets)
+        for name in self._unanswered.keys() - set(targets):
+            del self._unanswered[name]
+
     def take_changes(self) -> list[PathChange]:
         """Return the changes since the last call, and remove them."""
         taken, self._changes = self._changes, []
@@ -127,4 +145,5 @@
             "broken_s": None if broken is None else round(now - broken, 3),
             "quiet_s": None if math.isinf(quiet) else round(quiet, 3),
             "unanswered": sorted(self._unanswered),
+            "silent": sorted(self._silent),
         }
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -26,6 +26,7 @@
     LIMIT_UNVERIFIED = "limit-unverified"
     BODIES_FULL = "bodies-full"
     KEY_UNKNOWN = "key-unknown"
+    UNREACHABLE = "targets-unreachable"
 
 
 class AttemptKind(enum.StrEnum):
@@ -77,6 +78,12 @@
         Name of the caller's workspace; empty if it has none.
     spent : float
         Seconds that the caller has spent on earlier attempts; 0 if not known.
+    is_unreached : bool
+        Whether the connection for an attempt could not be opened.
+    detours : list of str
+        Peers that were asked to serve the request, each with its answer, for the log.
+    received_from : str
+        Name of the peer that passed the request on; empty if a caller sent it.
     """
 
     arrived: float
@@ -97,6 +104,9 @@
     is_trial: bool = False
     workspace: str = ""
     spent: float = 0.0
+    is_unreached: bool = False
+    detours: list[str] = attrs.field(factory=list)
+    received_from: str = ""
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the objective, counted from the first attempt, has passed."""
--- a/packages/wire/src/cairnferry/wire/__init__.py
+++ b/packages/wire/src/cairnferry/wire/__init__.py
@@ -21,7 +21,12 @@
 from cairnferry.wire._link import Link
 from cairnferry.wire._pool import ConnectionPool
 from cairnferry.wire._request import HeaderInvalid, encode_parts, encode_request
-from cairnferry.wire._sockets import is_quiet, refuse_connections, set_no_delay
+from cairnferry.wire._sockets import (
+    enable_keepalive,
+    is_quiet,
+    refuse_connections,
+    set_no_delay,
+)
 
 __all__ = [
     "BODILESS_STATUSES",
@@ -39,6 +44,7 @@
     "Reply",
     "connect",
     "describe_outcome",
+    "enable_keepalive",
     "encode_parts",
     "encode_request",
     "exchange",
--- a/tests/policy/paths/test_evidence.py
+++ b/tests/policy/paths/test_evidence.py
@@ -72,5 +72,26 @@
     assert paths.snapshot(2.0)["quiet_s"] is None
 
 
+def test_paths_are_impaired_while_many_targets_do_not_answer():
+    paths = paths_with(targets=8)
+    paths.note_no_answer("t1", 10.1)
+    assert not paths.are_impaired()
+    paths.note_no_answer("t2", 10.1)
+    assert paths.are_impaired()
+    paths.note_answer("t0", 10.2)
+    assert paths.are_impaired()
+    paths.note_answer("t1", 10.3)
+    assert not paths.are_impaired()
+
+
+def test_targets_that_are_gone_do_not_impair_paths():
+    """Guards against requests that are passed on for targets that were replaced."""
+    paths = paths_with(targets=8)
+    miss(paths, 4, began=10.1)
+    paths.keep_only({"t4", "t5", "t6", "t7"})
+    assert not paths.are_impaired()
+    assert not paths.are_broken(12.0)
+
+
 def test_a_service_without_targets_has_no_broken_paths():
     assert not ServicePaths().are_broken(5.0)
