A partition by reset is no crash of the targets

An instance whose connections to the targets were reset, and whose new ones were refused, reported each broken connection as a crash of its target. Three of them under the same request block it at all instances.

Cause: the presence check asks the one target alone, so that a lost path looks like a target that is gone.

Change: if a target seems to have crashed, two others of the service are checked as well over new connections. If both fail too, nothing is reported.

The checks of paths end after 30 s without an answer, so that those of a service that was removed do not last; no connection is looked for in calm.

--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -286,7 +286,11 @@
             case Lost(broken=True):
                 service = runtime.policy.service.name
                 checked = self.crash_detector.note_broken_connection(
-                    attempt, call.identity, req.head.request_id, service
+                    attempt,
+                    call.identity,
+                    req.head.request_id,
+                    service,
+                    runtime.policy.target_records(),
                 )
                 is_suspicious = call.is_suspect or len(call.attempts) > 1
                 if is_suspicious and runtime.policy.allows_attempt(call):
--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -264,6 +264,8 @@
 
     def close_unused(self) -> None:
         """Close the connections to daemons that are no longer live."""
+        if not self._pools:
+            return
         live = {peer.address for peer in self._peers()}
         for address in [each for each in self._pools if each not in live]:
             self._pools.pop(address).close()
--- a/packages/entry/src/cairnferry/entry/targets/_crash_detector.py
+++ b/packages/entry/src/cairnferry/entry/targets/_crash_detector.py
@@ -2,9 +2,10 @@
 
 import logging
 import math
+import random
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 import gevent
@@ -13,6 +14,7 @@
 from cairnferry.entry.targets._upstreams import Presence, Upstreams
 from cairnferry.entry.telemetry import Metrics, RateLimit
 from cairnferry.policy import SAME_CRASH_S, Attempt, RequestIdentity
+from cairnferry.records import Target
 
 # Seconds for one presence check of a target whose connection broke. A healthy target
 # answers in about 6 ms, and the port of a crashed target refuses immediately. A target
@@ -22,6 +24,9 @@
 # crashed target break some time after the first one. This is several times the number
 # of targets of a large installation.
 MAX_KNOWN_CRASHES = 1024
+# Number of other targets of the service that are checked as well if a target seems to
+# have crashed.
+OTHERS_CHECKED = 2
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +69,7 @@
 class _PresenceCheck:
     """A running presence check and the requests that depend on its result."""
 
+    others: Sequence[Target] = ()
     requests: list[InterruptedRequest] = attrs.field(factory=list)
     done: Event = attrs.field(factory=Event)
 
@@ -74,7 +80,8 @@
 
     A target that drops a request or sends a broken answer continues to serve. A target
     that is leaving terminates whatever request it runs. If either counted as a crash,
-    harmless requests would become suspects.
+    harmless requests would become suspects. If this daemon has lost its paths to the
+    targets, its connections to other ones fail too, and that says nothing of any.
 
     Parameters
     ----------
@@ -102,6 +109,7 @@
         identity: RequestIdentity,
         request_id: str | None,
         service: str,
+        others: Sequence[Target] = (),
     ) -> Event | None:
         """Record that the target broke the connection on which a request ran.
 
@@ -115,6 +123,8 @@
             ID that the caller assigned to the request.
         service : str
             Service of the target.
+        others : sequence of Target, optional
+            Targets of the service.
 
         Returns
         -------
@@ -133,7 +143,7 @@
             return None
         check = self._presence_checks.get(target.identity)
         if check is None:
-            check = self._presence_checks[target.identity] = _PresenceCheck()
+            check = self._presence_checks[target.identity] = _PresenceCheck(others)
             gevent.spawn(self._check_presence, target.record, check)
         check.requests.append(interrupted)
         return check.done
@@ -158,7 +168,12 @@
     def _check_presence(self, record, check):
         try:
             presence = self.upstreams.check_presence(record, PRESENCE_TIMEOUT_S)
-            if presence in _CRASHED:
+            if presence in _CRASHED and self._are_paths_lost(record, check.others):
+                log.info(
+                    "connections to several targets fail",
+                    extra={"service": record.service, "target": record.name},
+                )
+            elif presence in _CRASHED:
                 self._remember(record.identity)
                 self.metrics.target_crashes[record.service] += 1
                 self._report(check.requests, str(presence))
@@ -166,6 +181,22 @@
             del self._presence_checks[record.identity]
             check.done.set()
 
+    def _are_paths_lost(self, record, others):
+        """Return whether other targets are not reached over new connections either."""
+        candidates = [
+            each
+            for each in others
+            if each.identity != record.identity
+            and each.identity not in self._crashed_at
+        ]
+        chosen = random.sample(candidates, min(OTHERS_CHECKED, len(candidates)))
+        checks = [
+            gevent.spawn(self.upstreams.check_presence, each, PRESENCE_TIMEOUT_S)
+            for each in chosen
+        ]
+        found = [check.get() for check in checks]
+        return bool(found) and all(each in _CRASHED for each in found)
+
     def _remember(self, identity):
         self._crashed_at[identity] = time.monotonic()
         self._crashed_at.move_to_end(identity)
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -40,6 +40,8 @@
 # service works.
 PATH_CHECKS = 3
 PATH_CHECK_INTERVAL_S = 0.2
+# Seconds after which such checks end; the next request to the service starts them again.
+MAX_PATH_WATCH_S = 30.0
 # Seconds for which a target gets no requests after another target answered at its
 # address.
 ADDRESS_REUSED_S = 30.0
@@ -174,7 +176,9 @@
     def _watch_paths(self, runtime, name):
         try:
             start = 0
-            while runtime.policy.paths.broken_since is not None:
+            end = self.clock() + MAX_PATH_WATCH_S
+            paths = runtime.policy.paths
+            while paths.broken_since is not None and self.clock() < end:
                 targets = runtime.policy.target_records()
                 if not targets:
                     return
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -1,6 +1,7 @@
 """Requests that a daemon without paths to the targets passes on to a peer."""
 
 import contextlib
+import socket
 
 import gevent
 import pytest
@@ -272,3 +273,25 @@
         answer = conn.sock.recv(100)
     assert answer == b""
     conn.close()
+
+
+def test_reset_connections_and_refused_ones_are_no_crashes(
+    daemons, cut, refusing_address, targets
+):
+    """Guards against requests that all daemons block after a partition of one."""
+    daemon = daemons[0]
+    hold(targets)
+    callers = [
+        gevent.spawn(daemon.call, request_id=f"order-{number}", **ORDER)
+        for number in range(4)
+    ]
+    wait_for(lambda: sum(len(runs(targets, f"order-{n}")) for n in range(4)) == 4)
+    cut(daemon, refusing_address)
+    for target in targets:
+        for sock in list(target._socks):
+            sock.shutdown(socket.SHUT_RDWR)
+    gevent.joinall(callers)
+    detector = daemon.core.crash_detector
+    wait_for(lambda: not detector._presence_checks)
+    assert daemon.core.metrics.target_crashes["svc"] == 0
+    assert not daemon.core.guard.snapshot()
