--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -40,7 +40,7 @@
 # service works.
 PATH_CHECKS = 3
 PATH_CHECK_INTERVAL_S = 0.2
-# Seconds after which such checks end; the next request to the service starts them again.
+# Seconds after which such checks end; the next request starts them again.
 MAX_PATH_WATCH_S = 30.0
 # Seconds for which a target gets no requests after another target answered at its
 # address.
