A peer that reaches a part of the targets only declines what it has no room for

If an instance lost all but a few targets, its callers were refused with 'overload': the rest of the targets was full, and of the peers that it asked many were in the same state and said that there was no room. One such answer ended all detours of that service for 0.3 s.

Change: a peer that does not reach a quarter of the targets itself declines a request that finds no room there, and another one is asked. The directory names such an instance last while peers serve what it refuses.

--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -14,8 +14,6 @@
     "in force",
     "rules cannot be read",
     "targets",
-    "no target reachable",
-    "targets reachable",
     "target silent",
     "target heard again",
     "target ejected",
@@ -48,6 +46,9 @@
 # Messages on zones that operators evacuated or restored. They show which targets were
 # not available to a request.
 ZONE_MESSAGES = ("zone evacuated", "zone restored")
+# Messages on the paths of an instance to the targets of a service. They are in effect
+# until the next one.
+PATH_MESSAGES = ("no target reachable", "targets reachable")
 # Cause in the line of a request for which all targets were throttled by their limits.
 THROTTLED_CAUSE = "target-limit"
 # Cause in the line of a request for which all targets were backing off.
@@ -196,6 +197,7 @@
     digests = set().union(*(line.digests() for line in own))
     targets = set().union(*(_targets_of(line) for line in own))
     causes = {line.fields.get("cause") for line in own}
+    services = {line.fields.get("service") for line in own}
     begin = min(_arrival_time(line) for line in own) - timedelta(seconds=before_s)
     end = max(line.time for line in own)
 
@@ -208,6 +210,8 @@
             return line.request_id == request_id
         if line.message in ZONE_MESSAGES:
             return line.time <= end
+        if line.message in PATH_MESSAGES:
+            return line.time <= end and line.fields.get("service") in services
         for cause, messages in MESSAGES_BY_CAUSE.items():
             if line.message in messages and line.time <= end:
                 # Include lines of any age. If all targets were throttled or backing
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -284,10 +284,22 @@
         self._request_log.note_answered(
             runtime.policy, call, forwarded, head.request_id
         )
-        return self.finish_answer(forwarded, head)
+        return self.finish_answer(forwarded, head, runtime)
 
-    def finish_answer(self, forwarded: Forwarded, head: RequestHead) -> Answer:
-        """Return the answer to write, given the result and the head of a request."""
+    def finish_answer(
+        self, forwarded: Forwarded, head: RequestHead, runtime: ServiceRuntime
+    ) -> Answer:
+        """Return the answer to write.
+
+        Parameters
+        ----------
+        forwarded : Forwarded
+            Result of the request.
+        head : RequestHead
+            Head of the request.
+        runtime : ServiceRuntime
+            Runtime of its service.
+        """
         if isinstance(forwarded.decision, Relay):
             return forwarded.answer
         local_headers = self.convention.local_answer_headers(head)
--- a/packages/entry/src/cairnferry/entry/callers/_detour_app.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detour_app.py
@@ -5,7 +5,10 @@
 import attrs
 
 from cairnferry.entry.callers._callers import CallersApp
-from cairnferry.entry.callers._detouring_forwarder import unreachable
+from cairnferry.entry.callers._detouring_forwarder import (
+    CAUSES_OF_LOST_PATHS,
+    unreachable,
+)
 from cairnferry.entry.detours import (
     DetourDecision,
     decision_headers,
@@ -76,9 +79,15 @@
         self.checks.watch_paths(runtime)
         return True
 
-    def finish_answer(self, forwarded, head):
+    def _may_fit_elsewhere(self, cause, runtime):
+        """Return whether another peer may serve a request that is refused here."""
+        if cause in CAUSES_OF_LOST_PATHS:
+            return runtime.policy.paths.are_impaired()
+        return cause is Cause.UNREACHABLE
+
+    def finish_answer(self, forwarded, head, runtime):
         """Add the decision, for the peer."""
-        answer = super().finish_answer(forwarded, head)
+        answer = super().finish_answer(forwarded, head, runtime)
         match forwarded.decision:
             case Relay():
                 headers = decision_headers(DetourDecision.RELAYED)
@@ -86,7 +95,7 @@
                 kind = DetourDecision.NOT_RUN
                 if isinstance(decision, GiveUp):
                     kind = DetourDecision.UNKNOWN
-                elif decision.cause is Cause.UNREACHABLE:
+                elif self._may_fit_elsewhere(decision.cause, runtime):
                     kind = DetourDecision.DECLINED
                 headers = decision_headers(kind, decision.cause, decision.retry_after)
         self.metrics.detours["received", headers[0][1]] += 1
--- a/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
@@ -29,8 +29,10 @@
 
 # Maximum number of peers that are asked for one request.
 MAX_PEERS = 8
-# Causes of refusals for which a target may have been unreachable from here alone.
-_LOCAL_CAUSES = frozenset([Cause.RETRIES_EXHAUSTED, Cause.NO_TARGET])
+# Causes of refusals that follow if a daemon reaches a part of the targets only.
+CAUSES_OF_LOST_PATHS = frozenset(
+    [Cause.OVERLOAD, Cause.RETRIES_EXHAUSTED, Cause.NO_TARGET]
+)
 
 
 def unreachable(retry_after: float = UNREACHABLE_RETRY_S) -> Forwarded:
@@ -114,7 +116,7 @@
                 is_impaired = runtime.policy.paths.are_impaired()
                 return is_impaired and self.detours.choice.may_have_room(service, now)
             case Refuse(cause=cause):
-                return call.is_unreached and cause in _LOCAL_CAUSES
+                return call.is_unreached and cause in CAUSES_OF_LOST_PATHS
             case GiveUp(cause=Cause.UNREACHABLE):
                 return call.idempotent
         return False
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -388,10 +388,10 @@
             self.workspace_limits.maintain()
 
     def _is_cut_off(self):
-        """Return whether peers serve a service to which no path from here works."""
+        """Return whether peers serve requests whose targets this daemon lacks."""
         now = time.monotonic()
         return any(
-            runtime.policy.paths.broken_since is not None
+            runtime.policy.paths.are_impaired()
             and self.detours.choice.is_served_elsewhere(name, now)
             for name, runtime in self.services.active().items()
         )
--- a/packages/policy/src/cairnferry/policy/paths/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/paths/_evidence.py
@@ -74,7 +74,7 @@
         self._unanswered.clear()
         self._silent.discard(target)
         if self.broken_since is not None:
-            inputs = {"after_s": round(now - self.broken_since, 3), "target": target}
+            inputs = {"after_s": round(now - self.broken_since, 3), "by": target}
             self._changes.append(PathChange(True, inputs))
             self.broken_since = None
 
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -295,3 +295,19 @@
     wait_for(lambda: not detector._presence_checks)
     assert daemon.core.metrics.target_crashes["svc"] == 0
     assert not daemon.core.guard.snapshot()
+
+
+def test_peer_that_reaches_full_targets_only_declines(
+    daemons, cut, cut_off, silent_address, targets
+):
+    """Guards against a refusal by a peer that is partly cut off itself."""
+    partly = daemons[1]
+    full, *_ = targets
+    cut(partly, silent_address)
+    pools = partly.core.upstreams._pools
+    for target in targets:
+        pools.get((target.name, (HOST, target.port)))
+    pools[full.name, (HOST, full.port)] = ConnectionPool((HOST, full.port))
+    full.load = "4,9,4,100"
+    call_often(partly, 10, deadline_ms=1_000)
+    assert served(call_often(cut_off, deadline_ms=1_000, **ORDER)) == 20
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -264,3 +264,21 @@
     (sentence,) = sentences(lines)
     assert "front-1 reached no daemon that counts the requests" in sentence
     assert "nothing says that the workspace was over its limit" in sentence
+
+
+def test_a_detour_is_explained_by_the_lines_of_both_instances():
+    """Guards against a request whose way over a second instance leaves no trace."""
+    served = {"request_id": ID, "service": "svc", "attempts": [], "asked": []}
+    texts = [
+        line(1.0, "no target reachable", service="svc", unanswered=["t1"]),
+        line(1.1, "no target reachable", service="other", unanswered=["t2"]),
+        line(1.2, "no target reachable", "front-3", service="svc", unanswered=["t1"]),
+        line(9.0, "request from a peer", "front-2", received_from="front-1", **served),
+        line(9.1, "request passed on", passed_on=["front-2 Served"], **served),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [(each.message, each.instance) for each in lines] == [
+        ("no target reachable", "front-1"),
+        ("request from a peer", "front-2"),
+        ("request passed on", "front-1"),
+    ]
