Detours end sooner: lost peers, shortages, and the end of a partition

- A daemon that has lost its targets and its peers tried one peer after the other, 0.25 s each.
It gives up after two connections that do not open, and leaves such a peer out for 2 s, for all services.
- Requests without room, at a daemon that misses a quarter of the targets, were passed on every 0.3 s in a shortage for all, to up to eight peers that each check targets.
Two are asked, and the pause doubles up to 2.4 s until a peer serves one.
- After a partition only the target that answered first was used, as checks of the others were suspended for up to 2.4 s.
The first answer lifts that.

Each has a test that failed before or cannot pass without the change.

--- a/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
@@ -17,6 +17,7 @@
     DetourLost,
     DetourOutcome,
     DetourRequest,
+    NoConnection,
     NotRunThere,
     Served,
     UnknownThere,
@@ -27,8 +28,11 @@
 from cairnferry.policy import Call, Cause, GiveUp, Refuse, Relay
 from cairnferry.records import Workspace
 
-# Maximum number of peers that are asked for one request.
+# Maximum number of peers that are asked for one request; for one that found no room
+# here; and of those to which no connection can be opened.
 MAX_PEERS = 8
+MAX_PEERS_FOR_ROOM = 2
+MAX_UNCONNECTED = 2
 # Causes of refusals that follow if a daemon reaches a part of the targets only.
 CAUSES_OF_LOST_PATHS = frozenset(
     [Cause.OVERLOAD, Cause.RETRIES_EXHAUSTED, Cause.NO_TARGET]
@@ -105,8 +109,20 @@
         if not self._needs_detour(forwarded.decision, call, runtime):
             return forwarded
         self._watch(runtime)
+        if forwarded.decision.cause is Cause.OVERLOAD:
+            return self._look_for_room(req, call, runtime, build_detour, forwarded)
         return self._pass_on(req, call, runtime, build_detour) or forwarded
 
+    def _look_for_room(self, req, call, runtime, build_detour, refused):
+        """Pass on a request that found no room here; return its refusal if none has."""
+        passed = self._pass_on(req, call, runtime, build_detour, MAX_PEERS_FOR_ROOM)
+        match passed and passed.decision:
+            case None | Refuse(cause=Cause.UNREACHABLE | Cause.OVERLOAD):
+                service = runtime.policy.service.name
+                self.detours.choice.note_full(service, time.monotonic())
+                return refused
+        return passed
+
     def _needs_detour(self, decision, call, runtime):
         match decision:
             case Refuse(cause=Cause.UNREACHABLE):
@@ -130,13 +146,17 @@
             self.checks.watch_paths(runtime)
         return True
 
-    def _pass_on(self, req, call, runtime, build_detour):
+    def _pass_on(self, req, call, runtime, build_detour, max_peers=MAX_PEERS):
         """Pass a request on; return None if there is no peer at all."""
         if not self.detours.has_peers():
             return None
         service = runtime.policy.service.name
-        tried = set()
-        while len(tried) < MAX_PEERS and time.monotonic() < call.deadline:
+        tried, unconnected = set(), 0
+        while (
+            len(tried) < max_peers
+            and unconnected < MAX_UNCONNECTED
+            and time.monotonic() < call.deadline
+        ):
             peer = self.detours.next_peer(service, tried)
             if peer is None:
                 break
@@ -146,6 +166,7 @@
                 raise BadRequest(problem, call.workspace)
             outcome = self.detours.send(peer, build_detour(), service)
             self._note(call, peer, outcome)
+            unconnected += isinstance(outcome, NoConnection)
             forwarded = self._conclude(outcome, call, runtime)
             if forwarded is not None:
                 return forwarded
@@ -166,7 +187,7 @@
                 return _not_run(call, cause, retry_after)
             case UnknownThere(cause, retry_after):
                 return _unknown(cause, retry_after)
-            case Declined():
+            case Declined() | NoConnection():
                 return None
             case DetourLost(timed_out):
                 call.possibly_run = True
--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -19,9 +19,10 @@
 from cairnferry.wire import (
     ConnectFailed,
     Failure,
+    Incomplete,
     Link,
+    NotSent,
     Reply,
-    describe_outcome,
     encode_parts,
     exchange,
 )
@@ -126,6 +127,19 @@
     reason: str
 
 
+@attrs.frozen
+class NoConnection:
+    """No connection to the peer could be opened.
+
+    Attributes
+    ----------
+    reason : str
+        Reason, for the log.
+    """
+
+    reason: str
+
+
 @attrs.frozen
 class DetourLost:
     """The request was sent, and no complete answer was received.
@@ -139,7 +153,9 @@
     timed_out: bool
 
 
-DetourOutcome = Served | NotRunThere | UnknownThere | Declined | DetourLost
+DetourOutcome = (
+    Served | NotRunThere | UnknownThere | Declined | NoConnection | DetourLost
+)
 
 
 @attrs.define
@@ -201,8 +217,8 @@
         match outcome:
             case Declined():
                 self.choice.note_declined(service, peer, now)
-            case NotRunThere(cause=Cause.OVERLOAD):
-                self.choice.note_full(service, now)
+            case NoConnection():
+                self.choice.note_unconnected(peer, now)
             case Served(by_target=True):
                 self.choice.note_served(service, now)
         return outcome
@@ -210,10 +226,6 @@
     def _exchange(self, peer, request):
         pool = self._pool(peer.address)
         left = request.deadline - time.monotonic()
-        conn = pool.acquire(request.idempotent, min(CONNECT_S, left))
-        if isinstance(conn, ConnectFailed):
-            return Declined(f"no connection ({conn.reason})")
-        left_ms = int((request.deadline - time.monotonic()) * MS_PER_S)
         payload = encode_parts(
             request.method,
             request.path,
@@ -221,9 +233,9 @@
             [*request.headers, *request.head.headers()],
             request.body,
         )
-        if left_ms <= 0:
-            pool.release(conn)
-            return NotRunThere(Cause.DEADLINE, 0.0)
+        conn = pool.acquire(request.idempotent, min(CONNECT_S, left))
+        if isinstance(conn, ConnectFailed):
+            return NoConnection(conn.reason)
         outcome = exchange(
             conn,
             request.method,
@@ -232,8 +244,11 @@
             self.max_answer,
             link=self.link,
         )
-        if not isinstance(outcome, Reply):
-            return _without_answer(outcome)
+        match outcome:
+            case NotSent():
+                return NotRunThere(Cause.DEADLINE, 0.0)
+            case Incomplete(failure):
+                return DetourLost(failure is Failure.TIMEOUT)
         if conn.is_open:
             pool.release(conn)
         return _read_answer(outcome)
@@ -271,13 +286,6 @@
             self._pools.pop(address).close()
 
 
-def _without_answer(outcome):
-    failure = outcome.failure
-    if describe_outcome(outcome).startswith("not sent"):
-        return Declined(f"not sent ({failure})")
-    return DetourLost(failure is Failure.TIMEOUT)
-
-
 def _read_answer(reply):
     decision = reply.header(DECISION)
     cleaned = attrs.evolve(reply, headers=without_detour_fields(reply.headers))
--- a/packages/entry/src/cairnferry/entry/targets/_status_checks.py
+++ b/packages/entry/src/cairnferry/entry/targets/_status_checks.py
@@ -226,7 +226,7 @@
             paths.note_no_answer(check.target.identity, check.started)
             return
         was_broken = paths.broken_since is not None
-        paths.note_answer(check.target.identity, self.clock())
+        runtime.policy.note_answer(check.target.identity, self.clock())
         if was_broken:
             runtime.log_path_changes()
 
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -148,7 +148,7 @@
         identity = attempt.target.identity
         match result:
             case Answered() | TargetRefused():
-                self.paths.note_answer(identity, now)
+                self.note_answer(identity, now)
             case NotRun(deadline=False, withdrawn=False):
                 attempt.call.is_unreached = True
                 self.paths.note_no_answer(identity, attempt.started)
--- a/packages/policy/src/cairnferry/policy/_service_state.py
+++ b/packages/policy/src/cairnferry/policy/_service_state.py
@@ -140,6 +140,24 @@
         """Record that a target did not respond to a status check in time."""
         self._targets.note_missed_check(identity, now)
 
+    def note_answer(self, identity: str, now: float) -> None:
+        """Record that a target sent an answer of any kind.
+
+        If it is the first one after the paths to all targets were broken, the others
+        are checked again without delay.
+
+        Parameters
+        ----------
+        identity : str
+            Identity of one run of the target's process.
+        now : float
+            Time in seconds.
+        """
+        were_broken = self.paths.broken_since is not None
+        self.paths.note_answer(identity, now)
+        if were_broken:
+            self._targets.resume_checks()
+
     def note_warmup(self, identity: str, warm_at: float) -> None:
         """Set the time in seconds up to which a cold target warms up and is slow."""
         self._targets.note_warmup(identity, warm_at)
--- a/packages/policy/src/cairnferry/policy/paths/_evidence.py
+++ b/packages/policy/src/cairnferry/policy/paths/_evidence.py
@@ -77,6 +77,8 @@
             inputs = {"after_s": round(now - self.broken_since, 3), "by": target}
             self._changes.append(PathChange(True, inputs))
             self.broken_since = None
+            # What did not answer before says nothing of the paths that work again.
+            self._silent.clear()
 
     def note_no_answer(self, target: str, began: float) -> None:
         """Record that a target did not answer: silence, a refusal or a reset.
--- a/packages/policy/src/cairnferry/policy/paths/_peer_choice.py
+++ b/packages/policy/src/cairnferry/policy/paths/_peer_choice.py
@@ -6,14 +6,17 @@
 
 import attrs
 
-# Seconds for which a peer that reaches no target either, or that does not answer, is
-# not asked again. A partition of it may end at any time.
+# Seconds for which a peer that reaches no target either is not asked again for the
+# service. A partition of it may end at any time.
 DECLINED_S = 0.5
+# Seconds for which a peer to which no connection could be opened is not asked again.
+UNCONNECTED_S = 2.0
 # Seconds for which a peer that served a request shows that the service is reachable.
 SERVED_S = 2.0
-# Seconds for which no further request that found no room here is passed on, after a
-# peer found none either.
+# Seconds for which no further request that found no room here is passed on, after no
+# peer found any either, and how often that is doubled if it happens again.
 FULL_S = 0.3
+MAX_FULL_DOUBLINGS = 3
 # Weight of a peer of the own availability zone, relative to one of another zone.
 NEAR_WEIGHT = 3.0
 # Factor of a peer's weight for each other one of its zone that has declined lately: a
@@ -66,6 +69,8 @@
     _declined: dict[tuple[str, str], tuple[float, str]] = attrs.field(factory=dict)
     _served_at: dict[str, float] = attrs.field(factory=dict)
     _full_until: dict[str, float] = attrs.field(factory=dict)
+    _full_times: Counter = attrs.field(factory=Counter)
+    _unconnected: dict[str, float] = attrs.field(factory=dict)
 
     def choose(
         self, service: str, peers: list[Peer], tried: set[str], now: float
@@ -88,7 +93,8 @@
         zones = Counter(
             zone for (kind, _), (_, zone) in self._declined.items() if kind == service
         )
-        left = [p for p in peers if p.name not in tried and p.name not in declined]
+        excluded = tried | declined | self._unconnected.keys()
+        left = [peer for peer in peers if peer.name not in excluded]
         if not left:
             return None
         weights = [self._weight(peer, zones) for peer in left]
@@ -106,13 +112,20 @@
         """Record that a peer cannot serve requests for a service now."""
         self._declined[service, peer.name] = (now + DECLINED_S, peer.zone)
 
+    def note_unconnected(self, peer: Peer, now: float) -> None:
+        """Record that no connection to a peer could be opened."""
+        self._unconnected[peer.name] = now + UNCONNECTED_S
+
     def note_served(self, service: str, now: float) -> None:
         """Record that a peer got an answer from a target of a service."""
         self._served_at[service] = now
+        self._full_times[service] = 0
 
     def note_full(self, service: str, now: float) -> None:
-        """Record that a peer found no room at a service's targets either."""
-        self._full_until[service] = now + FULL_S
+        """Record that no peer found room at a service's targets either."""
+        doublings = min(self._full_times[service], MAX_FULL_DOUBLINGS)
+        self._full_times[service] += 1
+        self._full_until[service] = now + FULL_S * 2**doublings
 
     def may_have_room(self, service: str, now: float) -> bool:
         """Return whether a peer may find room at targets that this daemon lacks."""
@@ -133,3 +146,6 @@
         self._declined = {
             key: value for key, value in self._declined.items() if value[0] > now
         }
+        self._unconnected = {
+            name: until for name, until in self._unconnected.items() if until > now
+        }
--- a/packages/policy/src/cairnferry/policy/search/_targetset.py
+++ b/packages/policy/src/cairnferry/policy/search/_targetset.py
@@ -368,6 +368,12 @@
         if target is not None:
             self._record_missed_check(target, now)
 
+    def resume_checks(self) -> None:
+        """Let all targets be checked now, also those that missed checks."""
+        for target in self:
+            target.checks_suspended_until = -math.inf
+        self._all_checkable_at = -math.inf
+
     def _record_missed_check(self, target, now):
         target.note_missed_check(now)
         self._all_checkable_at = max(
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -7,7 +7,9 @@
 import pytest
 from gevent.event import Event
 
+from cairnferry.entry.detours import DetourClient
 from cairnferry.entry.workspaces import WorkspaceLimiter
+from cairnferry.peers import PeerRequestPool
 from cairnferry.standins import wait_for
 from cairnferry.wire import Client, ConnectFailed, ConnectionPool, Reply, connect
 from tests.adapter._standins import HOST, configuration
@@ -311,3 +313,17 @@
     full.load = "4,9,4,100"
     call_often(partly, 10, deadline_ms=1_000)
     assert served(call_often(cut_off, deadline_ms=1_000, **ORDER)) == 20
+
+
+def test_callers_do_not_wait_for_peers_that_are_out_of_reach(
+    daemons, cut_off, silent_address, monkeypatch
+):
+    """Guards against a daemon that tries one lost peer after the other."""
+    keys = cut_off.core.keys
+    pool = PeerRequestPool(silent_address, keys=keys)
+    monkeypatch.setattr(DetourClient, "_pool", lambda client, address: pool)
+    with gevent.Timeout(1.0):
+        reply = cut_off.call(deadline_ms=5_000, **ORDER)
+    assert reply.status == 503
+    assert reply.header("cairnferry-outcome") == "not-run"
+    assert passed_on(cut_off)["NoConnection"] == 2
--- a/tests/policy/paths/test_peer_choice.py
+++ b/tests/policy/paths/test_peer_choice.py
@@ -86,6 +86,30 @@
     assert choice.may_have_room(SERVICE, 10.5)
 
 
+def test_detours_for_room_become_rare_while_there_is_none():
+    """Guards against peers that are asked at each refusal in a shortage for all."""
+    choice = PeerChoice("hall", random.Random(1))
+    asked, now = 0, 10.0
+    while now < 40.0:
+        if choice.may_have_room(SERVICE, now):
+            asked += 1
+            choice.note_full(SERVICE, now)
+        now += 0.01
+    assert asked <= 20
+    choice.note_served(SERVICE, now)
+    choice.note_full(SERVICE, now)
+    assert choice.may_have_room(SERVICE, now + 0.4)
+
+
+def test_peer_without_a_connection_is_left_out_for_all_services():
+    choice = PeerChoice("hall", random.Random(1))
+    (peer,) = peers = [Peer("p", "hall", "10.0.0.1:1")]
+    choice.note_unconnected(peer, 10.0)
+    assert choice.choose(SERVICE, peers, set(), 11.0) is None
+    assert choice.choose("other", peers, set(), 11.0) is None
+    assert choice.choose(SERVICE, peers, set(), 12.1) is peer
+
+
 def replay(per_zone, cut, seed, requests=3000, per_s=400.0):
     """Replay the load of daemons of which some are cut off from all targets.
 
