An order whose peer fails after its attempt is not sent to another peer

- An answer of a peer without a decision counted as declined.
That includes the 500 of a peer whose code fails after the attempt: an order could run twice.
Only statuses that mean that the request was not accepted count as declined; any other one leaves the outcome unknown.
- The peer selected a service by the weights of the route once more.
Half of the requests of a service that a daemon does not reach went to the others.
The selected service is passed on with the request.

Both tests failed before: the order ran again at a second peer, and the shares of two services of equal weight were not 10 of 20.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -371,12 +371,16 @@
         """Forward a request, or refuse it for a cause that was found at its head."""
         if handler.problem is None:
             return self._detouring_forwarder.forward(
-                req, call, runtime, workspace, lambda: self._detour(handler, req, call)
+                req,
+                call,
+                runtime,
+                workspace,
+                lambda: self._detour(handler, req, call, runtime.policy.service.name),
             )
         refused = runtime.policy.refuse(handler.problem)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
-    def _detour(self, handler, req, call):
+    def _detour(self, handler, req, call, service):
         left_ms = int((call.deadline - time.monotonic()) * MS_PER_S)
         pairs = self.convention.passed_on(handler.header_pairs(), left_ms)
         return DetourRequest(
@@ -389,6 +393,7 @@
                 self.name,
                 self.caller_address(handler),
                 self.services.revision,
+                service,
                 len(call.attempts),
             ),
             call.deadline,
--- a/packages/entry/src/cairnferry/entry/callers/_detour_app.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detour_app.py
@@ -1,12 +1,11 @@
 """Application for requests that peers pass on, as their own paths do not work."""
 
-import time
-
 import attrs
 
 from cairnferry.entry.callers._callers import CallersApp
 from cairnferry.entry.callers._detouring_forwarder import (
     CAUSES_OF_LOST_PATHS,
+    has_no_path,
     unreachable,
 )
 from cairnferry.entry.detours import (
@@ -59,26 +58,33 @@
             raise BadRequest(Problem.NOT_READY)
         return super()._answer(handler)
 
+    def find_route(self, handler):
+        """Return the route of a request, and the runtime of the service it is for.
+
+        A second selection by weights would change the shares of the services.
+        """
+        route = self.services.route(handler.path, handler.headers.get("host"))
+        service = read_detour_head(handler.header_pairs()).service
+        if route is None or service not in route.service_names():
+            return super().find_route(handler)
+        return route, self.services.runtime(service)
+
     def check_body(self, handler):
         """Return why a request is refused before its large body is read."""
-        _, runtime = self.find_route(handler)
-        if runtime is not None and self._has_no_path(runtime):
+        try:
+            _, runtime = self.find_route(handler)
+        except ValueError:
+            return Problem.MALFORMED
+        if runtime is not None and has_no_path(runtime, self.checks):
             return Cause.UNREACHABLE
         return super().check_body(handler)
 
     def forward_call(self, handler, req, call, runtime, workspace):
         """Forward a request; decline it if no path works from here either."""
-        if self._has_no_path(runtime):
+        if has_no_path(runtime, self.checks):
             return unreachable()
         return super().forward_call(handler, req, call, runtime, workspace)
 
-    def _has_no_path(self, runtime):
-        if not runtime.policy.paths.are_broken(time.monotonic()):
-            return False
-        runtime.log_path_changes()
-        self.checks.watch_paths(runtime)
-        return True
-
     def _may_fit_elsewhere(self, cause, runtime):
         """Return whether another peer may serve a request that is refused here."""
         if cause in CAUSES_OF_LOST_PATHS:
--- a/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detouring_forwarder.py
@@ -51,6 +51,24 @@
     return Forwarded(not_run_answer(decision.cause, retry_after), decision)
 
 
+def has_no_path(runtime: ServiceRuntime, checks: StatusChecks | None) -> bool:
+    """Return whether no path to a service works; if so, look for one from now on.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        Runtime of the service.
+    checks : StatusChecks or None
+        Finds out when a path works again.
+    """
+    if not runtime.policy.paths.are_broken(time.monotonic()):
+        return False
+    runtime.log_path_changes()
+    if checks is not None:
+        checks.watch_paths(runtime)
+    return True
+
+
 @attrs.define
 class DetouringForwarder:
     """Forwards requests, and passes on those that cannot reach a target from here.
@@ -101,14 +119,13 @@
         """
         if self.detours is None:
             return self.limited.forward(req, call, runtime, workspace)
-        if self._watch(runtime):
+        if has_no_path(runtime, self.checks):
             detoured = self._pass_on(req, call, runtime, build_detour)
             if detoured is not None:
                 return detoured
         forwarded = self.limited.forward(req, call, runtime, workspace)
         if not self._needs_detour(forwarded.decision, call, runtime):
             return forwarded
-        self._watch(runtime)
         if forwarded.decision.cause is Cause.OVERLOAD:
             return self._look_for_room(req, call, runtime, build_detour, forwarded)
         return self._pass_on(req, call, runtime, build_detour) or forwarded
@@ -137,15 +154,6 @@
                 return call.idempotent
         return False
 
-    def _watch(self, runtime):
-        """Return whether no path works; if so, look for one from now on."""
-        if not runtime.policy.paths.are_broken(time.monotonic()):
-            return False
-        runtime.log_path_changes()
-        if self.checks is not None:
-            self.checks.watch_paths(runtime)
-        return True
-
     def _pass_on(self, req, call, runtime, build_detour, max_peers=MAX_PEERS):
         """Pass a request on; return None if there is no peer at all."""
         if not self.detours.has_peers():
--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -31,6 +31,9 @@
 # a peer that is down or cut off as well must not use up the caller's time.
 CONNECT_S = 0.25
 FULL_SPARE = 1000
+# Statuses of an answer without a decision that mean that the peer did not accept the
+# request: its framing, its time or size, or too many connections.
+_UNREAD_STATUSES = frozenset([400, 408, 413, 431, 503])
 # Seconds of idle time after which a connection to a peer is closed. It is shorter than
 # the time for which the peer keeps it.
 MAX_IDLE_S = 10.0
@@ -298,9 +301,13 @@
             return NotRunThere(*_cause_of(reply))
         case DetourDecision.UNKNOWN:
             return UnknownThere(*_cause_of(reply))
+        case DetourDecision.DECLINED:
+            return Declined(reply.header(CAUSE) or "")
+        case _ if reply.status in _UNREAD_STATUSES:
+            return Declined(f"status {reply.status}")
         case _:
-            # The peer turned the connection away before it read the request.
-            return Declined(reply.header(CAUSE) or f"status {reply.status}")
+            # The peer failed at a point that it does not tell.
+            return DetourLost(timed_out=False)
 
 
 def _cause_of(reply):
--- a/packages/entry/src/cairnferry/entry/detours/_fields.py
+++ b/packages/entry/src/cairnferry/entry/detours/_fields.py
@@ -12,6 +12,7 @@
 FROM = PREFIX + "from"
 CALLER = PREFIX + "caller"
 REVISION = PREFIX + "revision"
+SERVICE = PREFIX + "service"
 ATTEMPTS = PREFIX + "attempts"
 DECISION = PREFIX + "decision"
 CAUSE = PREFIX + "cause"
@@ -42,6 +43,8 @@
         IP address of the caller.
     revision : int
         Revision of the rules in force at the daemon.
+    service : str
+        Service that was selected for the request, if its route has several.
     attempts : int
         Number of attempts made at targets already.
     """
@@ -49,6 +52,7 @@
     sender: str
     caller: str
     revision: int
+    service: str
     attempts: int
 
     def headers(self) -> list[tuple[str, str]]:
@@ -57,6 +61,7 @@
             (FROM, self.sender),
             (CALLER, self.caller),
             (REVISION, str(self.revision)),
+            (SERVICE, self.service),
             (ATTEMPTS, str(self.attempts)),
         ]
 
@@ -72,7 +77,11 @@
     found = {name.lower(): value for name, value in pairs}
     try:
         return DetourHead(
-            found[FROM], found[CALLER], int(found[REVISION]), int(found[ATTEMPTS])
+            found[FROM],
+            found[CALLER],
+            int(found[REVISION]),
+            found[SERVICE],
+            int(found[ATTEMPTS]),
         )
     except KeyError as exc:
         raise ValueError(f"a request that is passed on lacks {exc}") from exc
--- a/tests/adapter/partitions/conftest.py
+++ b/tests/adapter/partitions/conftest.py
@@ -83,12 +83,12 @@
 def start_daemons(store, start_daemon, targets):
     """Return a function that starts daemons that know each other and all targets."""
 
-    def start(document, count=3, **options):
+    def start(document, count=3, targets=TARGETS, **options):
         store.put("op", "config", document)
         started = [start_daemon(f"front-{number}") for number in range(count)]
         for daemon in started:
             wait_for(lambda d=daemon: len(d.core.cluster.membership.live()) == count)
-            wait_for(lambda d=daemon: len(d.core.services.targets()) == TARGETS)
+            wait_for(lambda d=daemon: len(d.core.services.targets()) == targets)
             daemon.call(**options)
         return started
 
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -7,12 +7,13 @@
 import pytest
 from gevent.event import Event
 
+from cairnferry.entry.callers import DetourApp
 from cairnferry.entry.detours import DetourClient
 from cairnferry.entry.workspaces import WorkspaceLimiter
 from cairnferry.peers import PeerRequestPool
 from cairnferry.standins import wait_for
 from cairnferry.wire import Client, ConnectFailed, ConnectionPool, Reply, connect
-from tests.adapter._standins import HOST, configuration
+from tests.adapter._standins import HOST, configuration, rule
 
 from .conftest import RULES
 from .test_partitioned_instances import call_often, served
@@ -327,3 +328,40 @@
     assert reply.status == 503
     assert reply.header("cairnferry-outcome") == "not-run"
     assert passed_on(cut_off)["NoConnection"] == 2
+
+
+def test_order_at_a_peer_that_fails_is_not_sent_to_another(
+    daemons, cut_off, targets, monkeypatch
+):
+    """Guards against an order that runs again as a peer failed after its attempt."""
+
+    def fail(app, forwarded, head, runtime):
+        raise RuntimeError("a fault of the peer")
+
+    monkeypatch.setattr(DetourApp, "finish_answer", fail)
+    reply = cut_off.call(request_id="order-1", **ORDER)
+    assert reply.status == 502
+    assert reply.header("cairnferry-outcome") == "unknown"
+    assert len(runs(targets, "order-1")) == 1
+
+
+def test_weights_of_services_hold_over_a_detour(
+    store, start_daemons, start_target, cut, silent_address
+):
+    """Guards against a second selection by weights, which changes the shares."""
+    others = [start_target(f"other-{number}", service="other") for number in range(6)]
+    weights = [{"service": "svc", "weight": 1}, {"service": "other", "weight": 1}]
+    rules = [rule("r-1", "/a/", backends=weights)]
+    document = configuration(rules=rules, clusters=("svc", "other"))
+    first, *_ = start_daemons(document, targets=12)
+    pools = first.core.upstreams._pools
+    cut(first, silent_address)
+    for target in others:
+        address = (target.name, (HOST, target.port))
+        first.core.upstreams._pools[address] = pools.get(address) or ConnectionPool(
+            (HOST, target.port)
+        )
+    call_often(first, 6, deadline_ms=1_000)
+    before = sum(len(target.seen) for target in others)
+    assert served(call_often(first, 20, deadline_ms=1_000)) == 20
+    assert sum(len(target.seen) for target in others) - before == 10
