--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -188,7 +188,9 @@
 
     def has_peers(self) -> bool:
         """Return whether there is a live peer to pass requests on to."""
-        return bool(self._peers())
+        membership = self.cluster.membership
+        own_name = membership.me.name
+        return any(member.name != own_name for member in membership.live())
 
     def next_peer(self, service: str, tried: set[str]) -> Peer | None:
         """Return the peer to ask next for a service; None if none is left.
