Test of limits over a detour: no request of it is late

Traced by the facts of a refusal: 47 tokens in a bucket of over 900 that had begun to fill seconds before, and a request that was late by its objective of 300 ms on the busy machine; late requests leave 0.8 of the bucket to others, by design.

--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -229,7 +229,9 @@
     """Guards against requests that count at both daemons, or at none."""
     tenants = [{"name": "red", "api_keys": [KEY], "rate_per_s": 900, "burst": 900}]
     key = {"headers": [("Authorization", f"Bearer {KEY}")]}
-    first, *others = start_daemons(configuration(rules=RULES, tenants=tenants), **key)
+    # A late request would leave most tokens of a bucket that has just begun to fill.
+    rules = [each | {"target_latency": "20s"} for each in RULES]
+    first, *others = start_daemons(configuration(rules=rules, tenants=tenants), **key)
     cut(first, silent_address)
     wait_for(lambda: first.call(deadline_ms=1_000, **key).status == 200)
     admitted = []
@@ -241,7 +243,8 @@
 
     monkeypatch.setattr(WorkspaceLimiter, "admit", record)
     assert first.call(deadline_ms=1_000).status == 401
-    assert served(call_often(first, deadline_ms=1_000, **key)) == 20
+    replies = call_often(first, deadline_ms=1_000, **key)
+    assert [reply.body for reply in replies if reply.status != 200] == []
     counted = [each.core.workspace_limits.limiter for each in others]
     assert len(admitted) == 20
     assert all(limiter in counted for limiter, _ in admitted)
