--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -9,7 +9,7 @@
 import attrs
 from gevent.event import Event
 
-from cairnferry.entry.callers._calls import build_call
+from cairnferry.entry.callers._calls import build_call, build_detour
 from cairnferry.entry.callers._detouring_forwarder import DetouringForwarder
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
@@ -17,12 +17,7 @@
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
-from cairnferry.entry.detours import (
-    DetourClient,
-    DetourHead,
-    DetourRequest,
-    without_detour_fields,
-)
+from cairnferry.entry.detours import DetourClient, DetourHead
 from cairnferry.entry.http import (
     HANDLER_KEY,
     Answer,
@@ -381,24 +376,14 @@
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
     def _detour(self, handler, req, call, service):
-        left_ms = int((call.deadline - time.monotonic()) * MS_PER_S)
-        pairs = self.convention.passed_on(handler.header_pairs(), left_ms)
-        return DetourRequest(
-            handler.command,
-            handler.path,
-            req.head.host or "",
-            without_detour_fields(pairs),
-            handler.body,
-            DetourHead(
-                self.name,
-                self.caller_address(handler),
-                self.services.revision,
-                service,
-                len(call.attempts),
-            ),
-            call.deadline,
-            call.idempotent,
+        head = DetourHead(
+            self.name,
+            self.caller_address(handler),
+            self.services.revision,
+            service,
+            len(call.attempts),
         )
+        return build_detour(handler, req, call, head, self.convention)
 
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
--- a/packages/entry/src/cairnferry/entry/callers/_calls.py
+++ b/packages/entry/src/cairnferry/entry/callers/_calls.py
@@ -1,6 +1,10 @@
-"""State of a caller's request for the policy."""
+"""State of a caller's request for the policy, and the request for a peer."""
 
+import time
+
+from cairnferry.entry.detours import DetourHead, DetourRequest, without_detour_fields
 from cairnferry.entry.http import PipelinedHandler, RequestHead
+from cairnferry.entry.targets import CallerConvention, OutboundRequest
 from cairnferry.policy import Call, RequestIdentity
 from cairnferry.records import Priority, Route, Service, Workspace
 
@@ -55,6 +59,42 @@
     )
 
 
+def build_detour(
+    handler: PipelinedHandler,
+    req: OutboundRequest,
+    call: Call,
+    head: DetourHead,
+    convention: CallerConvention,
+) -> DetourRequest:
+    """Return the request to pass on to a peer, with the time that is left.
+
+    Parameters
+    ----------
+    handler : PipelinedHandler
+        Request that was read.
+    req : OutboundRequest
+        The request as it is sent to targets.
+    call : Call
+        Its state for the policy.
+    head : DetourHead
+        What the peer is told of it.
+    convention : CallerConvention
+        Names of the callers' headers.
+    """
+    left_ms = int((call.deadline - time.monotonic()) * MS_PER_S)
+    pairs = convention.passed_on(handler.header_pairs(), left_ms)
+    return DetourRequest(
+        handler.command,
+        handler.path,
+        req.head.host or "",
+        without_detour_fields(pairs),
+        handler.body,
+        head,
+        call.deadline,
+        call.idempotent,
+    )
+
+
 def _rank(route, workspace):
     if workspace is None or workspace.rank is None:
         return route.rank
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -13,20 +13,16 @@
 from cairnferry.coordination import Note, NoteRegistry, lowest_ranked
 from cairnferry.entry._ports import CallerLimits, Records
 from cairnferry.entry.callers import (
-    CallersApp,
     CrashGuard,
-    DetourApp,
-    Forwarder,
     StartupHold,
-    StartupRetry,
     quarantine_note_registry,
 )
+from cairnferry.entry.core._caller_apps import callers_app, detour_server
 from cairnferry.entry.core._core_settings import Conventions, CoreSettings
 from cairnferry.entry.core._state_view import StateView
 from cairnferry.entry.core._workspace_limits import build_workspace_limits
 from cairnferry.entry.detours import DetourClient
 from cairnferry.entry.http import (
-    AdoptedServer,
     BodyBudget,
     HttpServer,
     ListenerLimits,
@@ -205,14 +201,10 @@
             Socket that listens on the callers' address already.
         """
         cfg = self.cfg
-        app = self._build_app(
-            CallersApp,
-            self.detours.has_peers,
-            self.steering if serve_steering else None,
-            self.detours,
-        )
+        app = callers_app(self, self.steering if serve_steering else None)
         self.callers_app = app
-        self._build_detour_server()
+        self.detour_server = detour_server(self)
+        self.peer_server.on_requests = self.detour_server.handle
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(
             address, app, cfg.caller_limits, self.link, self.body_budget, listener
@@ -234,46 +226,6 @@
         )
         return self.callers_server
 
-    def _build_app(self, app_class, can_detour, steering=None, detours=None):
-        """Build an application for requests of callers, or of peers' callers."""
-        forwarder = Forwarder(
-            self.upstreams,
-            self.checks,
-            self.crash_detector,
-            self.guard,
-            self.limiter,
-            self.advisory_recorder,
-            can_detour,
-        )
-        return app_class(
-            self.services,
-            forwarder,
-            steering,
-            self.metrics,
-            self.cfg.bodies,
-            self.conventions.callers,
-            StartupRetry(time.monotonic(), self.cluster.any_peer_has_rules),
-            self.workspaces,
-            self.startup_hold,
-            self.workspace_limits.limiter,
-            detours,
-            self.cfg.name,
-        )
-
-    def _build_detour_server(self):
-        """Build the server of requests that peers pass on."""
-        # No further daemon is asked, so a request whose service is not reachable from
-        # here either goes back to the peer.
-        app = self._build_app(DetourApp, lambda: True)
-        self.detour_server = AdoptedServer(
-            self.cfg.peers.listen.as_tuple(),
-            app,
-            self.cfg.caller_limits,
-            self.link,
-            self.body_budget,
-        )
-        self.peer_server.on_requests = self.detour_server.handle
-
     def listen(
         self,
         address: Address,
