No key of a caller is sent to a peer

A request that was passed on carried the caller's Authorization field to the peer, over an authenticated connection that is not encrypted. Everywhere else daemons exchange digests of keys only. Found by reading the change.

Where callers need keys, the field is dropped and the digest is passed on; the peer checks it against its own rules. The test of limits and keys looks for the key in what is passed on; it failed before.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -17,8 +17,13 @@
 from cairnferry.entry.callers._request_log import RequestLog
 from cairnferry.entry.callers._startup_hold import StartupHold
 from cairnferry.entry.callers._startup_retry import StartupRetry
-from cairnferry.entry.detours import DetourClient, DetourHead
+from cairnferry.entry.detours import (
+    DetourClient,
+    DetourHead,
+    without_detour_fields,
+)
 from cairnferry.entry.http import (
+    AUTHORIZATION,
     HANDLER_KEY,
     Answer,
     BadDeadline,
@@ -39,7 +44,11 @@
     Services,
 )
 from cairnferry.entry.telemetry import Metrics
-from cairnferry.entry.workspaces import WorkspaceLimiter, WorkspaceRegistry
+from cairnferry.entry.workspaces import (
+    WorkspaceLimiter,
+    WorkspaceRegistry,
+    digest_of,
+)
 from cairnferry.policy import Call, Cause, DeclaredTimeouts, Relay
 from cairnferry.records import Route, Workspace
 from cairnferry.wire import HeaderInvalid
@@ -383,7 +392,13 @@
             service,
             len(call.attempts),
         )
-        return build_detour(handler, req, call, head, self.convention)
+        pairs = without_detour_fields(handler.header_pairs())
+        if self.workspaces.is_required:
+            # No key is sent to another daemon, but its digest.
+            digest = digest_of(handler.headers.get_all(AUTHORIZATION))
+            head = attrs.evolve(head, key_digest=digest)
+            pairs = self.convention.without_identity(pairs)
+        return build_detour(handler, req, call, head, pairs, self.convention)
 
     def steering_answer(self, path: str) -> Answer:
         """Return the entry instances to use for a service.
--- a/packages/entry/src/cairnferry/entry/callers/_calls.py
+++ b/packages/entry/src/cairnferry/entry/callers/_calls.py
@@ -2,7 +2,7 @@
 
 import time
 
-from cairnferry.entry.detours import DetourHead, DetourRequest, without_detour_fields
+from cairnferry.entry.detours import DetourHead, DetourRequest
 from cairnferry.entry.http import PipelinedHandler, RequestHead
 from cairnferry.entry.targets import CallerConvention, OutboundRequest
 from cairnferry.policy import Call, RequestIdentity
@@ -64,6 +64,7 @@
     req: OutboundRequest,
     call: Call,
     head: DetourHead,
+    pairs: list[tuple[str, str]],
     convention: CallerConvention,
 ) -> DetourRequest:
     """Return the request to pass on to a peer, with the time that is left.
@@ -78,16 +79,17 @@
         Its state for the policy.
     head : DetourHead
         What the peer is told of it.
+    pairs : list of (str, str)
+        Headers of the caller to pass on.
     convention : CallerConvention
         Names of the callers' headers.
     """
     left_ms = int((call.deadline - time.monotonic()) * MS_PER_S)
-    pairs = convention.passed_on(handler.header_pairs(), left_ms)
     return DetourRequest(
         handler.command,
         handler.path,
         req.head.host or "",
-        without_detour_fields(pairs),
+        convention.passed_on(pairs, left_ms),
         handler.body,
         head,
         call.deadline,
--- a/packages/entry/src/cairnferry/entry/callers/_detour_app.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detour_app.py
@@ -8,6 +8,7 @@
     has_no_path,
     unreachable,
 )
+from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.detours import (
     DetourDecision,
     decision_headers,
@@ -69,6 +70,10 @@
             return super().find_route(handler)
         return route, self.services.runtime(service)
 
+    def _key_check(self, handler):
+        digest = read_detour_head(handler.header_pairs()).key_digest
+        return KeyCheck(self.workspaces, self.services, handler, digest)
+
     def check_body(self, handler):
         """Return why a request is refused before its large body is read."""
         try:
--- a/packages/entry/src/cairnferry/entry/callers/_key_check.py
+++ b/packages/entry/src/cairnferry/entry/callers/_key_check.py
@@ -31,6 +31,8 @@
         Routes in force.
     handler : PipelinedHandler
         The request.
+    key_digest : str, optional
+        Digest of the caller's key, if a peer has read the key.
 
     Attributes
     ----------
@@ -41,6 +43,7 @@
     workspaces: WorkspaceRegistry
     services: Services
     handler: PipelinedHandler
+    key_digest: str = ""
     workspace: Workspace | None = None
     _anonymous: bool = False
     _generation: int | None = None
@@ -63,9 +66,14 @@
         if route is not None:
             # A request whose route was withdrawn is answered by the former route.
             self._anonymous = route.anonymous
-        values = handler.headers.get_all(AUTHORIZATION)
-        found = authenticate(values, self._anonymous, self.workspaces)
+        found = self._find_workspace()
         if found.is_error():
             return _PROBLEMS[found.error]
         self.workspace = found.ok
         return None
+
+    def _find_workspace(self):
+        if self.key_digest:
+            return self.workspaces.find_digest(self.key_digest)
+        values = self.handler.headers.get_all(AUTHORIZATION)
+        return authenticate(values, self._anonymous, self.workspaces)
--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -48,7 +48,8 @@
     method, path, host : str
         Method, path and Host header.
     headers : list of (str, str)
-        End-to-end headers of the caller, with its credentials and the time left.
+        End-to-end headers of the caller, with the time left and without a key that
+        was checked here.
     body : bytes or bytearray
         Complete body.
     head : DetourHead
--- a/packages/entry/src/cairnferry/entry/detours/_fields.py
+++ b/packages/entry/src/cairnferry/entry/detours/_fields.py
@@ -13,6 +13,7 @@
 CALLER = PREFIX + "caller"
 REVISION = PREFIX + "revision"
 SERVICE = PREFIX + "service"
+KEY_DIGEST = PREFIX + "key-digest"
 ATTEMPTS = PREFIX + "attempts"
 DECISION = PREFIX + "decision"
 CAUSE = PREFIX + "cause"
@@ -47,6 +48,8 @@
         Service that was selected for the request, if its route has several.
     attempts : int
         Number of attempts made at targets already.
+    key_digest : str
+        Digest of the caller's key; empty if callers need none, or it sent none.
     """
 
     sender: str
@@ -54,6 +57,7 @@
     revision: int
     service: str
     attempts: int
+    key_digest: str = attrs.field(default="", repr=False)
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers for the called daemon."""
@@ -63,6 +67,7 @@
             (REVISION, str(self.revision)),
             (SERVICE, self.service),
             (ATTEMPTS, str(self.attempts)),
+            (KEY_DIGEST, self.key_digest),
         ]
 
 
@@ -82,6 +87,7 @@
             int(found[REVISION]),
             found[SERVICE],
             int(found[ATTEMPTS]),
+            found[KEY_DIGEST],
         )
     except KeyError as exc:
         raise ValueError(f"a request that is passed on lacks {exc}") from exc
--- a/packages/entry/src/cairnferry/entry/workspaces/__init__.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/__init__.py
@@ -1,6 +1,6 @@
 """Workspaces: authentication of callers by API keys, and limits of requests."""
 
-from cairnferry.entry.workspaces._authentication import authenticate
+from cairnferry.entry.workspaces._authentication import authenticate, digest_of
 from cairnferry.entry.workspaces._faults import KeyFault
 from cairnferry.entry.workspaces._limiter import Admitted, OverLimit, WorkspaceLimiter
 from cairnferry.entry.workspaces._registry import WorkspaceIndex, WorkspaceRegistry
@@ -17,4 +17,5 @@
     "WorkspaceLimiter",
     "WorkspaceRegistry",
     "authenticate",
+    "digest_of",
 ]
--- a/packages/entry/src/cairnferry/entry/workspaces/_authentication.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_authentication.py
@@ -6,7 +6,7 @@
 
 from cairnferry.entry.workspaces._faults import KeyFault
 from cairnferry.entry.workspaces._registry import WorkspaceRegistry
-from cairnferry.records import Workspace
+from cairnferry.records import Workspace, digest_key
 
 SCHEME = "bearer"
 # A key consists of visible characters. Longer ones are rejected before they are hashed.
@@ -36,8 +36,24 @@
         return Ok(None) if anonymous else Error(KeyFault.MISSING)
     if len(authorizations) > 1:
         return Error(KeyFault.REPEATED)
-    scheme, _, key = authorizations[0].partition(" ")
+    key = _read_key(authorizations[0])
+    return Error(KeyFault.MALFORMED) if key is None else registry.find(key)
+
+
+def digest_of(authorizations: list[str]) -> str:
+    """Return the digest of a caller's key; empty if it sent none that can be read.
+
+    Parameters
+    ----------
+    authorizations : list of str
+        Values of all Authorization fields of the request.
+    """
+    key = _read_key(authorizations[0]) if len(authorizations) == 1 else None
+    return "" if key is None else digest_key(key)
+
+
+def _read_key(authorization):
+    scheme, _, key = authorization.partition(" ")
     key = key.strip(" ")
-    if scheme.lower() != SCHEME or not _KEY.fullmatch(key):
-        return Error(KeyFault.MALFORMED)
-    return registry.find(key)
+    is_key = scheme.lower() == SCHEME and _KEY.fullmatch(key)
+    return key if is_key else None
--- a/packages/entry/src/cairnferry/entry/workspaces/_registry.py
+++ b/packages/entry/src/cairnferry/entry/workspaces/_registry.py
@@ -92,8 +92,12 @@
         The digest is looked up, not the key. The time of the look-up thus reveals
         nothing about keys that are similar to a given one.
         """
+        return self.find_digest(digest_key(key))
+
+    def find_digest(self, digest: str) -> Result[Workspace, KeyFault]:
+        """Return the workspace that holds the key of a digest, or the fault."""
         index = self._index
-        workspace = index.by_digest.get(digest_key(key))
+        workspace = index.by_digest.get(digest)
         if workspace is None:
             return _UNKNOWN
         result = index.results.get(workspace.name)
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -226,7 +226,7 @@
 def test_limits_and_keys_hold_over_a_detour(
     start_daemons, cut, silent_address, monkeypatch
 ):
-    """Guards against requests that count at both daemons, or at none."""
+    """Guards against requests that count twice, and against keys sent to a peer."""
     tenants = [{"name": "red", "api_keys": [KEY], "rate_per_s": 900, "burst": 900}]
     key = {"headers": [("Authorization", f"Bearer {KEY}")]}
     # A late request would leave most tokens of a bucket that has just begun to fill.
@@ -242,6 +242,14 @@
         return admit(limiter, workspace, call)
 
     monkeypatch.setattr(WorkspaceLimiter, "admit", record)
+    sent = []
+    send = DetourClient.send
+
+    def record_request(client, peer, request, service):
+        sent.append(str((request.headers, request.head.headers())))
+        return send(client, peer, request, service)
+
+    monkeypatch.setattr(DetourClient, "send", record_request)
     assert first.call(deadline_ms=1_000).status == 401
     replies = call_often(first, deadline_ms=1_000, **key)
     assert [reply.body for reply in replies if reply.status != 200] == []
@@ -249,6 +257,8 @@
     assert len(admitted) == 20
     assert all(limiter in counted for limiter, _ in admitted)
     assert {name for _, name in admitted} == {"red"}
+    assert sent
+    assert not [text for text in sent if KEY in text]
 
 
 def test_request_that_finds_no_room_here_is_served_by_a_peer(
