--- a/review/3/case.py
+++ b/review/3/case.py
@@ -34,10 +34,10 @@
 CALM_S = 5.0
 CUTS = 20
 CUT_S = 0.2
-CUT_EVERY_S = 1.5
+CUT_EVERY_S = 1.4
 # Seconds from the first cut to the first removal, and between two removals.
-LEAVES_AFTER_S = 3.6
-LEAVES_EVERY_S = 3.0
+LEAVES_AFTER_S = 4.3
+LEAVES_EVERY_S = 2.8
 # Seconds of traffic after the last removal. The upstreams serve for all of that time.
 WATCHED_S = 4.0
 REQUEST_EVERY_S = 0.015
--- a/review/standins/_record.py
+++ b/review/standins/_record.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import traceback
@@ -45,11 +46,18 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"TROUBLE={int(trouble)}")
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), MAX_S))
+        held = asyncio.run(_run(case(record, trouble)))
         code = HELD if held else BROKEN
         record.add("the rule held" if held else "the rule was broken")
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         code = CANNOT_RUN
         record.add("the case could not run: " + traceback.format_exc())
     record.write(folder / "record.txt")
     sys.exit(code)
+
+
+async def _run(running):
+    """Run a case within its time; end it, with its processes, on SIGTERM."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(running, MAX_S)
