A route handles only paths that its prefix begins

What callers saw: orders to /passes/renew ran twice when an answer was lost. The operator's unsafe route /passes/ is the one whose prefix begins that path, but the safe route /passes/renew/ handled it, and safe requests are repeated after a lost answer. By the same way a service ran requests that no rule sends to it, and a path that no prefix begins was run instead of answered 404.

Cause: Services stripped the final slash of the prefix and of the path, and compared whole segments. That is what a prefix means in the records of the own interface. The users' document means text ("the longest `prefix` that begins the path"), and nothing carried the difference.

Change: a route says what its prefix is compared with (PathMatch); the adapter sets TEXT, records keep SEGMENTS. RouteTable tries the lengths of the prefixes of a host, longest first, and cuts the path there, instead of walking up its segments. Why it works: a prefix is compared as it is written; nothing strips the path any more.

Before the change the new tests failed: test_order_on_path_of_deeper_safe_ prefix_without_slash_runs_once with "assert 2 == 1" (runs of one order), and test_path_without_final_slash_of_a_prefix_goes_to_the_route_it_begins_with with "assert b'i-2 /passes/renew' == b'i-1 /passes/renew'".

--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cairnferry.entry.targets._route_table import RouteTable
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.entry.targets._weights import WeightedRoundRobin
 from cairnferry.policy import (
@@ -56,7 +57,7 @@
     revision: int = 0
     evacuated: frozenset[str] = frozenset()
     _services: dict[str, Service] = attrs.field(factory=dict)
-    _routes: dict[tuple[str | None, str], Route] = attrs.field(factory=dict)
+    _routes: RouteTable = attrs.field(factory=RouteTable)
     _rotations: dict[str, WeightedRoundRobin] = attrs.field(factory=dict)
     _targets: dict[str, list[Target]] = attrs.field(factory=dict)
     _runtimes: dict[str, ServiceRuntime] = attrs.field(factory=dict)
@@ -78,9 +79,7 @@
     def _set_rules(self, revision, services, routes):
         self.revision = revision
         self._services = {service.name: service for service in services}
-        self._routes = {
-            (route.host, route.path_prefix.rstrip("/")): route for route in routes
-        }
+        self._routes = RouteTable.build(routes)
         self._rotations = {
             route.name: self._rotation_for(route) for route in routes if route.backends
         }
@@ -125,7 +124,7 @@
         runtime.release_waiting()
 
     def route(self, path: str, host: str | None = None) -> Route | None:
-        """Return the route with the longest matching prefix of whole path segments.
+        """Return the route with the longest prefix that begins a path.
 
         Parameters
         ----------
@@ -134,13 +133,7 @@
         host : str or None
             Host in the caller's request. A route without a host matches any host.
         """
-        name = host and _host_name(host)
-        prefix = path.partition("?")[0].rstrip("/")
-        while True:
-            route = self._routes.get((name, prefix)) or self._routes.get((None, prefix))
-            if route is not None or not prefix:
-                return route
-            prefix = prefix.rpartition("/")[0]
+        return self._routes.find(path.partition("?")[0], host and _host_name(host))
 
     def service_for(self, route: Route) -> str:
         """Return the service for the next request of a route."""
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -184,6 +184,22 @@
     weight: float
 
 
+class PathMatch(enum.StrEnum):
+    """What it means that a path prefix begins a path.
+
+    Attributes
+    ----------
+    SEGMENTS
+        The prefix is one or more whole path segments, with or without a final slash:
+        "/a" and "/a/" both begin "/a" and "/a/b", but not "/ab".
+    TEXT
+        The path starts with the text of the prefix: "/a/" begins "/a/b", but not "/a".
+    """
+
+    SEGMENTS = "segments"
+    TEXT = "text"
+
+
 @attrs.frozen
 class Route:
     """Rule that sends a path prefix to a service.
@@ -219,6 +235,8 @@
         Maximum deadline of a request in milliseconds, even if its caller allows more.
     anonymous : bool
         Whether a request needs no key although workspaces are configured.
+    path_match : PathMatch
+        How the prefix is compared with a path.
     """
 
     name: str
@@ -235,6 +253,7 @@
     rank: int = 0
     max_deadline_ms: int | None = None
     anonymous: bool = False
+    path_match: PathMatch = PathMatch.SEGMENTS
 
     def service_names(self) -> list[str]:
         """List the services that may receive the requests."""
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -57,6 +57,44 @@
     assert daemon.call("/a/deep/x").body.startswith(b"i-2")
 
 
+def lose_answer(number):
+    """Close the connection in place of an answer."""
+    raise ConnectionAbortedError
+
+
+def test_order_on_path_of_deeper_safe_prefix_without_slash_runs_once(
+    store, start_daemon, start_target, wait_for_targets
+):
+    """Guards against orders that run twice as a safe route handles them."""
+    rules = [
+        rule("order", "/passes/", kind="unsafe", attempts=3),
+        rule("read", "/passes/renew/", kind="safe", attempts=3),
+    ]
+    store.put("op", "config", configuration(rules=rules))
+    daemon = start_daemon()
+    targets = [start_target(name, behave=lose_answer) for name in ("i-1", "i-2")]
+    wait_for_targets(daemon, "i-1", "i-2")
+    daemon.earn_retries()
+    reply = daemon.call("/passes/renew", **POST)
+    assert outcome(reply) == "unknown"
+    assert sum(len(target.seen) for target in targets) == 1
+
+
+def test_path_without_final_slash_of_a_prefix_goes_to_the_route_it_begins_with(
+    store, start_daemon, start_target, wait_for_targets
+):
+    """Guards against a service that runs requests which no rule sends there."""
+    rules = [rule("r-1", "/passes/"), rule("r-2", "/passes/renew/", service="two")]
+    store.put("op", "config", configuration(rules=rules, clusters=("svc", "two")))
+    daemon = start_daemon()
+    start_target()
+    start_target("i-2", service="two")
+    wait_for_targets(daemon, "i-1", "i-2")
+    assert daemon.call("/passes/renew").body == b"i-1 /passes/renew"
+    assert daemon.call("/passes/renew/").body == b"i-2 /passes/renew/"
+    assert daemon.call("/passes").status == 404
+
+
 def test_requests_are_split_by_weight(
     store, start_daemon, start_target, wait_for_targets
 ):
