A removal received without interruption takes effect at all daemons

Cause: a daemon whose feed returns retains removed rows for 1.9 s, as rows lapse while the store is away. It cannot tell the store's outage from one of its own path. By gossip its hold became that of all daemons, whose feeds were sound, and each further failure extended it for all rows. Both are needed for the harm.

Change: a daemon whose calls have succeeded for 3 s settles the removals that they report (CallContinuity). Heartbeats carry the span of settled versions; a settled removal takes effect at once, whoever holds rows (RowRetention). A failure, a pause, a late answer and a restored store end the continuity. A hold carries the time at which its outage began, and prolongs the stay of a row only if that was before the removal was known. The kept state of a restored store ends 1.9 s after it was seen, whatever other daemons report.

Why it works: a lapse is never settled, as no daemon's calls succeed through the outage and 3 s beyond; a removal in calm is, by each sound watcher, within its pause of 0.6 s. A daemon that reaches the store needs no word of one that does not.

Peers of earlier releases ignore the new fields and send none; their holds count as before.

--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -17,12 +17,14 @@
 
 from cairnferry.coordination import (
     Batch,
+    Hold,
     Member,
     Membership,
     MemberState,
     NoteRegistry,
     Row,
     TableReplica,
+    VersionSpan,
     era_of,
     stamp,
     version_of,
@@ -105,11 +107,16 @@
     """A table replica with the interface that `Gossip` uses."""
 
     copy: TableReplica = attrs.field(factory=TableReplica)
-    grace_left: float = 0.0
+    hold: Hold = Hold()
+    settled: VersionSpan = VersionSpan()
 
-    def hold_for(self, seconds: float) -> None:
+    def extend(self, hold: Hold) -> None:
         """Do nothing, as the model has no outage of writers."""
 
+    def settle(self, span: VersionSpan) -> bool:
+        """Do nothing, as no rows are retained."""
+        return False
+
     def apply_update(self, update) -> bool:
         """Apply an update of another daemon."""
         return self.copy.apply_update(update)
--- a/packages/coordination/src/cairnferry/coordination/__init__.py
+++ b/packages/coordination/src/cairnferry/coordination/__init__.py
@@ -20,6 +20,7 @@
     OutcomeUnknown,
 )
 from cairnferry.coordination._confirmation import HeadConfirmation
+from cairnferry.coordination._continuity import RETURN_GRACE_S, CallContinuity
 from cairnferry.coordination._documents import (
     NO_DOCUMENT_NEWS,
     DocumentFault,
@@ -40,6 +41,7 @@
 )
 from cairnferry.coordination._notes import Note, NoteRegistry
 from cairnferry.coordination._rendezvous import lowest_ranked, rank
+from cairnferry.coordination._retention import Hold, RowRetention, VersionSpan
 from cairnferry.coordination._table import (
     ConditionFailed,
     Item,
@@ -55,6 +57,7 @@
     "AppendError",
     "Appended",
     "Batch",
+    "CallContinuity",
     "ChangeIdReused",
     "ChangeLog",
     "ChangeStatus",
@@ -65,6 +68,7 @@
     "GroupCommit",
     "HeadConfirmation",
     "HeadMoved",
+    "Hold",
     "Item",
     "LogRow",
     "LogTooLarge",
@@ -79,12 +83,15 @@
     "NoteRegistry",
     "OutcomeUnknown",
     "PendingChange",
+    "RETURN_GRACE_S",
     "Row",
+    "RowRetention",
     "Table",
     "TableReplica",
     "TableError",
     "TableUnavailable",
     "TokenBucket",
+    "VersionSpan",
     "Write",
     "WriteUnknown",
     "encode_delta",
--- a/packages/coordination/src/cairnferry/coordination/_table_replica.py
+++ b/packages/coordination/src/cairnferry/coordination/_table_replica.py
@@ -125,6 +125,14 @@
         """Keys of the removed rows whose removals are still held."""
         return frozenset(self._removals)
 
+    def removed_version(self, key: str) -> int:
+        """Return the version at which a missing row was removed.
+
+        It is the version of the replica if the removal is not known by itself.
+        """
+        removal = self._removals.get(key)
+        return self.version if removal is None else removal.version
+
     def news_since(self, version: int) -> TableUpdate:
         """Return the update for a replica of an older version."""
         if version < self._removals_complete_since or not version:
--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -11,7 +11,14 @@
 from attrs.validators import instance_of
 from expression import Error, Ok, Result
 
-from cairnferry.coordination import Batch, DocumentNews, TableReplica, TableUpdate
+from cairnferry.coordination import (
+    Batch,
+    DocumentNews,
+    Hold,
+    TableReplica,
+    TableUpdate,
+    VersionSpan,
+)
 from cairnferry.peers import PeerLink
 from cairnferry.records import Route, Service, Target, Workspace
 
@@ -38,15 +45,21 @@
     ----------
     copy : TableReplica
         Local replica of the table.
-    grace_left : float
-        Seconds for which removed rows are still retained.
+    hold : Hold
+        Time for which removed rows are retained after an outage of the store.
+    settled : VersionSpan
+        Versions whose removals are settled.
     """
 
     copy: TableReplica
-    grace_left: float
+    hold: Hold
+    settled: VersionSpan
 
-    def hold_for(self, seconds: float) -> None:
-        """Retain rows that are removed within `seconds`, after a store outage."""
+    def extend(self, hold: Hold) -> None:
+        """Retain removed rows for some time after an outage of the store."""
+
+    def settle(self, span: VersionSpan) -> bool:
+        """Settle the removals in a span; return whether retained rows are dropped."""
 
     def apply_update(self, update: TableUpdate) -> bool:
         """Apply an update from another daemon; return whether it was newer."""
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event
 
-from cairnferry.coordination import DocumentNews, Row
+from cairnferry.coordination import CallContinuity, DocumentNews, Row
 from cairnferry.entry._ports import ChangeFeed, DecodeFault, RecordDecoders, Rules
 from cairnferry.entry.core import Core
 from cairnferry.entry.following._evacuations import EVACUATIONS, Evacuations
@@ -85,6 +85,7 @@
     _targets: TargetRows = attrs.field(init=False)
     _installer: TargetInstaller = attrs.field(init=False)
     tables: dict[str, FollowedTable] = attrs.field(factory=dict)
+    _continuity: CallContinuity = attrs.field(factory=CallContinuity)
     _rules_follower: Follower = attrs.field(init=False)
     _followers: list[Follower] = attrs.field(factory=list)
 
@@ -107,6 +108,7 @@
             note_call=self.core.metrics.note_store_call,
             is_watcher=self._is_watcher,
             on_failure=self._report_failure,
+            continuity=self._continuity,
         )
         self._followers.append(self._rules_follower)
         evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
@@ -161,6 +163,7 @@
             self.core.metrics.note_store_call,
             self._is_watcher,
             self._report_failure,
+            self._continuity,
         )
         follower.table.on_known = self._install_when_complete
         self._followers.append(follower)
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -9,7 +9,13 @@
 import attrs
 import gevent
 
-from cairnferry.coordination import Row
+from cairnferry.coordination import (
+    CallContinuity,
+    Hold,
+    Row,
+    VersionSpan,
+    era_of,
+)
 from cairnferry.entry._ports import ChangeFeed, FeedUnavailable, HistoryLost
 from cairnferry.entry.following import _table
 from cairnferry.entry.following._split_table import SplitTable
@@ -29,6 +35,9 @@
 # successful call within this time ends an outage, after which removed rows are
 # retained.
 OUTAGE_MEMORY_S = 8.0
+# Seconds by which an answer may exceed its wait. A later one was delayed on its way and
+# does not show that the store was reachable all the time.
+MAX_DELAY_S = 1.0
 # Seconds between two checks whether this daemon is a watcher: a small part of the time
 # within which a change has to come into force.
 ROLE_CHECK_S = 0.15
@@ -80,6 +89,8 @@
         Returns whether this daemon calls the store.
     on_failure : callable
         Called when the store did not answer.
+    continuity : CallContinuity, optional
+        Record of this daemon's calls, common to all followers of the store.
 
     Attributes
     ----------
@@ -99,6 +110,7 @@
     note_call: Callable[[str, str], None] = _note_nothing
     is_watcher: Callable[[], bool] = _always
     on_failure: Callable[[], None] = _do_nothing
+    continuity: CallContinuity = attrs.field(factory=CallContinuity)
     confirmed_at: float | None = None
     partners: list["Follower"] = attrs.field(factory=list)
     table: FollowedTable | SplitTable = attrs.field(init=False)
@@ -110,6 +122,8 @@
     # list all rows.
     _position: int | None = None
     _must_list: bool = False
+    # Version from which the answers were uninterrupted; None while they are not.
+    _settled_after: int | None = None
     _failures: int = 0
     _failed_at: float = -math.inf
 
@@ -137,6 +151,7 @@
         """
         self._position = None
         self._must_list = False
+        self.continuity.interrupt()
         if time.monotonic() - self._failed_at > OUTAGE_MEMORY_S:
             self._failures = 0
         return ROLE_CHECK_S * (0.5 + self.rng.random())
@@ -181,6 +196,7 @@
         self._was_aborted = False
         self._handle_success()
         self.confirmed_at = self._confirmed_time(result.ok, called_at, wait)
+        self._settle(result.ok, position, called_at + wait)
         self._apply(result.ok, position)
         return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
@@ -194,6 +210,24 @@
         has_waited = not batch.items and time.monotonic() >= called_at + wait
         return called_at + wait if has_waited else called_at
 
+    def _settle(self, batch, position, due_at):
+        """Settle the removals in an answer if the calls were uninterrupted.
+
+        Otherwise the rows may have expired in an outage. A restored store may lack rows
+        that are not removed.
+        """
+        now = time.monotonic()
+        is_restored = era_of(batch.version) > era_of(self.table.copy.version)
+        if is_restored or now > due_at + MAX_DELAY_S:
+            self.continuity.interrupt()
+        self.continuity.note_success(now)
+        if not self.continuity.is_established(now):
+            self._settled_after = None
+            return
+        if self._settled_after is None:
+            self._settled_after = batch.version if position is None else position
+        self.table.settle(VersionSpan(self._settled_after, batch.version))
+
     def _next_position(self):
         if self._must_list:
             return None
@@ -228,6 +262,7 @@
                     log.warning("feed lost", extra={"feed": self.name, "why": reason})
                 self._failures += 1
                 self._failed_at = time.monotonic()
+                self.continuity.note_failure(self._failed_at)
                 self.on_failure()
                 longest = min(MAX_RETRY_S, RETRY_S * 2**self._failures)
                 return longest * (0.5 + 0.5 * self.rng.random())
@@ -240,7 +275,8 @@
         for partner in self.partners:
             partner.abort_calls_before(self._called_at)
         if self.table.copy.version:
-            self.table.hold_for(_table.RETURN_GRACE_S)
+            until = time.monotonic() + _table.RETURN_GRACE_S
+            self.table.extend(Hold(self.continuity.outage_began_at, until))
 
 
 def _outcome(result):
--- a/packages/entry/src/cairnferry/entry/following/_split_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_split_table.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cairnferry.coordination import Batch
+from cairnferry.coordination import Batch, Hold, VersionSpan
 from cairnferry.entry.following._table import FollowedTable
 
 
@@ -44,10 +44,15 @@
         self.secondary.apply_changes(secondary)
         self.main.apply_changes(main)
 
-    def hold_for(self, seconds: float) -> None:
-        """Retain rows that are removed within some seconds, after a store outage."""
-        self.main.hold_for(seconds)
-        self.secondary.hold_for(seconds)
+    def extend(self, hold: Hold) -> None:
+        """Retain removed rows for some time after an outage of the store."""
+        self.main.extend(hold)
+        self.secondary.extend(hold)
+
+    def settle(self, span: VersionSpan) -> None:
+        """Settle the removals in a span of versions of the feed."""
+        self.main.settle(span)
+        self.secondary.settle(span)
 
     def _split(self, batch):
         main = tuple(row for row in batch.items if self.is_main(row.key))
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -7,12 +7,17 @@
 import attrs
 import gevent
 
-from cairnferry.coordination import Batch, Row, TableReplica, TableUpdate, era_of
-
-# Seconds after the end of an outage for which removed rows are retained. Rows expire
-# while their writers cannot reach the store. According to the platform, live writers
-# have written them again within two seconds.
-RETURN_GRACE_S = 1.9
+from cairnferry.coordination import (
+    RETURN_GRACE_S,
+    Batch,
+    Hold,
+    Row,
+    RowRetention,
+    TableReplica,
+    TableUpdate,
+    VersionSpan,
+    era_of,
+)
 
 log = logging.getLogger(__name__)
 
@@ -57,9 +62,9 @@
     on_change: Callable[[dict[str, Row]], None]
     on_known: Callable[[], None] = _do_nothing
     copy: TableReplica = attrs.field(factory=TableReplica)
-    _grace_until: float = 0.0
-    _retained: dict[str, Row] = attrs.field(factory=dict)
+    _retention: RowRetention = attrs.field(factory=RowRetention)
     _reverted: dict[str, "_RevertedRow"] = attrs.field(factory=dict)
+    _reverted_until: float = 0.0
     _published: dict[str, Row] = attrs.field(factory=dict)
 
     def apply_listing(self, batch: Batch) -> None:
@@ -81,14 +86,41 @@
 
     # -- rows retained after an outage ----------------------------------------------
 
+    @property
+    def hold(self) -> Hold:
+        """The hold that ends last."""
+        return self._retention.hold
+
     @property
     def grace_left(self) -> float:
         """Seconds for which removed rows are still retained."""
-        return max(0.0, self._grace_until - time.monotonic())
+        return max(0.0, self.hold.until - time.monotonic())
+
+    @property
+    def settled(self) -> VersionSpan:
+        """Versions whose removals are settled."""
+        return self._retention.settled
+
+    def extend(self, hold: Hold) -> None:
+        """Retain removed rows for some time after an outage of the store."""
+        self._retention.extend(hold)
 
-    def hold_for(self, seconds: float) -> None:
-        """Retain rows that are removed within some seconds, after a store outage."""
-        self._grace_until = max(self._grace_until, time.monotonic() + seconds)
+    def settle(self, span: VersionSpan) -> bool:
+        """Settle the removals in a span of versions; return whether rows are dropped.
+
+        Parameters
+        ----------
+        span : VersionSpan
+            Versions that an uninterrupted feed has reported.
+        """
+        dropped = self._retention.settle(span)
+        if dropped:
+            log.info(
+                "dropped rows whose removal is settled",
+                extra={"feed": self.name, "keys": dropped},
+            )
+            self._publish()
+        return bool(dropped)
 
     def _apply(self, apply_to_copy):
         era, removed = era_of(self.copy.version), self.copy.removed
@@ -110,8 +142,9 @@
         leaving targets as not leaving. Live writers write their rows again. A row that
         is unchanged at the end of the grace period is used as it is.
         """
-        self.hold_for(RETURN_GRACE_S)
-        gevent.spawn_later(self.grace_left, self._drop_retained)
+        self._reverted_until = time.monotonic() + RETURN_GRACE_S
+        self.extend(Hold(until=self._reverted_until))
+        gevent.spawn_later(RETURN_GRACE_S, self._drop_reverted)
         rows = self.copy.rows
         was_removed = {
             key: _RevertedRow(row, None) for key, row in rows.items() if key in removed
@@ -133,34 +166,53 @@
             },
         )
 
+    def _drop_reverted(self):
+        """Use the rows that were not written again as they are in the store."""
+        if time.monotonic() < self._reverted_until:
+            # The store was restored once more in the meantime.
+            return
+        self._reverted = {}
+        self._publish()
+
     def _retain_removed(self):
         rows = self.copy.rows
-        if self.grace_left <= 0:
-            return
-        if not self._retained:
-            gevent.spawn_later(self.grace_left, self._drop_retained)
-        self._retained |= {
-            k: row for k, row in self._published.items() if k not in rows
-        }
+        self._retention.discard(rows)
+        now = time.monotonic()
+        had_rows = bool(self._retention.rows)
+        for key, row in self._published.items():
+            if key not in rows:
+                self._retention.retain(row, self.copy.removed_version(key), now)
+        retained = self._retention.rows
+        if retained and not had_rows:
+            log.info(
+                "removed rows are retained",
+                extra={
+                    "feed": self.name,
+                    "keys": sorted(retained),
+                    "grace_s": round(self.grace_left, 3),
+                    "outage_age_s": round(now - self.hold.began_at, 3),
+                },
+            )
+            self._expire_later()
+
+    def _expire_later(self):
+        delay = self._retention.ends_at - time.monotonic()
+        gevent.spawn_later(max(0.0, delay), self._expire)
 
-    def _drop_retained(self):
+    def _expire(self):
         """Drop the retained rows that were not written again."""
-        if self.grace_left > 0:
-            # Another outage has extended the grace period.
-            gevent.spawn_later(self.grace_left, self._drop_retained)
-            return
-        gone = sorted(self._retained.keys() - self.copy.rows.keys())
-        self._retained = {}
-        self._reverted = {}
-        if gone:
+        dropped = self._retention.expire(time.monotonic())
+        if dropped:
             log.info(
                 "dropped rows that were not written again after an outage",
-                extra={"feed": self.name, "keys": gone},
+                extra={"feed": self.name, "keys": dropped},
             )
-        self._publish()
+            self._publish()
+        if self._retention.rows:
+            self._expire_later()
 
     def _publish(self):
-        published = {**self._retained, **self.copy.rows}
+        published = {**self._retention.rows, **self.copy.rows}
         for key, reverted in self._reverted.items():
             if self.copy.rows.get(key) is not reverted.row:
                 # The row was written again or removed.
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -143,8 +143,7 @@
             member_updates=tuple(self.membership.updates_for(zone)),
             notes=self.notes.next_notes(now),
             tables=tuple(
-                TableState(name, table.copy.version, table.grace_left)
-                for name, table in self.tables.items()
+                _table_state(name, table, now) for name, table in self.tables.items()
             ),
             suspicions=self.suspicions.next_notes(now) if self.suspicions else (),
             limits=self.limits.next_notes(now) if self.limits else (),
@@ -348,6 +347,13 @@
         }
 
 
+def _table_state(name, table, now):
+    hold = table.hold
+    grace_s = max(0.0, hold.until - now)
+    outage_age_s = now - hold.began_at if grace_s else 0.0
+    return TableState(name, table.copy.version, grace_s, outage_age_s, table.settled)
+
+
 def _with_latest(gossiped, in_effect):
     """Add the notes in effect that expire last, at most `MAX_FIRST_NOTES` of them."""
     latest = sorted(in_effect, key=lambda note: note.remaining)[-MAX_FIRST_NOTES:]
--- a/packages/entry/src/cairnferry/entry/members/_gossip.py
+++ b/packages/entry/src/cairnferry/entry/members/_gossip.py
@@ -10,7 +10,13 @@
 from gevent.event import Event
 from gevent.pool import Pool
 
-from cairnferry.coordination import DocumentNews, LogRow, MemberState, TableUpdate
+from cairnferry.coordination import (
+    DocumentNews,
+    Hold,
+    LogRow,
+    MemberState,
+    TableUpdate,
+)
 from cairnferry.entry._ports import EntryRow, Records
 from cairnferry.entry.members._cluster import Cluster
 from cairnferry.peers import (
@@ -241,8 +247,10 @@
             table = self.cluster.tables.get(state.table)
             if table is None:
                 continue
+            has_updates = table.settle(state.settled) or has_updates
             if state.grace_s:
-                table.hold_for(state.grace_s)
+                now = time.monotonic()
+                table.extend(Hold(now - state.outage_age_s, now + state.grace_s))
             if state.version > table.copy.version and state.table not in self._fetching:
                 has_updates = self._fetch_table(state.table, table, link) or has_updates
         return has_updates
--- a/packages/peers/peer.thrift
+++ b/packages/peers/peer.thrift
@@ -26,6 +26,13 @@
   // Milliseconds for which the sender still keeps removed rows, because the store was
   // unavailable.
   3: required i32 grace_ms,
+  // Milliseconds since the store became unavailable; omitted if that is not known, as
+  // after a restore of the store. Earlier releases omit this and the next fields.
+  4: optional i32 outage_age_ms,
+  // Removals at versions after `settled_after`, up to and including `settled_until`,
+  // were received while the store was available. Both are relative to `version`.
+  5: optional i64 settled_after,
+  6: optional i64 settled_until,
 }
 
 struct TableRow {
--- a/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
+++ b/packages/peers/src/cairnferry/peers/_generated/peer/ttypes.py
@@ -231,14 +231,20 @@
      - table
      - version
      - grace_ms
+     - outage_age_ms
+     - settled_after
+     - settled_until
 
     """
 
 
-    def __init__(self, table=None, version=None, grace_ms=None,):
+    def __init__(self, table=None, version=None, grace_ms=None, outage_age_ms=None, settled_after=None, settled_until=None,):
         self.table = table
         self.version = version
         self.grace_ms = grace_ms
+        self.outage_age_ms = outage_age_ms
+        self.settled_after = settled_after
+        self.settled_until = settled_until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -264,6 +270,21 @@
                     self.grace_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.outage_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.settled_after = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.settled_until = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -286,6 +307,18 @@
             oprot.writeFieldBegin('grace_ms', TType.I32, 3)
             oprot.writeI32(self.grace_ms)
             oprot.writeFieldEnd()
+        if self.outage_age_ms is not None:
+            oprot.writeFieldBegin('outage_age_ms', TType.I32, 4)
+            oprot.writeI32(self.outage_age_ms)
+            oprot.writeFieldEnd()
+        if self.settled_after is not None:
+            oprot.writeFieldBegin('settled_after', TType.I64, 5)
+            oprot.writeI64(self.settled_after)
+            oprot.writeFieldEnd()
+        if self.settled_until is not None:
+            oprot.writeFieldBegin('settled_until', TType.I64, 6)
+            oprot.writeI64(self.settled_until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1448,6 +1481,9 @@
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I32, 'grace_ms', None, None, ),  # 3
+    (4, TType.I32, 'outage_age_ms', None, None, ),  # 4
+    (5, TType.I64, 'settled_after', None, None, ),  # 5
+    (6, TType.I64, 'settled_until', None, None, ),  # 6
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/packages/peers/src/cairnferry/peers/_messages.py
+++ b/packages/peers/src/cairnferry/peers/_messages.py
@@ -12,6 +12,7 @@
     Note,
     Row,
     TableUpdate,
+    VersionSpan,
 )
 from cairnferry.peers._generated.peer import ttypes
 
@@ -37,11 +38,17 @@
     grace_s : float
         Seconds for which the daemon still keeps removed rows, because the store was
         unavailable.
+    outage_age_s : float
+        Seconds since the store became unavailable; may be infinite.
+    settled : VersionSpan
+        Versions whose removals are settled.
     """
 
     table: str
     version: int
     grace_s: float = 0.0
+    outage_age_s: float = math.inf
+    settled: VersionSpan = VersionSpan()
 
 
 @attrs.frozen
@@ -285,11 +292,31 @@
 
 
 def _table_state_to_wire(state):
-    return ttypes.TableState(state.table, state.version, int(state.grace_s * MS_PER_S))
+    message = ttypes.TableState(
+        state.table, state.version, int(state.grace_s * MS_PER_S)
+    )
+    if state.grace_s and math.isfinite(state.outage_age_s):
+        message.outage_age_ms = _age_to_wire(state.outage_age_s)
+    if state.settled:
+        message.settled_after = state.settled.after - state.version
+        message.settled_until = state.settled.until - state.version
+    return message
 
 
 def _table_state_from_wire(message):
-    return TableState(message.table, message.version, message.grace_ms / MS_PER_S)
+    age_ms, settled = message.outage_age_ms, VersionSpan()
+    if message.settled_after is not None and message.settled_until is not None:
+        settled = VersionSpan(
+            message.version + message.settled_after,
+            message.version + message.settled_until,
+        )
+    return TableState(
+        message.table,
+        message.version,
+        message.grace_ms / MS_PER_S,
+        math.inf if age_ms is None else _age_from_wire(age_ms),
+        settled,
+    )
 
 
 def _age_to_wire(age):
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -18,7 +18,7 @@
 
 SETTINGS = """\
 node_name={name}
-zone=hall
+zone={zone}
 region=there
 listen.front={host}:{front}
 listen.ready={host}:{ready}
@@ -45,7 +45,7 @@
 PORTS = ("front", "ready", "directory", "control", "peer")
 
 
-def settings_text(store_port, name="front-1", seeds=(), host=HOST):
+def settings_text(store_port, name="front-1", seeds=(), host=HOST, zone="hall"):
     ports = {part: free_port() for part in PORTS}
     listed = ",".join(str(seed) for seed in seeds)
     return SETTINGS.format(
@@ -54,6 +54,7 @@
         store_host=HOST,
         store=store_port,
         seeds=listed,
+        zone=zone,
         **ports,
     )
 
@@ -103,8 +104,9 @@
 class HostedDaemon:
     """A daemon of the adapter that runs in this process."""
 
-    def __init__(self, store_port, name, seeds):
-        self.cfg = read_host_settings(settings_text(store_port, name, seeds)).ok
+    def __init__(self, store_port, name, seeds, zone="hall"):
+        text = settings_text(store_port, name, seeds, zone=zone)
+        self.cfg = read_host_settings(text).ok
         self.built = build(self.cfg, metrics_port=free_port())
         self.core = self.built.core
         self.core.start(self.built.tasks)
@@ -137,8 +139,8 @@
 def start_daemon(store):
     daemons = []
 
-    def start(name="front-1", wait=True, seeds=()):
-        daemon = HostedDaemon(store.port, name, seeds)
+    def start(name="front-1", wait=True, seeds=(), store_port=store.port, zone="hall"):
+        daemon = HostedDaemon(store_port, name, seeds, zone)
         daemons.append(daemon)
         if wait:
             wait_for(lambda: daemon.core.services.revision > 0)
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -1,12 +1,21 @@
 """Following a table: states of the feed, and rows that are removed in an outage."""
 
 import random
+import time
 
 import gevent
 import pytest
 from expression import Error, Ok
 
-from cairnferry.coordination import Batch, Row, TableUpdate
+from cairnferry.coordination import (
+    Batch,
+    Hold,
+    Row,
+    TableUpdate,
+    VersionSpan,
+    _continuity,
+    stamp,
+)
 from cairnferry.entry._ports import FeedUnavailable, HistoryLost
 from cairnferry.entry.following import _following, _table
 from cairnferry.entry.following._following import Follower
@@ -210,6 +219,54 @@
     assert hanging.waits[1] == 0.0
 
 
+def established(follower):
+    """Let the calls of a follower count as uninterrupted for long enough."""
+    follower.continuity.note_success(time.monotonic() - _continuity.ESTABLISHED_S)
+
+
+def test_a_removal_by_an_uninterrupted_feed_is_not_retained(follow):
+    """Guards against requests to removed targets due to another daemon's connection."""
+    follower, _, seen = follow(
+        batch(5, put("a", 3), put("b", 4)), batch(6, removed("a", 6))
+    )
+    poll(follower, 1)
+    established(follower)
+    follower.table.extend(Hold(until=time.monotonic() + 60.0))
+    poll(follower, 1)
+    assert seen[-1] == {"b": 4}
+    assert follower.table.settled == VersionSpan(5, 6)
+
+
+def test_a_removal_reported_by_a_peer_is_dropped_once_settled(follow):
+    follower, _, seen = follow(batch(5, put("a", 3)))
+    poll(follower, 1)
+    follower.table.extend(Hold(until=time.monotonic() + 60.0))
+    follower.table.apply_update(TableUpdate(False, (removed("a", 7),), 7))
+    assert seen[-1] == {"a": 3}
+    assert not follower.table.settle(VersionSpan(7, 9))
+    assert follower.table.settle(VersionSpan(5, 9))
+    assert seen[-1] == {}
+
+
+@pytest.mark.parametrize("end", ["failure", "pause", "restore", "delay"])
+def test_removals_are_not_settled_after_an_interruption(follow, monkeypatch, end):
+    """Guards against rows that lapsed in an outage and are reported as settled."""
+    later = stamp(1, 7) if end == "restore" else 7
+    results = [DOWN] if end == "failure" else []
+    follower, _, _ = follow(
+        batch(5, put("a", 3)), *results, batch(later, removed("a", later))
+    )
+    poll(follower, 1)
+    established(follower)
+    if end == "pause":
+        follower._stand_by()
+    if end == "delay":
+        monkeypatch.setattr(_following, "MAX_DELAY_S", -_following.MAX_WAIT_S)
+    poll(follower, 1 + len(results))
+    assert follower.table.copy.version == later
+    assert not follower.table.settled
+
+
 class WaitingFeed(ScriptedFeed):
     """Waits for the requested time before each answer."""
 
--- a/tests/entry/members/test_gossip.py
+++ b/tests/entry/members/test_gossip.py
@@ -1,18 +1,20 @@
 """Gossip: the peers that a daemon calls in a round, and what it fetches from them."""
 
-import math
+import time
 
 import attrs
 import pytest
 
 from cairnferry.coordination import (
     Batch,
+    Hold,
     MemberState,
     Note,
     NoteRegistry,
     Row,
     TableReplica,
     TableUpdate,
+    VersionSpan,
 )
 from cairnferry.entry._ports import EntryRow
 from cairnferry.entry.members import _cluster, _gossip
@@ -30,10 +32,15 @@
     """A shared table that retains no removed rows."""
 
     copy: TableReplica = attrs.field(factory=TableReplica)
-    grace_left: float = 0.0
+    hold: Hold = Hold()
+    settled: VersionSpan = VersionSpan()
 
-    def hold_for(self, seconds):
-        self.grace_left = max(self.grace_left, seconds)
+    def extend(self, hold):
+        self.hold = max(self.hold, hold, key=lambda each: each.until)
+
+    def settle(self, span):
+        self.settled = self.settled.merge(span)
+        return False
 
     def apply_update(self, update):
         return self.copy.apply_update(update)
@@ -161,18 +168,30 @@
         _gossip.gevent.sleep(0)
 
 
-def test_the_end_of_an_outage_is_reported_with_the_rows(start):
+def test_the_end_of_an_outage_is_reported_with_the_rows(start, monkeypatch):
     """Guards against a zone without targets for two seconds after an outage.
 
     The zone received the removals from another zone, but not that they were due to an
     outage of the store, during which writers could not renew their rows.
     """
     source = start("e1", [member("e2")])
-    source.cluster.tables["targets"].grace_left = 1.5
+    monkeypatch.setattr(time, "monotonic", lambda: 100.0)
+    hold = Hold(began_at=96.0, until=101.5)
+    source.cluster.tables["targets"].hold = hold
+    fetcher = start("e2", [member("e1")])
+    fetcher.one_round()
+    fetcher._calls.join()
+    assert fetcher.cluster.tables["targets"].hold == hold
+
+
+def test_settled_removals_are_reported(start):
+    """Guards against rows that one daemon's lost connection keeps in use at others."""
+    source = start("e1", [member("e2")])
+    source.cluster.tables["targets"].settled = VersionSpan(3, 9)
     fetcher = start("e2", [member("e1")])
     fetcher.one_round()
     fetcher._calls.join()
-    assert math.isclose(fetcher.cluster.tables["targets"].grace_left, 1.5)
+    assert fetcher.cluster.tables["targets"].settled == VersionSpan(3, 9)
 
 
 def test_a_table_that_only_the_peer_has_is_ignored(start):
