All tables are held once one feed is back after an outage

What callers saw: after an outage of the whole store one daemon of four had no targets for 1.2 s and answered 503, as entries had lapsed.

Cause: a follower held the rows of its table only if its own call had failed. A call that was aborted since another one failed, or that waited for a lost answer, had not. That daemon applied the lapses at once, and by gossip so did others.

Change: the feed that is back extends the hold of all tables of the store.

test_rows_of_all_tables_are_retained_once_one_feed_is_back failed before: "assert [{'a': 3}, {}] == [{'a': 3}]".

--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -272,11 +272,17 @@
             return
         log.info("feed is back", extra={"feed": self.name, "failed": self._failures})
         self._failures = 0
+        until = time.monotonic() + _table.RETURN_GRACE_S
+        hold = Hold(self.continuity.outage_began_at, until)
+        self._extend(hold)
         for partner in self.partners:
             partner.abort_calls_before(self._called_at)
+            # A call that was aborted, or that waits for a lost answer, did not fail.
+            partner._extend(hold)
+
+    def _extend(self, hold):
         if self.table.copy.version:
-            until = time.monotonic() + _table.RETURN_GRACE_S
-            self.table.extend(Hold(self.continuity.outage_began_at, until))
+            self.table.extend(hold)
 
 
 def _outcome(result):
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -219,6 +219,21 @@
     assert hanging.waits[1] == 0.0
 
 
+def test_rows_of_all_tables_are_retained_once_one_feed_is_back(follow):
+    """Guards against a daemon without targets for two seconds after an outage.
+
+    Its call for targets was aborted in the outage and did not fail; that for rules did.
+    """
+    rules, _, _ = follow(batch(5), DOWN, batch(5))
+    targets, _, seen = follow(batch(5, put("a", 3)), batch(7, removed("a", 7)))
+    rules.partners.append(targets)
+    poll(targets, 1)
+    poll(rules, 3)
+    targets.poll_once()
+    assert seen == [{"a": 3}]
+    assert targets.table.grace_left > 0
+
+
 def established(follower):
     """Let the calls of a follower count as uninterrupted for long enough."""
     follower.continuity.note_success(time.monotonic() - _continuity.ESTABLISHED_S)
