A daemon that starts to watch after an outage holds rows too

What callers saw: after an outage of the whole store one daemon had no targets for 1.2 s.

Cause: daemons whose calls fail leave watching to the next candidate. One whose first call succeeds as the store returns has seen no failure, and applied the lapses at once; its update reached daemons whose hold had not begun.

Change: the first answer after a time without watching begins a hold if another daemon's note that the store did not answer is in effect.

test_a_new_watcher_retains_rows_if_others_saw_an_outage failed before: "assert {} == {'a': 3}".

--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -109,6 +109,7 @@
             is_watcher=self._is_watcher,
             on_failure=self._report_failure,
             continuity=self._continuity,
+            is_doubted=self._is_doubted,
         )
         self._followers.append(self._rules_follower)
         evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
@@ -130,6 +131,9 @@
     def _is_watcher(self):
         return self.core.watcher_role.is_active()
 
+    def _is_doubted(self):
+        return self.core.watcher_role.is_store_doubted()
+
     def _report_failure(self):
         if self.core.watcher_role.report_store_failure():
             self.core.gossip.trigger_round()
@@ -164,6 +168,7 @@
             self._is_watcher,
             self._report_failure,
             self._continuity,
+            self._is_doubted,
         )
         follower.table.on_known = self._install_when_complete
         self._followers.append(follower)
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -58,6 +58,11 @@
     """Ignore the failure."""
 
 
+def _never():
+    """Trust in the store at all times."""
+    return False
+
+
 class _Restart(BaseException):
     """Aborts a call that may wait for a lost answer."""
 
@@ -91,6 +96,8 @@
         Called when the store did not answer.
     continuity : CallContinuity, optional
         Record of this daemon's calls, common to all followers of the store.
+    is_doubted : callable
+        Returns whether another daemon has reported that the store did not answer.
 
     Attributes
     ----------
@@ -111,6 +118,7 @@
     is_watcher: Callable[[], bool] = _always
     on_failure: Callable[[], None] = _do_nothing
     continuity: CallContinuity = attrs.field(factory=CallContinuity)
+    is_doubted: Callable[[], bool] = _never
     confirmed_at: float | None = None
     partners: list["Follower"] = attrs.field(factory=list)
     table: FollowedTable | SplitTable = attrs.field(init=False)
@@ -124,6 +132,8 @@
     _must_list: bool = False
     # Version from which the answers were uninterrupted; None while they are not.
     _settled_after: int | None = None
+    # Whether other daemons made the calls before this one.
+    _is_resuming: bool = False
     _failures: int = 0
     _failed_at: float = -math.inf
 
@@ -151,6 +161,7 @@
         """
         self._position = None
         self._must_list = False
+        self._is_resuming = True
         self.continuity.interrupt()
         if time.monotonic() - self._failed_at > OUTAGE_MEMORY_S:
             self._failures = 0
@@ -268,12 +279,17 @@
                 return longest * (0.5 + 0.5 * self.rng.random())
 
     def _handle_success(self):
-        if not self._failures:
+        is_resuming, self._is_resuming = self._is_resuming, False
+        if self._failures:
+            began_at = self.continuity.outage_began_at
+        elif is_resuming and self.is_doubted():
+            # The daemons that watched before saw an outage, which may just have ended.
+            began_at = self._called_at
+        else:
             return
         log.info("feed is back", extra={"feed": self.name, "failed": self._failures})
         self._failures = 0
-        until = time.monotonic() + _table.RETURN_GRACE_S
-        hold = Hold(self.continuity.outage_began_at, until)
+        hold = Hold(began_at, time.monotonic() + _table.RETURN_GRACE_S)
         self._extend(hold)
         for partner in self.partners:
             partner.abort_calls_before(self._called_at)
--- a/packages/entry/src/cairnferry/entry/members/_watcher_role.py
+++ b/packages/entry/src/cairnferry/entry/members/_watcher_role.py
@@ -105,3 +105,11 @@
         """Post a note that the store did not answer; return whether the note is new."""
         name = self.cluster.membership.me.name
         return self.cluster.post(Note(name, STORE_UNREACHABLE, STORE_FAILURE_S))
+
+    def is_store_doubted(self) -> bool:
+        """Return whether another daemon has reported that the store did not answer."""
+        me = self.cluster.membership.me.name
+        notes = self.cluster.notes.active_notes(time.monotonic())
+        return any(
+            note.source == STORE_UNREACHABLE and note.subject != me for note in notes
+        )
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -234,6 +234,20 @@
     assert targets.table.grace_left > 0
 
 
+@pytest.mark.parametrize("is_doubted", [True, False])
+def test_a_new_watcher_retains_rows_if_others_saw_an_outage(follow, is_doubted):
+    """Guards against a daemon that starts to watch as an outage ends, and drops rows.
+
+    Those that watched before it have failed and left watching to it.
+    """
+    follower, _, seen = follow(batch(5, put("a", 3)), batch(7, removed("a", 7)))
+    follower.is_doubted = lambda: is_doubted
+    poll(follower, 1)
+    follower._stand_by()
+    poll(follower, 1)
+    assert seen[-1] == ({"a": 3} if is_doubted else {})
+
+
 def established(follower):
     """Let the calls of a follower count as uninterrupted for long enough."""
     follower.continuity.note_success(time.monotonic() - _continuity.ESTABLISHED_S)
