A daemon notices an outage while its calls wait for changes

What callers saw: after an outage of the whole store in which connections hang, one daemon of four had no targets for 1.2 s; sometimes all four.

Cause: a call that waits for changes does not fail when the store falls silent. A daemon none of whose calls was due applied the lapses at once as the store returned, and counted its calls as uninterrupted, so that it settled the lapses for all. The same at a daemon whose call for rules had failed while that for targets still waited.

Change: the first answer after any failed call of the daemon begins a hold. When another daemon reports that the store did not answer, a watcher replaces its waiting call for rules by one that is answered at once, at most every 3 s; its calls are not established until then. If the store is silent, that call fails.

Before the change, test_rows_are_retained_if_another_feed_of_the_daemon_has_failed fails with "assert [{'a': 3}, {}] == [{'a': 3}]"; the test of the verifying call needs the new method.

--- a/packages/coordination/src/cairnferry/coordination/_continuity.py
+++ b/packages/coordination/src/cairnferry/coordination/_continuity.py
@@ -22,26 +22,41 @@
         Local time in seconds at which the latest outage began. An outage that follows
         an earlier one within `RETURN_GRACE_S` continues it, as writers may have missed
         the interval.
+    is_out : bool
+        Whether no call has succeeded since the latest failure.
     """
 
     outage_began_at: float = -math.inf
-    _is_out: bool = False
+    is_out: bool = False
     _returned_at: float = -math.inf
     _succeeds_since: float = math.inf
+    _doubted_at: float = -math.inf
+    _is_doubted: bool = False
 
     def note_failure(self, now: float) -> None:
         """Record a call that the store did not answer."""
-        if not self._is_out and now >= self._returned_at + RETURN_GRACE_S:
+        if not self.is_out and now >= self._returned_at + RETURN_GRACE_S:
             self.outage_began_at = now
-        self._is_out = True
+        self.is_out = True
         self._succeeds_since = math.inf
 
-    def note_success(self, now: float) -> None:
-        """Record an answer of the store."""
-        if self._is_out:
-            self._is_out = False
+    def note_success(self, called_at: float, now: float) -> None:
+        """Record an answer of the store to a call that began at a time."""
+        if self.is_out:
+            self.is_out = False
             self._returned_at = now
         self._succeeds_since = min(self._succeeds_since, now)
+        if called_at >= self._doubted_at:
+            self._is_doubted = False
+
+    def doubt(self, now: float) -> None:
+        """Record that another daemon did not reach the store.
+
+        A call that waits for changes does not show whether this daemon does. The calls
+        are not established until one that begins later is answered.
+        """
+        self._doubted_at = now
+        self._is_doubted = True
 
     def interrupt(self) -> None:
         """Record that calls pause, or that an answer does not show continuity."""
@@ -49,4 +64,4 @@
 
     def is_established(self, now: float) -> bool:
         """Return whether all calls have succeeded for `ESTABLISHED_S`."""
-        return now >= self._succeeds_since + ESTABLISHED_S
+        return not self._is_doubted and now >= self._succeeds_since + ESTABLISHED_S
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -127,6 +127,7 @@
         self._tasks = []
         self._leaving = Event()
         self.leave_hooks: list[Callable[[], None]] = []
+        self.on_store_doubted: Callable[[], None] = lambda: None
         self.reload = Event()
         self.startup_hold = StartupHold(Event(), time.monotonic() + cfg.hold_s)
 
@@ -433,6 +434,8 @@
     def _note_draining(self, identity, source, until):
         if source == STORE_UNREACHABLE:
             # The note is on a daemon, not on a target; `WatcherRole` reads it.
+            if identity != self.cfg.name:
+                self.on_store_doubted()
             return
         for runtime in self.services.active().values():
             runtime.policy.note_draining(identity, DrainSource(source), until)
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -1,6 +1,7 @@
 """Records from two followed tables: one row with all rules, one row per target."""
 
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -34,6 +35,9 @@
 # Seconds between two updates of the age of the confirmed rules: a small part of the
 # 10 s after which a daemon considers itself stale.
 CONFIRM_S = 0.5
+# Minimum seconds between two calls that verify that the store answers, as daemons that
+# do not reach it report that again and again.
+VERIFY_S = 3.0
 # Name of the table of targets in messages between daemons.
 TARGETS = "targets"
 MS_PER_S = 1000
@@ -86,6 +90,7 @@
     _installer: TargetInstaller = attrs.field(init=False)
     tables: dict[str, FollowedTable] = attrs.field(factory=dict)
     _continuity: CallContinuity = attrs.field(factory=CallContinuity)
+    _verified_at: float = -math.inf
     _rules_follower: Follower = attrs.field(init=False)
     _followers: list[Follower] = attrs.field(factory=list)
 
@@ -112,6 +117,7 @@
             is_doubted=self._is_doubted,
         )
         self._followers.append(self._rules_follower)
+        self.core.on_store_doubted = self._verify_store
         evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
         # Listed before the targets, so that a starting daemon has the evacuated zones
         # before it has targets.
@@ -131,6 +137,12 @@
     def _is_watcher(self):
         return self.core.watcher_role.is_active()
 
+    def _verify_store(self):
+        now = time.monotonic()
+        if now >= self._verified_at + VERIFY_S:
+            self._verified_at = now
+            self._rules_follower.verify()
+
     def _is_doubted(self):
         return self.core.watcher_role.is_store_doubted()
 
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -189,6 +189,19 @@
         if self._is_calling and self._called_at < moment:
             self._task.kill(_Restart, block=False)
 
+    def verify(self) -> None:
+        """Call the store without delay, as another daemon did not reach it.
+
+        If the store is silent, this daemon notices that by the new call, and not only
+        when the current one is due.
+        """
+        if self._is_resuming:
+            return
+        now = time.monotonic()
+        self.continuity.doubt(now)
+        self._was_aborted = True
+        self.abort_calls_before(now)
+
     def poll_once(self) -> float:
         """Make one call and apply its result; return the seconds to pause."""
         called_at = self._called_at = time.monotonic()
@@ -207,7 +220,7 @@
         self._was_aborted = False
         self._handle_success()
         self.confirmed_at = self._confirmed_time(result.ok, called_at, wait)
-        self._settle(result.ok, position, called_at + wait)
+        self._settle(result.ok, position, wait)
         self._apply(result.ok, position)
         return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
@@ -221,7 +234,7 @@
         has_waited = not batch.items and time.monotonic() >= called_at + wait
         return called_at + wait if has_waited else called_at
 
-    def _settle(self, batch, position, due_at):
+    def _settle(self, batch, position, wait):
         """Settle the removals in an answer if the calls were uninterrupted.
 
         Otherwise the rows may have expired in an outage. A restored store may lack rows
@@ -229,9 +242,9 @@
         """
         now = time.monotonic()
         is_restored = era_of(batch.version) > era_of(self.table.copy.version)
-        if is_restored or now > due_at + MAX_DELAY_S:
+        if is_restored or now > self._called_at + wait + MAX_DELAY_S:
             self.continuity.interrupt()
-        self.continuity.note_success(now)
+        self.continuity.note_success(self._called_at, now)
         if not self.continuity.is_established(now):
             self._settled_after = None
             return
@@ -280,7 +293,7 @@
 
     def _handle_success(self):
         is_resuming, self._is_resuming = self._is_resuming, False
-        if self._failures:
+        if self._failures or self.continuity.is_out:
             began_at = self.continuity.outage_began_at
         elif is_resuming and self.is_doubted():
             # The daemons that watched before saw an outage, which may just have ended.
--- a/tests/coordination/test_retention.py
+++ b/tests/coordination/test_retention.py
@@ -117,7 +117,7 @@
 
 def test_calls_are_established_after_some_seconds_of_success():
     continuity = CallContinuity()
-    continuity.note_success(5.0)
+    continuity.note_success(5.0, 5.0)
     assert not continuity.is_established(5.0 + ESTABLISHED_S - 0.1)
     assert continuity.is_established(5.0 + ESTABLISHED_S)
 
@@ -126,18 +126,29 @@
     """Guards against a removal in an outage that a daemon reports as settled."""
     for end in (lambda c: c.note_failure(9.0), lambda c: c.interrupt()):
         continuity = CallContinuity()
-        continuity.note_success(5.0)
+        continuity.note_success(5.0, 5.0)
         end(continuity)
-        continuity.note_success(9.5)
+        continuity.note_success(9.5, 9.5)
         assert not continuity.is_established(9.5)
 
 
 def test_outages_in_quick_succession_count_as_one():
     continuity = CallContinuity()
-    continuity.note_success(1.0)
+    continuity.note_success(1.0, 1.0)
     for failed_at in (4.0, 5.9, 7.8):
         continuity.note_failure(failed_at)
         assert continuity.outage_began_at == 4.0
-        continuity.note_success(failed_at + 0.1)
+        continuity.note_success(failed_at + 0.1, failed_at + 0.1)
     continuity.note_failure(20.0)
     assert continuity.outage_began_at == 20.0
+
+
+def test_calls_are_not_established_until_a_doubt_is_cleared_by_a_later_call():
+    """Guards against settled removals by a call that hangs through an outage."""
+    continuity = CallContinuity()
+    continuity.note_success(1.0, 1.0)
+    continuity.doubt(9.0)
+    continuity.note_success(called_at=8.9, now=9.1)
+    assert not continuity.is_established(9.1)
+    continuity.note_success(called_at=9.0, now=9.2)
+    assert continuity.is_established(9.2)
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -234,6 +234,20 @@
     assert targets.table.grace_left > 0
 
 
+def test_rows_are_retained_if_another_feed_of_the_daemon_has_failed(follow):
+    """Guards against a daemon that drops lapsed rows as it waited through an outage.
+
+    Its call for targets is answered as the outage ends, before that for rules.
+    """
+    rules, _, _ = follow(batch(5), DOWN)
+    targets, _, seen = follow(batch(5, put("a", 3)), batch(7, removed("a", 7)))
+    targets.continuity = rules.continuity
+    poll(targets, 1)
+    poll(rules, 2)
+    poll(targets, 1)
+    assert seen == [{"a": 3}]
+
+
 @pytest.mark.parametrize("is_doubted", [True, False])
 def test_a_new_watcher_retains_rows_if_others_saw_an_outage(follow, is_doubted):
     """Guards against a daemon that starts to watch as an outage ends, and drops rows.
@@ -250,7 +264,8 @@
 
 def established(follower):
     """Let the calls of a follower count as uninterrupted for long enough."""
-    follower.continuity.note_success(time.monotonic() - _continuity.ESTABLISHED_S)
+    since = time.monotonic() - _continuity.ESTABLISHED_S
+    follower.continuity.note_success(since, since)
 
 
 def test_a_removal_by_an_uninterrupted_feed_is_not_retained(follow):
@@ -296,6 +311,24 @@
     assert not follower.table.settled
 
 
+def test_a_daemon_verifies_that_the_store_answers_when_another_does_not_reach_it():
+    """Guards against lapsed rows that a daemon drops as it waits through an outage."""
+    feed = HangingFeed(batch(5, put("a", 3)), None, DOWN, batch(7, removed("a", 7)))
+    seen = []
+    follower = Follower("rows", feed, seen.append, random.Random(1))
+    task = gevent.spawn(follower.run)
+    while len(feed.calls) < 2:
+        gevent.sleep(0.01)
+    established(follower)
+    follower.verify()
+    while len(feed.calls) < 4:
+        gevent.sleep(0.01)
+    task.kill()
+    assert feed.waits[1:] == [0.0, 0.0]
+    assert set(seen[-1]) == {"a"}
+    assert not follower.table.settled
+
+
 class WaitingFeed(ScriptedFeed):
     """Waits for the requested time before each answer."""
 
