Hosts are compared without the dot of an absolute name, and as IPv6 addresses

What callers saw: 404 for `Host: shop.example.`, and for any `Host: [::1]:8080`, though the host has routes.

Cause: the host was cut at its first colon, which leaves "[" of an IPv6 address, and a final dot was kept.

Evidence: Services.route on the code before returns None for "t.example." with a route of t.example, and for "[::1]:80" with one of [::1].

Change: the name of a host is taken in one place, RouteTable.

--- a/packages/entry/src/cairnferry/entry/targets/_route_table.py
+++ b/packages/entry/src/cairnferry/entry/targets/_route_table.py
@@ -6,6 +6,8 @@
 
 from cairnferry.records import PathMatch, Route
 
+_NO_TABLES = {}
+
 
 @attrs.frozen
 class _PrefixTable:
@@ -62,7 +64,8 @@
         """
         grouped = {}
         for route in routes:
-            by_match = grouped.setdefault(route.host, {})
+            name = route.host and route.host.removesuffix(".")
+            by_match = grouped.setdefault(name, {})
             group = by_match.setdefault(route.path_match, {})
             group[_compared_prefix(route)] = route
         tables = {
@@ -79,11 +82,11 @@
         path : str
             Path without a query, as the caller sent it.
         host : str or None
-            Name of the host in lower case. Of two equal prefixes, that of a route for
-            this host counts before that of a route for any host.
+            Host as the caller sent it. Of two equal prefixes, that of a route for this
+            host counts before that of a route for any host.
         """
         longest, found = -1, None
-        for name in (host, None):
+        for name in (host and _host_name(host), None):
             for match, table in self.tables.get(name, _NO_TABLES).items():
                 length, route = table.find(_compared_path(path, match))
                 if length > longest:
@@ -91,9 +94,6 @@
         return found
 
 
-_NO_TABLES = {}
-
-
 def _compared_prefix(route):
     """Return the text with which a compared path has to start."""
     match route.path_match:
@@ -110,3 +110,10 @@
             return path
         case PathMatch.SEGMENTS:
             return path + "/"
+
+
+def _host_name(host):
+    """Return a host in lower case, without its port and the dot of an absolute name."""
+    is_ip_v6 = host.startswith("[")
+    name = host.partition("]")[0] + "]" if is_ip_v6 else host.partition(":")[0]
+    return name.lower().removesuffix(".")
--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -133,7 +133,7 @@
         host : str or None
             Host in the caller's request. A route without a host matches any host.
         """
-        return self._routes.find(path.partition("?")[0], host and _host_name(host))
+        return self._routes.find(path.partition("?")[0], host)
 
     def service_for(self, route: Route) -> str:
         """Return the service for the next request of a route."""
@@ -169,8 +169,3 @@
     def targets(self) -> list:
         """Return the targets of all services."""
         return [target for targets in self._targets.values() for target in targets]
-
-
-def _host_name(host):
-    """Return a host without its port, in lower case for comparison."""
-    return host.partition(":")[0].lower()
--- a/tests/entry/targets/test_route_table.py
+++ b/tests/entry/targets/test_route_table.py
@@ -138,3 +138,26 @@
     services.install_rules(1, [], [any_host, mine])
     assert services.route("/p/x", HOSTS[0]) is mine
     assert services.route("/p/x", HOSTS[1]) is any_host
+
+
+@pytest.mark.parametrize(
+    ("host", "sent"),
+    [
+        ("one.example", "One.Example:8080"),
+        ("one.example", "one.example."),
+        ("one.example", "one.example.:80"),
+        ("one.example.", "one.example"),
+        ("[::1]", "[::1]"),
+        ("[::1]", "[::1]:8080"),
+        ("[fe80::a]", "[FE80::A]:80"),
+    ],
+)
+def test_hosts_are_compared_without_port_case_and_final_dot(host, sent):
+    """Guards against 404 for a host that is named in another form."""
+    assert find([route("/p/", host=host)], "/p/x", sent) == "/p/"
+
+
+@pytest.mark.parametrize("sent", ["two.example", "xone.example", "[::2]", "one", ""])
+def test_another_host_has_no_route(sent):
+    routes = [route("/p/", host="one.example"), route("/p/", host="[::1]")]
+    assert find(routes, "/p/x", sent) is None
