Model: daemons follow the store as they do in the product, and hold rows

The model of many daemons copied the decisions of a watcher, and had no rows that lapse or are removed.

--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -7,29 +7,31 @@
 import collections
 import heapq
 import random
+from collections.abc import Callable
 from functools import partial
 from unittest import mock
 
 import attrs
 import gevent
+from expression import Error, Ok
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
 from cairnferry.coordination import (
     Batch,
-    Hold,
     Member,
     Membership,
     MemberState,
     NoteRegistry,
     Row,
-    TableReplica,
-    VersionSpan,
     era_of,
     stamp,
     version_of,
 )
+from cairnferry.entry._ports import FeedUnavailable, HistoryLost
 from cairnferry.entry.callers import CrashGuard, quarantine_note_registry
+from cairnferry.entry.following._following import Follower
+from cairnferry.entry.following._table import FollowedTable
 from cairnferry.entry.members import Cluster, Gossip, PermitIssuers, WatcherRole
 from cairnferry.entry.members._cluster import ListedInstance
 from cairnferry.entry.members._watcher_role import SETTLE_S
@@ -102,24 +104,29 @@
         return Batch(tuple(sorted(changed, key=lambda r: r.version)), self.version)
 
 
-@attrs.define
-class SharedReplica:
-    """A table replica with the interface that `Gossip` uses."""
-
-    copy: TableReplica = attrs.field(factory=TableReplica)
-    hold: Hold = Hold()
-    settled: VersionSpan = VersionSpan()
+@attrs.frozen
+class _Feed:
+    """Feed of the store as one daemon reaches it; it answers without waiting."""
 
-    def extend(self, hold: Hold) -> None:
-        """Do nothing, as the model has no outage of writers."""
+    store: Store
+    is_served: Callable[[], bool]
 
-    def settle(self, span: VersionSpan) -> bool:
-        """Do nothing, as no rows are retained."""
-        return False
+    def list_all(self):
+        """List all rows."""
+        self.store.calls += 1
+        if not self.is_served():
+            return Error(FeedUnavailable("model"))
+        rows = tuple(r for r in self.store.rows.values() if r.value is not None)
+        return Ok(Batch(rows, self.store.version))
 
-    def apply_update(self, update) -> bool:
-        """Apply an update of another daemon."""
-        return self.copy.apply_update(update)
+    def wait_for_changes(self, version, wait_s):
+        """Return the changes since a version."""
+        self.store.calls += 1
+        if not self.is_served():
+            return Error(FeedUnavailable("model"))
+        if era_of(version) != self.store.era:
+            return Error(HistoryLost())
+        return Ok(self.store.since(version))
 
 
 class _Rules:
@@ -145,6 +152,8 @@
         Whether the store refuses its calls.
     store_called_at : float
         Time in seconds of its last call to the store.
+    rows_in_use : dict of str to Row
+        Rows of the table in force, including retained ones.
     """
 
     name: str
@@ -152,7 +161,7 @@
     cluster: Cluster
     gossip: Gossip
     watcher_role: WatcherRole
-    table: SharedReplica
+    follower: Follower
     guard: CrashGuard
     services: Services
     limiter: Limiter
@@ -162,6 +171,16 @@
     side: int = 0
     refused: bool = False
     store_called_at: float = 0.0
+    rows_in_use: dict[str, Row] = attrs.field(factory=dict)
+
+    @property
+    def table(self) -> FollowedTable:
+        """The daemon's copy of the table."""
+        return self.follower.table
+
+    def use(self, rows: dict[str, Row]) -> None:
+        """Put rows in force."""
+        self.rows_in_use = rows
 
 
 class Fleet:
@@ -212,8 +231,6 @@
         me = Member(name, zone, f"{name}:1", f"{name}:2", 1, MemberState.ALIVE)
         membership = Membership(me, random.Random(self.rng.random()))
         cluster = Cluster(membership, _Rules(), NoteRegistry(_ignore_note), lambda: 1.0)
-        table = SharedReplica()
-        cluster.tables = {TABLE: table}
         gossip = Gossip(cluster, None, self, ROUND_S, FANOUT, ())
         watcher_role = WatcherRole(cluster)
         watcher_role.is_ready = True
@@ -227,18 +244,41 @@
         issuer = LocalPermitIssuer(limiter, issuers, self.rng)
         gossip.permits = issuer.issue
         permits = PermitRequester(name, services, limiter, issuers, issuer, self)
-        return Daemon(
+        daemon = Daemon(
             name,
             zone,
             cluster,
             gossip,
             watcher_role,
-            table,
+            self._create_follower(watcher_role, gossip),
             guard,
             services,
             limiter,
             permits,
         )
+        daemon.follower.feed = _Feed(self.store, partial(self._is_served, daemon))
+        daemon.follower.on_change = daemon.table.on_change = daemon.use
+        cluster.tables = {TABLE: daemon.table}
+        return daemon
+
+    def _create_follower(self, watcher_role, gossip):
+        def report_failure():
+            watcher_role.report_store_failure()
+            gossip.trigger_round()
+
+        follower = Follower(
+            TABLE,
+            None,
+            _ignore_rows,
+            random.Random(self.rng.random()),
+            on_failure=report_failure,
+            is_doubted=watcher_role.is_store_doubted,
+        )
+        follower.table.call_later = self.after
+        return follower
+
+    def _is_served(self, daemon):
+        return self.store.is_up and not daemon.refused
 
     def _register_addresses(self):
         """List the addresses of all other daemons at each, as the platform's list does.
@@ -298,24 +338,26 @@
     def _poll_store(self, daemon):
         """Poll the store, if this daemon is a watcher."""
         self.after(POLL_S * (0.5 + self.rng.random()), self._poll_store, daemon)
-        if not daemon.is_up or not daemon.watcher_role.is_active():
+        if not daemon.is_up:
             return
-        copy = daemon.table.copy
-        is_served = self.store.is_up and not daemon.refused
+        follower, copy = daemon.follower, daemon.table.copy
+        if not daemon.watcher_role.is_active():
+            follower._stand_by()
+            return
+        is_served = self._is_served(daemon)
         is_new = is_served and self.store.version > copy.version
-        interval = LONG_POLL_S if is_served else RETRY_S
+        is_retry = not is_served or follower._failures
+        interval = RETRY_S if is_retry else LONG_POLL_S
         if not is_new and self.now - daemon.store_called_at < interval:
             return
-        self.store.calls += 1
         daemon.store_called_at = self.now
-        if not is_served:
-            daemon.watcher_role.report_store_failure()
-            daemon.gossip.trigger_round()
-            return
-        daemon.cluster.confirmation.confirm(self.now)
-        batch = self.store.since(copy.version)
-        is_whole = era_of(copy.version) != self.store.era
-        if copy.apply_listing(batch) if is_whole else copy.apply_changes(batch):
+        version = copy.version
+        while follower.poll_once() == 0.0:
+            # The history is lost, and all rows are listed.
+            pass
+        if is_served:
+            daemon.cluster.confirmation.confirm(self.now)
+        if copy.version > version:
             daemon.gossip.trigger_round()
 
     # -- calls between daemons ------------------------------------------------------
@@ -432,5 +474,9 @@
     """Ignore a note."""
 
 
+def _ignore_rows(rows):
+    """Ignore the rows of a daemon that is being created."""
+
+
 def _ignore_policy(policy):
     """Ignore a new policy."""
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -56,12 +56,15 @@
         Called once the copy holds a first state of the table, which may be empty.
     copy : TableReplica, optional
         Rows according to the store, without retained ones.
+    call_later : callable, optional
+        Calls a function after some seconds.
     """
 
     name: str
     on_change: Callable[[dict[str, Row]], None]
     on_known: Callable[[], None] = _do_nothing
     copy: TableReplica = attrs.field(factory=TableReplica)
+    call_later: Callable[[float, Callable[[], None]], object] = gevent.spawn_later
     _retention: RowRetention = attrs.field(factory=RowRetention)
     _reverted: dict[str, "_RevertedRow"] = attrs.field(factory=dict)
     _reverted_until: float = 0.0
@@ -144,7 +147,7 @@
         """
         self._reverted_until = time.monotonic() + RETURN_GRACE_S
         self.extend(Hold(until=self._reverted_until))
-        gevent.spawn_later(RETURN_GRACE_S, self._drop_reverted)
+        self.call_later(RETURN_GRACE_S, self._drop_reverted)
         rows = self.copy.rows
         was_removed = {
             key: _RevertedRow(row, None) for key, row in rows.items() if key in removed
@@ -197,7 +200,7 @@
 
     def _expire_later(self):
         delay = self._retention.ends_at - time.monotonic()
-        gevent.spawn_later(max(0.0, delay), self._expire)
+        self.call_later(max(0.0, delay), self._expire)
 
     def _expire(self):
         """Drop the retained rows that were not written again."""
