--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -57,6 +57,14 @@
     return found
 
 
+def test_request_that_no_prefix_begins_is_not_passed_on(cut_off):
+    """Guards against a peer that handles a request by another route."""
+    before = passed_on(cut_off)
+    for path in ("/a", "/o", "/o?x=/o/"):
+        assert cut_off.call(path).status == 404
+    assert passed_on(cut_off) == before
+
+
 def test_order_whose_peer_is_lost_runs_once(daemons, cut_off, targets):
     """Guards against an order that a second peer runs, or that counts as not run."""
     hold(targets)
