Framing of an answer's body is bounded

What callers saw: nothing yet, found by a test for "bytes without end". A target that sends a chunk extension without end is read until the deadline: 4.4 GB in 5 s in a test, and 448 MB in answer to a status check. The memory is bounded, as the parser drops extensions, but the daemon does nothing else meanwhile.

Cause: the head and the body of an answer have a bound each; extensions of chunks and trailers belong to neither.

Change: bytes besides the body are bounded by twice MAX_HEAD_BYTES and eight times the body.

Bytes without end from peers, the store and callers have no test here.

--- a/packages/wire/src/cairnferry/wire/_exchange.py
+++ b/packages/wire/src/cairnferry/wire/_exchange.py
@@ -13,6 +13,9 @@
 
 RECV_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# Framing of a body that is accepted, in bytes for each byte of the body: a chunk of one
+# byte takes six.
+MAX_FRAMING_SHARE = 8
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = (204, 304)
 
@@ -267,12 +270,13 @@
 def _receive(sock, method, deadline, max_body, rules, link):
     """Return the outcome and whether the connection is reusable."""
     parser = _StrictResponse(method, rules)
-    head_bytes = 0
+    received_bytes = head_bytes = 0
     while parser.reply is None:
         data = _recv(sock, deadline)
         if isinstance(data, Incomplete):
             return data, False
         link.note_received(len(data))
+        received_bytes += len(data)
         try:
             parser.feed(data)
         except HTTPParseError:
@@ -289,9 +293,21 @@
             head_bytes += len(data)
             if head_bytes > MAX_HEAD_BYTES:
                 return Incomplete(Failure.TOO_LARGE), False
+        if _exceeds_framing(received_bytes, len(parser._body_buffer)):
+            return Incomplete(Failure.TOO_LARGE), False
     return _check_framing(parser, rules)
 
 
+def _exceeds_framing(received_bytes, body_bytes):
+    """Return whether an answer has too many bytes besides its body.
+
+    Extensions of a chunk, and trailers, belong neither to the head nor to the body.
+    """
+    framing_bytes = received_bytes - body_bytes
+    allowed = 2 * MAX_HEAD_BYTES + MAX_FRAMING_SHARE * body_bytes
+    return framing_bytes > allowed
+
+
 def _recv(sock, deadline):
     remaining = deadline - time.monotonic()
     if remaining <= 0:
