Removals are settled only by answers after the latest interruption

Found by reading the change, and by tests beside load.

A feed whose call waits does not see that another feed of its daemon failed and recovered meanwhile. Its next answer covers the outage, and was settled from the version of the last one. The first answer after an interruption now starts the span. A daemon that waits for its turn counts as one interruption, not as one each 0.15 s, and a doubt delays the settling of a removal without losing it.

test_settled_removals_begin_anew_after_an_interruption_of_another_feed failed before: "assert 8 not in VersionSpan(after=5, until=12)".

The timer is set again now. test_joined_daemon_has_no_target_that_others_hold failed twice of three, as the daemon that hands over had not heard of the removal yet: the test now waits for that, which is its precondition, and expects the same.

--- a/packages/coordination/src/cairnferry/coordination/_continuity.py
+++ b/packages/coordination/src/cairnferry/coordination/_continuity.py
@@ -24,21 +24,26 @@
         the interval.
     is_out : bool
         Whether no call has succeeded since the latest failure.
+    is_doubted : bool
+        Whether another daemon did not reach the store, and no call since has succeeded.
+    interruptions : int
+        Number of failures and other interruptions so far.
     """
 
     outage_began_at: float = -math.inf
     is_out: bool = False
+    is_doubted: bool = False
+    interruptions: int = 0
     _returned_at: float = -math.inf
     _succeeds_since: float = math.inf
     _doubted_at: float = -math.inf
-    _is_doubted: bool = False
 
     def note_failure(self, now: float) -> None:
         """Record a call that the store did not answer."""
         if not self.is_out and now >= self._returned_at + RETURN_GRACE_S:
             self.outage_began_at = now
         self.is_out = True
-        self._succeeds_since = math.inf
+        self.interrupt()
 
     def note_success(self, called_at: float, now: float) -> None:
         """Record an answer of the store to a call that began at a time."""
@@ -47,7 +52,7 @@
             self._returned_at = now
         self._succeeds_since = min(self._succeeds_since, now)
         if called_at >= self._doubted_at:
-            self._is_doubted = False
+            self.is_doubted = False
 
     def doubt(self, now: float) -> None:
         """Record that another daemon did not reach the store.
@@ -56,12 +61,17 @@
         are not established until one that begins later is answered.
         """
         self._doubted_at = now
-        self._is_doubted = True
+        self.is_doubted = True
 
     def interrupt(self) -> None:
         """Record that calls pause, or that an answer does not show continuity."""
+        self.interruptions += 1
         self._succeeds_since = math.inf
 
-    def is_established(self, now: float) -> bool:
+    def has_lasted(self, now: float) -> bool:
         """Return whether all calls have succeeded for `ESTABLISHED_S`."""
-        return not self._is_doubted and now >= self._succeeds_since + ESTABLISHED_S
+        return now >= self._succeeds_since + ESTABLISHED_S
+
+    def is_established(self, now: float) -> bool:
+        """Return whether the calls have lasted, and there is no doubt."""
+        return self.has_lasted(now) and not self.is_doubted
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -130,8 +130,10 @@
     # list all rows.
     _position: int | None = None
     _must_list: bool = False
-    # Version from which the answers were uninterrupted; None while they are not.
-    _settled_after: int | None = None
+    # Version from which removals are settled, and the number of interruptions of the
+    # daemon's calls up to the latest answer.
+    _settled_after: int = 0
+    _seen_interruptions: int = 0
     # Whether other daemons made the calls before this one.
     _is_resuming: bool = False
     _failures: int = 0
@@ -161,8 +163,9 @@
         """
         self._position = None
         self._must_list = False
-        self._is_resuming = True
-        self.continuity.interrupt()
+        if not self._is_resuming:
+            self._is_resuming = True
+            self.continuity.interrupt()
         if time.monotonic() - self._failed_at > OUTAGE_MEMORY_S:
             self._failures = 0
         return ROLE_CHECK_S * (0.5 + self.rng.random())
@@ -220,7 +223,7 @@
         self._was_aborted = False
         self._handle_success()
         self.confirmed_at = self._confirmed_time(result.ok, called_at, wait)
-        self._settle(result.ok, position, wait)
+        self._settle(result.ok, wait)
         self._apply(result.ok, position)
         return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
@@ -234,7 +237,7 @@
         has_waited = not batch.items and time.monotonic() >= called_at + wait
         return called_at + wait if has_waited else called_at
 
-    def _settle(self, batch, position, wait):
+    def _settle(self, batch, wait):
         """Settle the removals in an answer if the calls were uninterrupted.
 
         Otherwise the rows may have expired in an outage. A restored store may lack rows
@@ -245,12 +248,12 @@
         if is_restored or now > self._called_at + wait + MAX_DELAY_S:
             self.continuity.interrupt()
         self.continuity.note_success(self._called_at, now)
-        if not self.continuity.is_established(now):
-            self._settled_after = None
-            return
-        if self._settled_after is None:
-            self._settled_after = batch.version if position is None else position
-        self.table.settle(VersionSpan(self._settled_after, batch.version))
+        was_interrupted = self._seen_interruptions != self.continuity.interruptions
+        self._seen_interruptions = self.continuity.interruptions
+        if was_interrupted or not self.continuity.has_lasted(now):
+            self._settled_after = batch.version
+        elif not self.continuity.is_doubted:
+            self.table.settle(VersionSpan(self._settled_after, batch.version))
 
     def _next_position(self):
         if self._must_list:
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -171,8 +171,10 @@
 
     def _drop_reverted(self):
         """Use the rows that were not written again as they are in the store."""
-        if time.monotonic() < self._reverted_until:
-            # The store was restored once more in the meantime.
+        left = self._reverted_until - time.monotonic()
+        if left > 0:
+            # The store was restored once more, or the timer was early.
+            self.call_later(left, self._drop_reverted)
             return
         self._reverted = {}
         self._publish()
--- a/tests/adapter/test_removed_targets.py
+++ b/tests/adapter/test_removed_targets.py
@@ -146,7 +146,8 @@
     first, second = daemons
     targets_table(first).extend(Hold(until=time.monotonic() + 60.0))
     store.drop("servers", "i-3")
-    wait_for(lambda: target_names(second) == {"i-1", "i-2"})
+    for daemon in (first, second):
+        wait_for(lambda d=daemon: target_names(d) == {"i-1", "i-2"})
     third = start_daemon("front-3", seeds=[first.cfg.handover], zone="loft")
     assert target_names(third) == {"i-1", "i-2"}
 
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -1,5 +1,6 @@
 """Following a table: states of the feed, and rows that are removed in an outage."""
 
+import math
 import random
 import time
 
@@ -189,6 +190,55 @@
     assert all(shortest <= wait <= longest for wait in feed.waits)
 
 
+def test_settled_removals_begin_anew_after_an_interruption_of_another_feed(follow):
+    """Guards against lapsed rows that are settled by a call that waited meanwhile."""
+    follower, _, _ = follow(
+        batch(5, put("a", 3)), batch(6), batch(9, removed("a", 8)), batch(12)
+    )
+    poll(follower, 1)
+    established(follower)
+    poll(follower, 1)
+    assert follower.table.settled == VersionSpan(5, 6)
+    follower.continuity.note_failure(time.monotonic())
+    established(follower)
+    poll(follower, 2)
+    assert 8 not in follower.table.settled
+    assert 12 in follower.table.settled
+
+
+def test_removal_during_a_doubt_is_settled_once_the_store_has_answered(follow):
+    """Guards against a removal that no daemon settles as another one is cut off."""
+    follower, _, seen = follow(
+        batch(5, put("a", 3)), batch(6), batch(8, removed("a", 8)), batch(9)
+    )
+    poll(follower, 1)
+    established(follower)
+    follower.table.extend(Hold(until=time.monotonic() + 60.0))
+    poll(follower, 1)
+    follower.continuity.doubt(math.inf)
+    poll(follower, 1)
+    assert seen[-1] == {"a": 3}
+    follower.continuity.doubt(time.monotonic())
+    poll(follower, 1)
+    assert seen[-1] == {}
+
+
+def test_restored_state_ends_although_its_timer_is_early(follow):
+    """Guards against rows of before a restore that stay in force forever."""
+    follower, _, seen = follow(
+        batch(5, put("a", 3)), batch(stamp(1, 2), put("a", stamp(1, 2), b"older"))
+    )
+    timers = []
+    follower.table.call_later = lambda delay, function: timers.append(function)
+    poll(follower, 2)
+    assert seen == [{"a": 3}]
+    timers.pop()()
+    assert len(timers) == 1
+    follower.table._reverted_until = 0.0
+    timers.pop()()
+    assert seen[-1] == {"a": stamp(1, 2)}
+
+
 class HangingFeed(ScriptedFeed):
     """Does not answer where the prepared result is None."""
 
