--- a/bench/model/_fleet.py
+++ b/bench/model/_fleet.py
@@ -250,7 +250,7 @@
             cluster,
             gossip,
             watcher_role,
-            self._create_follower(watcher_role, gossip),
+            self._create_follower(name, watcher_role, gossip),
             guard,
             services,
             limiter,
@@ -261,7 +261,7 @@
         cluster.tables = {TABLE: daemon.table}
         return daemon
 
-    def _create_follower(self, watcher_role, gossip):
+    def _create_follower(self, name, watcher_role, gossip):
         def report_failure():
             watcher_role.report_store_failure()
             gossip.trigger_round()
@@ -270,7 +270,7 @@
             TABLE,
             None,
             _ignore_rows,
-            random.Random(self.rng.random()),
+            random.Random(name),
             on_failure=report_failure,
             is_doubted=watcher_role.is_store_doubted,
         )
