--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e $(package))
 
 .PHONY: demo test lint format generate golden install
-.PHONY: bench capacity propagation overhead shards startup days model keys key-check
+.PHONY: bench capacity propagation overhead shards startup days model keys key-check stops
 
 install: $(VENV)/installed
 
@@ -62,6 +62,11 @@
 keys: install
 	PYTHONPATH=platform $(BIN)/python -m bench.keys $(KEYS)
 
+# Stops real daemons under seven ways of callers; a run takes ten seconds each.
+# `STOPS="--way kept --seeds 20 --jobs 2"` selects runs.
+stops: install
+	PYTHONPATH=platform $(BIN)/python -m bench.stops $(STOPS)
+
 shards: install
 	$(BIN)/python -m bench.shards
 
