--- a/bench/stopping/_callers.py
+++ b/bench/stopping/_callers.py
@@ -8,11 +8,14 @@
 import gevent.select
 import gevent.socket
 
+from bench.stopping._receive_queue import ReceiveQueues
 from bench.stopping._system import HOST_NAME
 
 CONNECT_S = 1.0
 # Seconds after its time at which a caller leaves.
 LEAVE_S = 1.0
+# Seconds between two looks at what daemons have not read.
+LOOK_S = 0.02
 SIGNATURE = "cairnferry-response-signature"
 
 
@@ -31,6 +34,8 @@
     first_at, last_at, slack_from : float or None
         Monotonic times in seconds right before the first and the last byte were sent,
         and right after the last one.
+    read_at : float or None
+        When the daemon was first seen to have taken the whole request from the socket.
     status : int or None
         Status of the answer.
     is_targets : bool
@@ -49,6 +54,7 @@
     first_at: float | None = None
     last_at: float | None = None
     slack_from: float | None = None
+    read_at: float | None = None
     status: int | None = None
     is_targets: bool = False
     ended_at: float | None = None
@@ -67,6 +73,7 @@
     def __init__(self, caller_time_s):
         self.sent = []
         self._caller_time_s = caller_time_s
+        self._conns = set()
 
     def connect(self, daemon):
         """Return a new connection, or None if it is refused."""
@@ -75,7 +82,23 @@
         except OSError:
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Connection(sock, daemon, self._caller_time_s)
+        conn = Connection(sock, daemon, self._caller_time_s)
+        self._conns.add(conn)
+        return conn
+
+    def look_forever(self):
+        """Note which requests the daemons have read."""
+        queues = ReceiveQueues()
+        try:
+            while True:
+                for conn in list(self._conns):
+                    if conn.is_open:
+                        conn.look(queues)
+                    else:
+                        self._conns.discard(conn)
+                gevent.sleep(LOOK_S)
+        finally:
+            queues.close()
 
     def connect_used(self, daemon, number):
         """Return a connection that has been used for one request."""
@@ -111,6 +134,22 @@
         # The kernel reports a reset once, so that a later read finds an orderly end.
         self._is_reset = False
         self._last_end = ""
+        self._sent_bytes = 0
+        # Requests not seen to be read yet, with the number of their last byte.
+        self._unread = []
+
+    def look(self, queues):
+        """Note the requests that the daemon has taken from the socket."""
+        if not self._unread:
+            return
+        waiting = queues.unread(self.daemon.address, self._sock.getsockname())
+        if waiting is None:
+            return
+        now = time.monotonic()
+        for sent, last in self._unread:
+            if last <= self._sent_bytes - waiting:
+                sent.read_at = now
+        self._unread = [each for each in self._unread if each[0].read_at is None]
 
     def exchange(self, sent, work_s, body=b"", pause_s=0.0):
         """Send a request and read its answer; return whether the connection stays."""
@@ -132,12 +171,15 @@
         self._pending += 1
         try:
             if pause_s:
-                self._sock.sendall(data[: 1 - len(body)])
+                first, data = data[: 1 - len(body)], data[1 - len(body) :]
+                self._sock.sendall(first)
+                self._sent_bytes += len(first)
                 gevent.sleep(pause_s)
-                data = data[1 - len(body) :]
             sent.last_at = time.monotonic()
             self._sock.sendall(data)
             sent.slack_from = time.monotonic()
+            self._sent_bytes += len(data)
+            self._unread.append((sent, self._sent_bytes))
         except OSError:
             # There may be an answer to read all the same.
             self._is_reset = True
--- a/bench/stopping/_counting.py
+++ b/bench/stopping/_counting.py
@@ -41,8 +41,8 @@
         Any other answer without a run.
     read_lost : int
         Read whole, not begun, and closed later than 0.2 s after the last byte.
-    late_reset : int
-        The same, but the kernel had bytes that the daemon had not read.
+    late_unread : int
+        The same, but the daemon was never seen to have taken it whole.
     unread : int
         Not begun, and the connection ended within 0.2 s of the last byte or before.
     closed : int
@@ -70,7 +70,7 @@
     unrun: int = 0
     own_unrun: int = 0
     read_lost: int = 0
-    late_reset: int = 0
+    late_unread: int = 0
     unread: int = 0
     closed: int = 0
     refused: int = 0
@@ -122,7 +122,7 @@
             return sent.end
         if sent.slack_from is None or sent.ended_at - sent.slack_from <= LOST_SLACK_S:
             return "unread"
-        return "read_lost" if sent.end == "fin" else "late_reset"
+        return "late_unread" if sent.read_at is None else "read_lost"
 
     def _judge_answer(self, sent, runs):
         if sent.is_targets and 200 <= sent.status < 300:
--- a/bench/stopping/_experiment.py
+++ b/bench/stopping/_experiment.py
@@ -77,7 +77,11 @@
         with running_system(setup, folder, hosts, way.daemons) as (targets, daemons):
             run = Run(setup, Callers(setup.caller_time_s), random.Random(setup.seed))
             stopped = daemons[: way.stopped]
-            _stop_all(run, way, stopped)
+            looking = gevent.spawn(run.callers.look_forever)
+            try:
+                _stop_all(run, way, stopped)
+            finally:
+                looking.kill()
             return _count(setup, run.callers, targets.end(), stopped)
 
 
@@ -139,6 +143,7 @@
         "safe": sent.is_safe,
         "first_byte": after(sent.first_at),
         "last_byte": after(sent.last_at),
+        "read": after(sent.read_at),
         "ended": after(sent.ended_at),
         "end": sent.end,
         "status": sent.status,
--- a/bench/stops.py
+++ b/bench/stops.py
@@ -5,10 +5,9 @@
 Prints one JSON line for each run and a table; exits with 1 if a run found a fault. What
 the columns count is said in `bench.stopping._counting.Counts`.
 
-Whether a daemon had read a request that got no answer is decided by how its connection
-ended: a kernel that holds bytes which the process has not taken resets the connection,
-so that an orderly end later than 0.2 s after the last byte means that all was read. Of
-several pipelined requests, a reset says it only of the last one.
+Whether a daemon had read a request that got no answer is asked of the kernel: each
+0.02 s, how many bytes of the connection the process has not taken. A request that is
+taken within the last look before its connection ends counts as unread.
 """
 
 # gevent must patch the standard library before any module that uses sockets loads.
