--- /dev/null
+++ b/tests/adapter/test_stop.py
@@ -0,0 +1,104 @@
+"""Requests that arrive while a daemon stops, each daemon in a process of its own."""
+
+import signal
+
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from cairnferry.standins import unique_loopback_host, wait_for
+from cairnferry.wire import connect, encode_request
+
+from ._processes import DaemonProcess
+from ._standins import configuration, rule
+from .conftest import settings_text
+
+# The daemon serves for 0.6 s after SIGTERM, and ends 0.8 s later.
+STOP = [("bounds.grace=6s", "bounds.grace=2s"), ("ttl_max=5s", "ttl_max=200ms")]
+RULES = [rule(), rule("r-2", "/b/", kind="unsafe")]
+
+
+@pytest.fixture
+def never():
+    """Return an event that lets a target work on a request until it is cut."""
+    return Event()
+
+
+@pytest.fixture
+def target(start_target, never):
+    """Return a target that answers its first request only."""
+    return start_target(behave=lambda number: None if number == 1 else never)
+
+
+@pytest.fixture
+def daemon(store, target, tmp_path):
+    store.put("op", "config", configuration(rules=RULES))
+    text = settings_text(store.port, host=unique_loopback_host(1))
+    for line, changed in STOP:
+        assert line in text
+        text = text.replace(line, changed)
+    process = DaemonProcess(tmp_path, process_host(text), text)
+    wait_for(lambda: process.logged("targets"))
+    yield process
+    process.kill()
+
+
+def process_host(text):
+    lines = dict(line.split("=", 1) for line in text.splitlines())
+    return lines["listen.front"].partition(":")[0]
+
+
+def request(path, method="GET", body=b""):
+    headers = [("Cairnferry-Request-Id", path), ("Cairnferry-Deadline-Ms", "20000")]
+    return encode_request(method, path, "shop.example", headers, body)
+
+
+@pytest.fixture
+def kept(daemon, target, read_until):
+    """Return a connection on which a request was answered before the stop."""
+    sock = connect((daemon.host, daemon.cfg.callers.port), 10).sock
+    sock.sendall(request("/a/first"))
+    read_until(sock, b"i-1 /a/first")
+    return sock
+
+
+def stop(daemon):
+    daemon.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: daemon.logged("leaving"))
+
+
+def refuses_connections(daemon):
+    try:
+        socket.create_connection((daemon.host, daemon.cfg.callers.port), 10).close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
+def test_order_that_may_outlast_the_stop_is_refused(daemon, target, kept, read_to_end):
+    """Guards against an order that a stopping daemon sends to a target and cuts."""
+    stop(daemon)
+    kept.sendall(request("/b/1", "POST", b"order"))
+    received = read_to_end(kept)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b"Connection: close" in received
+    assert len(target.seen) == 1
+
+
+def test_late_request_on_a_kept_connection_is_not_cut(
+    daemon, target, kept, read_to_end
+):
+    """Guards against requests that are taken at the end of a stop, and then cut.
+
+    The daemon accepts no new connections any more, and closes idle ones soon.
+    """
+    stop(daemon)
+    wait_for(lambda: refuses_connections(daemon))
+    try:
+        kept.sendall(request("/a/late"))
+        received = read_to_end(kept)
+    except OSError:
+        # The connection was closed before.
+        received = b""
+    assert received == b"" or received.startswith(b"HTTP/1.1 503 ")
+    assert len(target.seen) == 1
