A daemon that stops takes no request that it may cut

Cause: everything that was read was passed on, until idle connections were closed 0.2 s after the listener, and whatever was left 2.2 s later was killed. A route may take 3 s. Nothing compared what a request may need with what is left.

Change: policy/departure/ decides, without clock or network, by what is left until the end. Unsafe and late requests need all of their time, any other one the longest time of its route lately. The rest gets 503, not run, at once, a request with a body before the body. Requests that wait for a target are refused before the end. The listener closes after 2.7 s and not 3.0, so that a signal that is handled late does not move the daemon's own idea of a late request behind that of its callers.

Ruled out: by the timeout alone, a read with a timeout of 5 s is refused from 0.4 s after SIGTERM on, and callers with old steering answers get errors (test_callers_with_old_steering_answer_are_served_by_leaving_instance).

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -25,10 +25,10 @@
     Conventions,
     Core,
     CoreSettings,
-    LeavingTimes,
     PeerSettings,
     SettingsWatch,
     ephemeral_instance_settings,
+    leaving_times,
 )
 from cairnferry.entry.following import (
     HANDOVER_PATH,
@@ -90,7 +90,6 @@
     "HistoryLost",
     "Joiner",
     "KeyExists",
-    "LeavingTimes",
     "LimitFault",
     "ListenerLimits",
     "Page",
@@ -110,6 +109,7 @@
     "configure_logs",
     "end_to_end_headers",
     "ephemeral_instance_settings",
+    "leaving_times",
     "era_of",
     "lost_result",
     "not_run_result",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -5,6 +5,7 @@
 import random
 import time
 import urllib.parse
+from collections.abc import Callable
 
 import attrs
 from gevent.event import Event
@@ -49,7 +50,7 @@
     WorkspaceRegistry,
     digest_of,
 )
-from cairnferry.policy import Call, Cause, DeclaredTimeouts, Relay
+from cairnferry.policy import Call, Cause, DeclaredTimeouts, Departure, Relay
 from cairnferry.records import Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
@@ -115,6 +116,10 @@
         Passes requests on to peers while no path to their service works.
     name : str, optional
         Name of this daemon.
+    departure : Departure, optional
+        Decides which requests are taken while the daemon stops.
+    has_usable_peer : callable, optional
+        Returns whether another daemon may serve a request that is refused.
     """
 
     services: Services
@@ -129,6 +134,8 @@
     workspace_limiter: WorkspaceLimiter | None = None
     detours: DetourClient | None = None
     name: str = ""
+    departure: Departure | None = None
+    has_usable_peer: Callable[[], bool] = lambda: False
     _request_log: RequestLog = attrs.field(init=False)
     _limited_forwarder: LimitedForwarder = attrs.field(init=False)
     _detouring_forwarder: DetouringForwarder = attrs.field(init=False)
@@ -161,21 +168,36 @@
             return []
         return self._write(handler, answer, start_response)
 
-    def check_head(self, handler: PipelinedHandler) -> Problem | None:
-        """Return the problem for which a request is rejected before its body is read.
+    def check_head(self, handler: PipelinedHandler) -> Problem | Cause | None:
+        """Return why a request is rejected before its body is read.
 
         Parameters
         ----------
         handler : PipelinedHandler
             Request whose head was read.
         """
-        if not self.workspaces.is_required or not self.services.revision:
+        is_leaving = self.departure is not None and self.departure.has_begun
+        if not self.workspaces.is_required and not is_leaving:
             return None
-        if self._is_steering(handler.path):
+        if not self.services.revision or self._is_steering(handler.path):
             return None
         if self.services.route(handler.path, handler.headers.get("host")) is None:
             return None
-        return self._key_check(handler).find_problem()
+        key_check = self._key_check(handler)
+        problem = key_check.find_problem()
+        if problem is None and is_leaving:
+            return self._departure_cause_by_head(handler, key_check)
+        return problem
+
+    def _departure_cause_by_head(self, handler, key_check):
+        route, runtime = self.find_route(handler)
+        try:
+            head = self.convention.read_head(self.header_pairs(handler))
+        except BadDeadline:
+            # Reported once the body is read, as for a daemon that does not stop.
+            return None
+        call = self._call(handler, route, runtime, head, key_check)
+        return self._departure_cause(handler, call)
 
     def check_body(self, handler: PipelinedHandler) -> Problem | Cause | None:
         """Return why a request is refused before its large body is read.
@@ -285,11 +307,17 @@
         except CallerGone:
             self._request_log.note_caller_gone(runtime.policy, call, head.request_id)
             raise
+        self._note_time(call)
         self._request_log.note_answered(
             runtime.policy, call, forwarded, head.request_id
         )
         return self.finish_answer(forwarded, head, runtime)
 
+    def _note_time(self, call):
+        if self.departure is not None and call.attempts:
+            now = time.monotonic()
+            self.departure.longest.note(call.route, now - call.arrived, now)
+
     def finish_answer(
         self, forwarded: Forwarded, head: RequestHead, runtime: ServiceRuntime
     ) -> Answer:
@@ -373,7 +401,8 @@
         workspace: Workspace | None,
     ) -> Forwarded:
         """Forward a request, or refuse it for a cause that was found at its head."""
-        if handler.problem is None:
+        cause = handler.problem or self._departure_cause(handler, call)
+        if cause is None:
             return self._detouring_forwarder.forward(
                 req,
                 call,
@@ -381,9 +410,19 @@
                 workspace,
                 lambda: self._detour(handler, req, call, runtime.policy.service.name),
             )
-        refused = runtime.policy.refuse(handler.problem)
+        if cause is Cause.LEAVING and self.has_usable_peer():
+            refused = runtime.policy.refuse_with_delay(cause, 0.0)
+        else:
+            refused = runtime.policy.refuse(cause)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
+    def _departure_cause(self, handler, call):
+        if self.departure is None:
+            return None
+        now = time.monotonic()
+        call.is_late = self.departure.is_late(handler.is_first, now)
+        return None if self.departure.takes(call, now) else Cause.LEAVING
+
     def _detour(self, handler, req, call, service):
         head = DetourHead(
             self.name,
--- a/packages/entry/src/cairnferry/entry/callers/_detour_app.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detour_app.py
@@ -94,7 +94,7 @@
         """Return whether another peer may serve a request that is refused here."""
         if cause in CAUSES_OF_LOST_PATHS:
             return runtime.policy.paths.are_impaired()
-        return cause is Cause.UNREACHABLE
+        return cause in (Cause.UNREACHABLE, Cause.LEAVING)
 
     def finish_answer(self, forwarded, head, runtime):
         """Add the decision, for the peer."""
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -32,6 +32,7 @@
     Cause,
     CheckStatus,
     Decision,
+    Departure,
     GiveUp,
     Lost,
     Pause,
@@ -86,6 +87,8 @@
     can_detour : callable, optional
         Returns whether a request may be served by another daemon. If so, it is refused
         as unreachable as soon as no path to its service works.
+    departure : Departure, optional
+        Decides which requests are sent while the daemon stops.
     """
 
     upstreams: Upstreams
@@ -95,6 +98,7 @@
     limiter: Limiter | None = None
     advisory_recorder: AdvisoryRecorder | None = None
     can_detour: Callable[[], bool] = lambda: False
+    departure: Departure | None = None
 
     def forward(
         self, req: OutboundRequest, call: Call, runtime: ServiceRuntime
@@ -139,6 +143,8 @@
                         decision = self._refuse_key(attempt, runtime, problem)
                     case Send(attempt) if self._is_blocked(call):
                         decision = self._refuse_blocked(attempt, runtime)
+                    case Send(attempt) if self._is_too_late(call):
+                        decision = self._refuse_late(attempt, runtime)
                     case Send(attempt):
                         decision, reply = self._attempt(req, attempt, runtime)
                     case CheckStatus(targets):
@@ -207,6 +213,17 @@
             return GiveUp(decision.cause, decision.retry_after)
         return decision
 
+    def _is_too_late(self, call):
+        """Return whether a request that waited does not fit into the departure."""
+        if self.departure is None or call.possibly_run:
+            return False
+        return not self.departure.takes(call, time.monotonic())
+
+    def _refuse_late(self, attempt, runtime):
+        runtime.cancelled(attempt)
+        attempt.call.attempts.remove(attempt)
+        return runtime.policy.refuse(Cause.LEAVING)
+
     def _attempt(self, req, attempt, runtime):
         call = attempt.call
         delay = runtime.policy.hedge_delay() if call.idempotent else None
--- a/packages/entry/src/cairnferry/entry/core/__init__.py
+++ b/packages/entry/src/cairnferry/entry/core/__init__.py
@@ -4,20 +4,19 @@
 from cairnferry.entry.core._core_settings import (
     Conventions,
     CoreSettings,
-    LeavingTimes,
     PeerSettings,
     default_bodies_bytes,
 )
-from cairnferry.entry.core._ephemeral import ephemeral_instance_settings
+from cairnferry.entry.core._ephemeral import ephemeral_instance_settings, leaving_times
 from cairnferry.entry.core._settings_watch import SettingsWatch
 
 __all__ = [
     "Conventions",
     "Core",
     "CoreSettings",
-    "LeavingTimes",
     "PeerSettings",
     "SettingsWatch",
     "default_bodies_bytes",
     "ephemeral_instance_settings",
+    "leaving_times",
 ]
--- a/packages/entry/src/cairnferry/entry/core/_caller_apps.py
+++ b/packages/entry/src/cairnferry/entry/core/_caller_apps.py
@@ -49,6 +49,7 @@
         core.limiter,
         core.advisory_recorder,
         can_detour,
+        core.departure,
     )
     return app_class(
         core.services,
@@ -63,4 +64,6 @@
         core.workspace_limits.limiter,
         detours,
         core.cfg.name,
+        core.departure,
+        core.cluster.has_usable_peer,
     )
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -51,7 +51,14 @@
 from cairnferry.entry.telemetry import FaultyRowLog, Metrics
 from cairnferry.entry.workspaces import WorkspaceRegistry
 from cairnferry.peers import ByteMeter, KeyRing, PeerLinks, PeerServer, SharedKey
-from cairnferry.policy import DrainSource, PeerChoice
+from cairnferry.policy import (
+    ANSWER_S,
+    Cause,
+    Departure,
+    DrainSource,
+    LeavingTimes,
+    PeerChoice,
+)
 from cairnferry.settings import Address
 from cairnferry.wire import Link
 
@@ -65,6 +72,9 @@
 # Seconds before a task is restarted after an unexpected error, so that a task that
 # fails at each start fills neither the CPU nor the log.
 TASK_RETRY_S = 1.0
+# Seconds for which callers' idle connections are kept once the listener is closed. A
+# caller that does not notice the end of a connection gets an answer instead.
+KEEP_IDLE_S = 0.5
 # Seconds for which the listeners of pages finish their requests when the daemon leaves.
 PAGES_FINISH_S = 1.0
 
@@ -126,6 +136,7 @@
         self._listeners = []
         self._tasks = []
         self._leaving = Event()
+        self.departure = Departure(cfg.leaving)
         self.leave_hooks: list[Callable[[], None]] = []
         self.on_store_doubted: Callable[[], None] = lambda: None
         self.reload = Event()
@@ -368,13 +379,15 @@
 
     def leave(self) -> None:
         """Start to leave; further calls have no effect."""
+        self.departure.begin(time.monotonic())
         self._leaving.set()
 
     def _drain(self):
         """Leave without interrupting a request; return the exit code.
 
         Callers cache a steering answer for its time to live. The daemon therefore
-        continues to serve for that time after the answers no longer list it.
+        continues to serve for that time after the answers no longer list it. What it
+        takes during that time is decided by `Departure`.
         """
         log.info("leaving")
         self.cluster.membership.leave()
@@ -384,11 +397,13 @@
         for hook in self.leave_hooks:
             # The hooks run concurrently, so that no hook delays the shutdown.
             self.spawn(hook)
-        gevent.sleep(self.cfg.leaving.serve_s)
+        self._wait_until(self.departure.serves_until)
+        limit_s = self.departure.times.limit_s
         ends = [
-            gevent.spawn(each.finish, self.cfg.leaving.limit_s)
-            for each in (self.callers_server, self.detour_server)
+            gevent.spawn(self.callers_server.finish, limit_s, KEEP_IDLE_S),
+            gevent.spawn(self.detour_server.finish, limit_s),
         ]
+        self.spawn(self._refuse_waiting)
         all_answered = all(end.get() for end in ends)
         others = [each for each in self._listeners if each is not self.callers_server]
         gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
@@ -396,6 +411,20 @@
         log.info("left", extra={"every_request_answered": all_answered})
         return 0 if all_answered else 1
 
+    def _wait_until(self, moment):
+        gevent.sleep(max(0.0, moment - time.monotonic()))
+
+    def _refuse_waiting(self):
+        """Refuse the requests that would still wait when the daemon ends."""
+        self._wait_until(self.departure.ends_at - ANSWER_S)
+        for runtime in self.services.active().values():
+            runtime.give_up_waiting(Cause.LEAVING)
+
+    def set_leaving_times(self, times: LeavingTimes) -> None:
+        """Change the phases of a departure that has not begun."""
+        if not self.departure.has_begun:
+            self.departure.times = times
+
     def apply_caller_limits(self, limits: CallerLimits) -> None:
         """Put the limits of callers in force."""
         connections = self.cfg.caller_limits
--- a/packages/entry/src/cairnferry/entry/core/_core_settings.py
+++ b/packages/entry/src/cairnferry/entry/core/_core_settings.py
@@ -13,7 +13,7 @@
     DefaultTargetConvention,
     TargetConvention,
 )
-from cairnferry.policy import LimitTolerance, PolicySettings
+from cairnferry.policy import LeavingTimes, LimitTolerance, PolicySettings
 from cairnferry.settings import Address
 
 # Share of an instance's memory that request bodies may take. A body is held once, and
@@ -34,23 +34,6 @@
     return BODIES_SHARE * memory_bytes
 
 
-@attrs.frozen
-class LeavingTimes:
-    """Durations of the phases of a daemon's departure.
-
-    Attributes
-    ----------
-    serve_s : float
-        Seconds for which it still accepts new requests, as callers have cached old
-        steering answers.
-    limit_s : float
-        Further seconds for requests in progress to finish.
-    """
-
-    serve_s: float
-    limit_s: float
-
-
 @attrs.frozen
 class PeerSettings:
     """Settings of the communication with other daemons.
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -3,17 +3,16 @@
 from cairnferry.entry.callers import BodyLimits
 from cairnferry.entry.core._core_settings import (
     CoreSettings,
-    LeavingTimes,
     PeerSettings,
     default_bodies_bytes,
 )
 from cairnferry.entry.http import ListenerLimits
-from cairnferry.policy import LimitTolerance, settings_for
+from cairnferry.policy import LeavingTimes, LimitTolerance, settings_for
 from cairnferry.settings import Address
 
 # Seconds for which callers cache a steering answer. Callers continue to try a lost
 # daemon for this time.
-ANSWER_TTL_S = 1.0
+ANSWER_TTL_S = 0.9
 # Multiple of that time for which some callers use an answer.
 STALE_ANSWER_FACTOR = 3
 # Seconds between the end of the drain and the time at which the process is killed.
@@ -48,6 +47,24 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
+def _answer_ttl_s(max_ttl_s):
+    return min(ANSWER_TTL_S, max_ttl_s)
+
+
+def leaving_times(max_ttl_s: float, stop_s: float) -> LeavingTimes:
+    """Return the phases of a departure.
+
+    Parameters
+    ----------
+    max_ttl_s : float
+        Longest time in seconds for which callers may cache a steering answer.
+    stop_s : float
+        Seconds from the request to stop until the process is killed.
+    """
+    serve_s = STALE_ANSWER_FACTOR * _answer_ttl_s(max_ttl_s)
+    return LeavingTimes(serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S))
+
+
 def ephemeral_instance_settings(
     *,
     name: str,
@@ -85,8 +102,7 @@
     memory_bytes : float or None, optional
         Memory of the instance in bytes; None for all that the machine has.
     """
-    ttl = min(ANSWER_TTL_S, max_ttl_s)
-    serve_s = STALE_ANSWER_FACTOR * ttl
+    ttl = _answer_ttl_s(max_ttl_s)
     callers_limit = max(MIN_CALLER_CONNECTIONS, max_files - RESERVED_FILES)
     return CoreSettings(
         name=name,
@@ -109,9 +125,7 @@
         policy=settings_for("ask-first"),
         checks_per_s=checks_per_s,
         workspace_limits=workspace_limits,
-        leaving=LeavingTimes(
-            serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S)
-        ),
+        leaving=leaving_times(max_ttl_s, stop_s),
         hold_s=HOLD_S,
         bodies_bytes=default_bodies_bytes(memory_bytes),
     )
--- a/packages/entry/src/cairnferry/entry/daemon/_daemon.py
+++ b/packages/entry/src/cairnferry/entry/daemon/_daemon.py
@@ -23,7 +23,6 @@
     Conventions,
     Core,
     CoreSettings,
-    LeavingTimes,
     PeerSettings,
     default_bodies_bytes,
 )
@@ -35,7 +34,7 @@
 from cairnferry.entry.targets import HealthProber
 from cairnferry.entry.telemetry import render_metrics
 from cairnferry.peers import KeyRing
-from cairnferry.policy import LimitTolerance, settings_for
+from cairnferry.policy import LeavingTimes, LimitTolerance, settings_for
 from cairnferry.records import Kind
 from cairnferry.settings import Settings
 from cairnferry.wire import Client
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -152,6 +152,7 @@
     Cause.BODIES_FULL: "connection_limit_reached",
     Cause.KEY_UNKNOWN: "http_request_denied",
     Cause.UNREACHABLE: "destination_unavailable",
+    Cause.LEAVING: "destination_unavailable",
 }
 _NOT_RUN_STATUSES = {
     Cause.WORKSPACE_LIMIT: "429 Too Many Requests",
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -310,13 +310,15 @@
         """
         self.closing = True
 
-    def finish(self, seconds: float) -> bool:
+    def finish(self, seconds: float, keep_idle_s: float = 0.0) -> bool:
         """Accept no new connections, close idle ones and wait for the others.
 
         Parameters
         ----------
         seconds : float
             Maximum time to wait.
+        keep_idle_s : float, optional
+            Seconds for which idle connections are kept, as callers may use them.
 
         Returns
         -------
@@ -324,8 +326,11 @@
             Whether every request in progress was answered.
         """
         self.start_closing()
-        ends_at = time.monotonic() + seconds
+        began_at = time.monotonic()
+        ends_at = began_at + seconds
         self._close_listener(min(HANDSHAKE_S, seconds))
+        close_idle_at = began_at + min(keep_idle_s, seconds)
+        gevent.sleep(max(0.0, close_idle_at - time.monotonic()))
         with gevent.Timeout(max(0.0, ends_at - time.monotonic()), False):
             while self._close_idle():
                 gevent.sleep(0.01)
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -54,11 +54,14 @@
         The whole body.
     arrived : float
         Monotonic time in seconds at which the request began to arrive.
+    is_first : bool
+        Whether it is the first request of its connection.
     """
 
     problem = None
     body = b""
     arrived = 0.0
+    is_first = True
     _exchange = None
     _refused_body = None
     _is_reading = False
@@ -241,6 +244,7 @@
         request._exchange = exchange
         exchange.held, self._held = self._held, None
         self._pipeline.add(exchange)
+        self.is_first = False
 
     def _size(self):
         head = sum(len(name) + len(value) for name, value in self.header_pairs())
@@ -343,7 +347,7 @@
     Its parameters are those of `PipelinedServer`; it does not listen on the address.
     """
 
-    def finish(self, seconds: float) -> bool:
+    def finish(self, seconds: float, keep_idle_s: float = 0.0) -> bool:
         """Wait until no request is in progress; see `HttpServer.finish`."""
         self.start_closing()
         with gevent.Timeout(max(0.0, seconds), False):
--- a/packages/entry/src/cairnferry/entry/members/_cluster.py
+++ b/packages/entry/src/cairnferry/entry/members/_cluster.py
@@ -304,6 +304,11 @@
             return True
         return health.spare != STEER_AWAY
 
+    def has_usable_peer(self) -> bool:
+        """Return whether callers may be steered to another daemon."""
+        me = self.membership.me.name
+        return any(member.name != me for member in self.usable(time.monotonic()))
+
     def any_peer_has_rules(self) -> bool:
         """Return whether a peer has reported that it has rules in force."""
         return any(health.revision for health in self._health.values())
--- a/packages/entry/src/cairnferry/entry/targets/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/targets/_runtime.py
@@ -11,6 +11,7 @@
     Attempt,
     AttemptResult,
     Call,
+    Cause,
     Decision,
     Send,
     ServicePolicy,
@@ -119,6 +120,12 @@
             elif isinstance(decision, Send):
                 self.policy.cancelled(decision.attempt, time.monotonic())
 
+    def give_up_waiting(self, cause: Cause) -> None:
+        """Give up all requests that wait for a target."""
+        for call, decision in self.policy.give_up_waiting(cause, time.monotonic()):
+            if call in self._waiting:
+                self._waiting[call].set(decision)
+
     def _track_waiting(self, call, decision):
         if isinstance(decision, Wait):
             self._waiting[call] = AsyncResult()
--- a/packages/policy/src/cairnferry/policy/__init__.py
+++ b/packages/policy/src/cairnferry/policy/__init__.py
@@ -25,6 +25,12 @@
     Strategy,
     TwoChoices,
 )
+from cairnferry.policy.departure import (
+    ANSWER_S,
+    Departure,
+    LeavingTimes,
+    LongestTimes,
+)
 from cairnferry.policy.paths import PathChange, Peer, PeerChoice, ServicePaths
 from cairnferry.policy.requests import (
     Answered,
@@ -93,6 +99,7 @@
 )
 
 __all__ = [
+    "ANSWER_S",
     "ISOLATED_RETRY_S",
     "ALL_CALLERS",
     "ISSUER_HOLD_OFF_S",
@@ -118,6 +125,7 @@
     "ColdPeriod",
     "ColdRegistry",
     "Decision",
+    "Departure",
     "DeclaredTimeouts",
     "DrainSource",
     "TargetCrash",
@@ -125,8 +133,10 @@
     "GiveUp",
     "PermitGrant",
     "LeastInFlight",
+    "LeavingTimes",
     "LimitRegistry",
     "LoadAware",
+    "LongestTimes",
     "LoadReport",
     "Lost",
     "AdvertisedLimit",
--- a/packages/policy/src/cairnferry/policy/_service.py
+++ b/packages/policy/src/cairnferry/policy/_service.py
@@ -360,6 +360,28 @@
             decided.extend(self._release_priority(priority, now))
         return decided
 
+    def give_up_waiting(self, cause: Cause, now: float) -> list[tuple[Call, Decision]]:
+        """Give up all waiting requests.
+
+        Parameters
+        ----------
+        cause : Cause
+            Reason for giving them up.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        list of tuple of (Call, Decision)
+            The requests, each with its decision.
+        """
+        decided = []
+        for priority in PRIORITIES:
+            while (call := self._waiting.peek(priority)) is not None:
+                self._waiting.remove(call)
+                decided.append((call, self._refusals.give_up(call, cause, now)))
+        return decided
+
     def _release_priority(self, priority, now):
         decided = []
         while True:
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -27,6 +27,7 @@
     BODIES_FULL = "bodies-full"
     KEY_UNKNOWN = "key-unknown"
     UNREACHABLE = "targets-unreachable"
+    LEAVING = "leaving"
 
 
 class AttemptKind(enum.StrEnum):
@@ -84,6 +85,8 @@
         Peers that were asked to serve the request, each with its answer, for the log.
     received_from : str
         Name of the peer that passed the request on; empty if a caller sent it.
+    is_late : bool
+        Whether the request was read after the listener of a stopping daemon closed.
     """
 
     arrived: float
@@ -107,6 +110,7 @@
     is_unreached: bool = False
     detours: list[str] = attrs.field(factory=list)
     received_from: str = ""
+    is_late: bool = False
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the objective, counted from the first attempt, has passed."""
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 
 import gevent
 import pytest
@@ -110,6 +111,14 @@
     assert received >= 20
 
 
+def test_a_peer_that_stops_declines_what_it_cannot_finish(daemons, cut_off, targets):
+    """Guards against orders that a peer takes over shortly before it ends."""
+    stopping = daemons[1]
+    stopping.core.departure.begin(time.monotonic() - stopping.cfg.stop_s)
+    assert served(call_often(cut_off, **ORDER)) == 20
+    assert stopping.core.metrics.detours["received", "relayed"] == 0
+
+
 def test_requests_are_refused_at_once_if_nobody_reaches_a_target(
     daemons, cut, silent_address, targets
 ):
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -1,7 +1,9 @@
 """Requests that arrive while a daemon stops, each daemon in a process of its own."""
 
 import signal
+import time
 
+import attrs
 import pytest
 from gevent import socket
 from gevent.event import Event
@@ -11,7 +13,7 @@
 
 from ._processes import DaemonProcess
 from ._standins import configuration, rule
-from .conftest import settings_text
+from .conftest import POST, outcome, settings_text
 
 # The daemon serves for 0.6 s after SIGTERM, and ends 0.8 s later.
 STOP = [("bounds.grace=6s", "bounds.grace=2s"), ("ttl_max=5s", "ttl_max=200ms")]
@@ -43,6 +45,12 @@
     process.kill()
 
 
+@pytest.fixture
+def daemon_in_process(store, start_daemon):
+    store.put("op", "config", configuration())
+    return start_daemon()
+
+
 def process_host(text):
     lines = dict(line.split("=", 1) for line in text.splitlines())
     return lines["listen.front"].partition(":")[0]
@@ -102,3 +110,46 @@
         received = b""
     assert received == b"" or received.startswith(b"HTTP/1.1 503 ")
     assert len(target.seen) == 1
+
+
+def test_late_order_is_refused_before_its_body_has_arrived(
+    daemon, target, kept, read_until
+):
+    """Guards against callers that send a whole body to learn of a refusal."""
+    stop(daemon)
+    order = request("/b/1", "POST", b"order")
+    kept.sendall(order[:-1])
+    received = read_until(kept, b"leaving")
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert len(target.seen) == 1
+
+
+def test_callers_of_a_stopping_daemon_may_return_at_once_to_another(
+    start_daemon, store, start_target, wait_for_targets
+):
+    """Guards against callers that wait although another daemon is ready."""
+    store.put("op", "config", configuration(rules=RULES))
+    target = start_target()
+    first, second = start_daemon("front-1"), start_daemon("front-2")
+    for each in (first, second):
+        wait_for_targets(each, "i-1")
+    wait_for(lambda: first.core.cluster.has_usable_peer())
+    first.core.departure.begin(time.monotonic() - first.cfg.stop_s)
+    reply = first.call("/b/1", **POST)
+    assert (reply.status, outcome(reply)) == (503, "not-run")
+    assert float(reply.header("retry-after")) == 0.0
+    assert not target.seen
+    second.stop()
+    wait_for(lambda: not first.core.cluster.has_usable_peer())
+    assert float(first.call("/b/1", **POST).header("retry-after")) > 0.0
+
+
+def test_reload_changes_the_stop_that_has_not_begun(daemon_in_process):
+    """Guards against a stop by the settings of the start."""
+    core, built = daemon_in_process.core, daemon_in_process.built
+    changed = attrs.evolve(daemon_in_process.cfg, stop_s=10.0)
+    built.apply(changed)
+    core.departure.begin(0.0)
+    assert 9.0 < core.departure.ends_at < 10.0
+    built.apply(attrs.evolve(changed, stop_s=20.0))
+    assert core.departure.ends_at < 10.0
