An answer in the moment of a retired attempt is no internal error

Cause: an attempt that is found to hang is removed from those that run, and its outcome is taken from the queue afterwards: the outcome was there already, or came before the cancellation did. `del self._running[attempt]` raised KeyError.

Change: an attempt whose outcome waits is not retired, and the outcome of a retired attempt is dropped.

--- a/packages/entry/src/cairnferry/entry/callers/_hedging.py
+++ b/packages/entry/src/cairnferry/entry/callers/_hedging.py
@@ -76,7 +76,9 @@
                         return GiveUp(Cause.UNREACHABLE, 0.0), None
                     timeout = self._hedge(first.call, delay)
                     continue
-                del self._running[attempt]
+                if self._running.pop(attempt, None) is None:
+                    # It was retired in the moment in which it ended.
+                    continue
                 if isinstance(outcome, BaseException):
                     self.runtime.cancelled(attempt)
                     raise outcome
@@ -121,6 +123,9 @@
         """
         policy = self.runtime.policy
         for attempt in policy.hanging_attempts(call, time.monotonic()):
+            if self._running[attempt].ready():
+                # Its outcome waits to be read.
+                continue
             self._running.pop(attempt).kill(block=False)
             self.runtime.retire(attempt)
 
