Listeners of pages end before the process is killed

With 6 s to stop, callers' requests end at 5.4 s, and then a busy reader of a page (directory, handover, metrics) held the daemon for up to another 1.0 s, beyond the SIGKILL: no line `left`, exit by signal. The wait is 0.3 s now.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -76,7 +76,7 @@
 # caller that does not notice the end of a connection gets an answer instead.
 KEEP_IDLE_S = 0.5
 # Seconds for which the listeners of pages finish their requests when the daemon leaves.
-PAGES_FINISH_S = 1.0
+PAGES_FINISH_S = 0.3
 
 MS_PER_S = 1000
 
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -8,6 +8,7 @@
 from gevent import socket
 from gevent.event import Event
 
+from cairnferry.entry.core._core import PAGES_FINISH_S
 from cairnferry.standins import unique_loopback_host, wait_for
 from cairnferry.wire import connect, encode_request
 
@@ -144,6 +145,13 @@
     assert float(first.call("/b/1", **POST).header("retry-after")) > 0.0
 
 
+def test_listeners_of_pages_end_before_the_process_is_killed(daemon_in_process):
+    """Guards against a daemon that is killed while it waits for a reader of a page."""
+    departure = daemon_in_process.core.departure
+    departure.begin(0.0)
+    assert departure.ends_at + PAGES_FINISH_S < daemon_in_process.cfg.stop_s
+
+
 def test_reload_changes_the_stop_that_has_not_begun(daemon_in_process):
     """Guards against a stop by the settings of the start."""
     core, built = daemon_in_process.core, daemon_in_process.built
