No "100 Continue" behind the last answer of a connection

What callers saw: "HTTP/1.1 100 Continue" behind the answer with Connection: close, if a request with Expect waited behind another one as the listener closed. It is an answer to nothing, on a connection that ends.

Cause: the reader waits until all requests are answered. It is woken by the removal of the last one before it is ended, and goes on to read the body.

test_no_100_continue_follows_the_last_answer failed before: the bytes received end with "</s/held/0>HTTP/1.1 100 Continue". It passes, with the rest of its file. A reader that finds the last answer written now waits for its end.

--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -170,6 +170,15 @@
         while self._exchanges:
             self._wait_for_removal()
 
+    def wait_until_writable(self) -> None:
+        """Wait until the reader itself may write, behind all answers.
+
+        If the last answer was written, `ConnectionEnds` is on its way to the reader,
+        which would otherwise write behind that answer.
+        """
+        while self._exchanges or self.is_finished:
+            self._wait_for_removal()
+
     def _has_capacity(self):
         if not self._exchanges:
             return True
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -145,7 +145,7 @@
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
                 # would otherwise take it for the answer to an earlier request.
-                self._pipeline.wait_until_idle()
+                self._pipeline.wait_until_writable()
             limits = self.server.application.limits
             self.body = self.read_body(limits.size, limits.seconds)
         except BadRequest as exc:
--- a/tests/entry/http/test_pipelining.py
+++ b/tests/entry/http/test_pipelining.py
@@ -305,6 +305,24 @@
     assert bodies(read_until(caller, b"</s/1>")) == ["/s/1"]
 
 
+def test_no_100_continue_follows_the_last_answer(entry, caller, target, read_to_end):
+    """Guards against bytes after the last answer of a closing listener.
+
+    A request that asks for "100 Continue" waits behind the one with the last answer.
+    The failure occurs if its reader goes on before it is ended.
+    """
+    expecting = _request("PUT", "/s/1", ["Content-Length: 2", "Expect: 100-continue"])
+    caller.sendall(get("/s/held/0") + expecting)
+    wait_for(lambda: target.seen)
+    for _ in range(20):
+        gevent.sleep(0)
+    entry.server.start_closing()
+    target.release("/s/held/0")
+    received = read_to_end(caller)
+    assert b"Connection: close" in received
+    assert received.endswith(b"</s/held/0>")
+
+
 def test_idle_time_counts_from_the_last_answer(entry, caller, target, read_until):
     """Guards against a connection that is closed just as its caller reuses it.
 
