A stopping listener answers every pipelined request that it has read

What callers saw: of requests sent ahead of answers, those behind the ones in progress got no answer as their daemon stopped, although it had read them, some of them seconds before. Callers don't send an unsafe request again in that case, as it may have run.

Cause: a closing listener started nothing behind a request in progress, announced the end of the connection with the answer to the last started one, and dropped the others. It went on reading requests all the while, only to drop them.

Change: - From SIGTERM requests are read and run as usual; Connection: close comes with the answer to the last request that was read. While the reader waits for capacity, its buffer may hold requests, and no answer is the last. - From `finish` on, a request that is read behind unanswered ones is refused at once with 503, not run, cause `leaving`, in its turn; nothing is read behind refusals alone. So a caller that always has requests unanswered ends with those in progress. - Once the head of a last answer is complete, what is read is dropped and never run. Reading goes on while the listener closes, so that callers that leave are still seen.

Tests that stated the earlier behaviour, and contradict the rule that a request that was read gets an answer: - test_forwarded_requests_are_answered_before_a_closing_listener_ends asserted that the purchase read behind two lookups doesn't run and gets no answer. Its replacement, test_requests_read_before_the_close_..., asserts the same of the first two answers, and that the purchase runs once, after them, with the last answer. - test_leaving_daemon_answers_forwarded_pipelined_requests asserted the same of a daemon; replaced likewise. test_requests_after_one_that_closes_do_not_run and test_finish_waits_for_all_pipelined_ requests are unchanged. The test of callers that disconnect runs for listeners that serve, close and finish; all three passed before too.

Mutations: without the refusals 2 tests fail, without the check of is_ending 1, without the stop behind refusals 1. test_caller_that_pipelines_for_ever_... passed before, and with the refusals removed: it checks that what ran was answered.

Measured: tests/entry and tests/adapter/partitions/test_detours.py, tests/adapter/test_pipelining.py, test_instance_failures.py, test_process.py and `make lint` pass; tests/entry/http/test_pipelining.py and test_closing.py 8 times of 8.

--- a/packages/entry/src/cairnferry/entry/callers/_detour_app.py
+++ b/packages/entry/src/cairnferry/entry/callers/_detour_app.py
@@ -20,7 +20,12 @@
 
 # Problems of this daemon rather than of the request; another peer may serve it.
 _OWN_PROBLEMS = frozenset(
-    [Problem.NOT_READY, Problem.BODIES_FULL, Problem.TOO_MANY_CONNECTIONS]
+    [
+        Problem.NOT_READY,
+        Problem.BODIES_FULL,
+        Problem.LEAVING,
+        Problem.TOO_MANY_CONNECTIONS,
+    ]
 )
 
 
--- a/packages/entry/src/cairnferry/entry/http/_answers.py
+++ b/packages/entry/src/cairnferry/entry/http/_answers.py
@@ -90,6 +90,14 @@
         # Retry-After is spread over callers.
         None,
     )
+    LEAVING = (
+        503,
+        "Service Unavailable",
+        "leaving",
+        "destination_unavailable",
+        # Other instances serve at once.
+        0.05,
+    )
     TOO_MANY_CONNECTIONS = (
         503,
         "Service Unavailable",
--- a/packages/entry/src/cairnferry/entry/http/_http_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_http_server.py
@@ -257,6 +257,7 @@
         )
         self.limits = limits
         self.closing = False
+        self.finishing = False
         self.refused_connections = 0
         self._handlers = set()
         self._lingering = 0
@@ -304,12 +305,18 @@
     def start_closing(self) -> None:
         """Continue to serve, and end each connection with its next answer.
 
-        Otherwise all connections would be closed at once at the end. Some of them
+        If a caller has sent requests ahead, that is the answer to the last one that was
+        read. Otherwise all connections would be closed at once at the end. Some of them
         would then carry a request that is not read yet, and the caller would have to
         resend it.
         """
         self.closing = True
 
+    def start_finishing(self) -> None:
+        """Refuse requests behind unanswered ones of their connection."""
+        self.start_closing()
+        self.finishing = True
+
     def finish(self, seconds: float) -> bool:
         """Accept no new connections, close idle ones and wait for the others.
 
@@ -323,7 +330,7 @@
         bool
             Whether every request in progress was answered.
         """
-        self.start_closing()
+        self.start_finishing()
         ends_at = time.monotonic() + seconds
         self._close_listener(min(HANDSHAKE_S, seconds))
         with gevent.Timeout(max(0.0, ends_at - time.monotonic()), False):
--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -135,8 +135,13 @@
         Monotonic time in seconds of the last answer, or of the connection's start.
     is_caller_gone : bool
         Whether the caller is gone, so that no further request is started.
+    is_ending : bool
+        Whether an answer is being or was written that ends the connection. No request
+        that is read after that may run, as the caller sends it again.
     is_finished : bool
         Whether the last answer of the connection was written.
+    is_reader_waiting : bool
+        Whether the reader waits until it may read one more request.
     was_pipelined : bool
         Whether the caller has sent a request before an earlier one was answered.
     """
@@ -150,7 +155,9 @@
         self._removed = Event()
         self.idle_since = time.monotonic()
         self.is_caller_gone = False
+        self.is_ending = False
         self.is_finished = False
+        self.is_reader_waiting = False
         self.was_pipelined = False
 
     # -- called by the reader -----------------------------------------------------
@@ -160,10 +167,17 @@
         """Whether every request that was read is finished."""
         return not self._exchanges
 
+    @property
+    def has_accepted(self) -> bool:
+        """Whether a request that was not rejected or refused as it was read is left."""
+        return any(exchange.handler.problem is None for exchange in self._exchanges)
+
     def wait_for_capacity(self) -> None:
         """Wait until one more request may be read."""
+        self.is_reader_waiting = True
         while not self._has_capacity():
             self._wait_for_removal()
+        self.is_reader_waiting = False
 
     def wait_until_idle(self) -> None:
         """Wait until every request that was read is finished."""
@@ -236,9 +250,9 @@
         if self.is_finished:
             raise AnswerNotSent
 
-    def is_last_started(self) -> bool:
-        """Return whether no request after the first one was started."""
-        return len(self._exchanges) == 1 or self._exchanges[1].task is None
+    def is_last_read(self) -> bool:
+        """Return whether no request after the first one was read."""
+        return len(self._exchanges) == 1
 
     def _start_next(self):
         """Start the requests that may run now."""
@@ -253,12 +267,7 @@
     def _may_start(self, index, exchange):
         if self.is_caller_gone or self.is_finished:
             return False
-        # A listener that is closing starts nothing after a request in progress: its
-        # answer can then be the last one, and the caller resends the other requests.
-        may_run_concurrently = (
-            exchange.may_run_concurrently and not exchange.handler.server.closing
-        )
-        return index == 0 or may_run_concurrently
+        return index == 0 or exchange.may_run_concurrently
 
     def _run(self, exchange):
         try:
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -85,13 +85,16 @@
     def handle_one_request(self):
         """Read one request and enqueue it; return whether to continue."""
         try:
-            self._pipeline.wait_for_capacity()
+            self._wait_for_capacity()
             if not self._wait_for_input():
                 return self._cancel_and_wait()
             self._is_reading = True
             self._held = HeldBody(self.server.bodies)
             try:
                 self._read_request()
+                if self._pipeline.is_ending:
+                    return self._discard_rest()
+                self._refuse_if_finishing()
                 self._enqueue_request()
                 if self._refused_body and not self._discard_refused_body():
                     return self._discard_rest()
@@ -110,6 +113,17 @@
         self._pipeline.cancel()
         self._pipeline.wait_until_idle()
 
+    def _wait_for_capacity(self):
+        """Wait until one more request may be read.
+
+        Only refusals may be unanswered when a listener finishes. Nothing is read behind
+        them, because a caller that always sends another request would keep its
+        connection open for ever.
+        """
+        self._pipeline.wait_for_capacity()
+        if self.server.finishing and not self._pipeline.has_accepted:
+            self._pipeline.wait_until_idle()
+
     def _wait_for_input(self):
         """Wait for the next request, up to the idle time; return whether it came.
 
@@ -230,6 +244,15 @@
         self.request_version = "HTTP/1.1"
         self.close_connection = True
 
+    def _refuse_if_finishing(self):
+        """Refuse a request behind unanswered ones if the listener finishes.
+
+        It is read nevertheless: callers do not send an unsafe request again that gets
+        no answer, unless it was not read.
+        """
+        if self.server.finishing and not self._pipeline.is_idle:
+            self.problem = self.problem or Problem.LEAVING
+
     def _enqueue_request(self):
         request = copy.copy(self)
         # The body has been read, so the next input is the next request.
@@ -284,8 +307,21 @@
         super().write(data)
 
     def is_last(self) -> bool:
-        """Return whether the connection ends with this answer."""
-        return super().is_last() and self._pipeline.is_last_started()
+        """Return whether the connection ends with this answer.
+
+        A closing listener answers every request that it has read, because the caller
+        cannot know whether one without an answer has run. Requests may also be left in
+        the input buffer while the reader waits.
+        """
+        if not super().is_last() or not self._pipeline.is_last_read():
+            return False
+        return self.server.finishing or not self._pipeline.is_reader_waiting
+
+    def finalize_headers(self):
+        """Complete the headers; let nothing run behind an answer that is the last."""
+        super().finalize_headers()
+        if self.close_connection:
+            self._pipeline.is_ending = True
 
     def _sendall(self, data):
         # Without a timeout, a caller that does not read its answers would occupy the
@@ -345,7 +381,7 @@
 
     def finish(self, seconds: float) -> bool:
         """Wait until no request is in progress; see `HttpServer.finish`."""
-        self.start_closing()
+        self.start_finishing()
         with gevent.Timeout(max(0.0, seconds), False):
             while self.busy:
                 gevent.sleep(0.01)
