Log, count and end each request that the end of a daemon cuts

Callers saw connections closed without an answer as a daemon was stopped. Nothing told which requests these were: the daemon logged only that not every request was answered.

At the end of a callers' listener, and of the requests that peers pass on, each unanswered request now leaves one WARNING, `request cut by a stop`: how far it was (reading, waiting, at-target, at-peer, answering), the targets at work and for how long, its age, the seconds since the stop began, and why it had no answer. Metric cairnferry_requests_cut_total. No decision changes: connections are ended in the same turn of the event loop in which their requests are reported, one turn before they were ended so far.

--- a/packages/entry/src/cairnferry/entry/callers/__init__.py
+++ b/packages/entry/src/cairnferry/entry/callers/__init__.py
@@ -1,6 +1,7 @@
 """Callers' requests: forwarding to targets, and blocking of harmful requests."""
 
 from cairnferry.entry.callers._callers import BodyLimits, CallersApp
+from cairnferry.entry.callers._cut_log import CutLog
 from cairnferry.entry.callers._detour_app import DetourApp
 from cairnferry.entry.callers._forward import Forwarder
 from cairnferry.entry.callers._guard import CrashGuard
@@ -12,6 +13,7 @@
     "BodyLimits",
     "CallersApp",
     "CrashGuard",
+    "CutLog",
     "DetourApp",
     "Forwarder",
     "StartupHold",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from cairnferry.entry.callers._calls import build_call, build_detour
+from cairnferry.entry.callers._cut_log import Work
 from cairnferry.entry.callers._detouring_forwarder import DetouringForwarder
 from cairnferry.entry.callers._forward import Forwarded, Forwarder
 from cairnferry.entry.callers._key_check import KeyCheck
@@ -275,6 +276,7 @@
         if key_check.workspace is not None and head.timeout_ms is not None:
             call.spent = self._timeouts.note(route.name, head.timeout_ms)
         req = self._outbound(handler, head, call, key_check)
+        handler.work = Work(runtime.policy, call, head.request_id)
         try:
             with handler.cancellable():
                 forwarded = self.forward_call(
@@ -385,6 +387,7 @@
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
 
     def _detour(self, handler, req, call, service):
+        handler.work.peers_asked += 1
         head = DetourHead(
             self.name,
             self.caller_address(handler),
@@ -420,7 +423,7 @@
 
     def _problem(self, problem, handler, workspace=""):
         self._request_log.note_rejected(
-            problem.value[2], self._request_id(handler), workspace
+            problem.value[2], self.request_id(handler), workspace
         )
         if problem is Problem.NOT_READY:
             now = time.monotonic()
@@ -429,7 +432,8 @@
             return problem_answer(problem, random.uniform(*BODIES_RETRY_S))
         return problem_answer(problem)
 
-    def _request_id(self, handler):
+    def request_id(self, handler: PipelinedHandler) -> str | None:
+        """Return the ID that the caller assigned to a request, if its head has one."""
         try:
             return self.convention.read_head(handler.header_pairs()).request_id
         except BadDeadline:
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -137,7 +137,11 @@
         self._write(LogLine.REJECTED, request_id, lambda: facts)
 
     def _write_with_facts(self, line, policy, call, request_id, details):
-        self._write(line, request_id, lambda: self._facts(policy, call) | details)
+        self._write(
+            line,
+            request_id,
+            lambda: describe_call(policy, call, self.services) | details,
+        )
 
     def _write(self, line, request_id, facts):
         """Write a log line at a limited rate; the facts are computed only if needed."""
@@ -149,23 +153,34 @@
         extra = {"request_id": request_id, **facts(), **left_out}
         log.log(level, str(line), extra=extra)
 
-    def _facts(self, policy, call):
-        """Return the facts that led to the decision on a request."""
-        elapsed = time.monotonic() - call.arrived
-        return {
-            "service": policy.service.name,
-            "route": call.route,
-            "revision": self.services.revision,
-            "attempts": [_describe_attempt(attempt, call) for attempt in call.attempts],
-            "asked": sorted(call.search.checked),
-            "after_ms": round(elapsed * MS_PER_S, 1),
-            "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
-            "repeats_left": round(policy.retries_left, 1),
-            **({"workspace": call.workspace} if call.workspace else {}),
-            **({"passed_on": call.detours} if call.detours else {}),
-            **({"received_from": call.received_from} if call.received_from else {}),
-            **_identity_facts(call),
-        }
+
+def describe_call(policy: ServicePolicy, call: Call, services: Services) -> dict:
+    """Return the facts that led to the decision on a request.
+
+    Parameters
+    ----------
+    policy : ServicePolicy
+        Policy of the service.
+    call : Call
+        State of the request.
+    services : Services
+        Provides the revision in force.
+    """
+    elapsed = time.monotonic() - call.arrived
+    return {
+        "service": policy.service.name,
+        "route": call.route,
+        "revision": services.revision,
+        "attempts": [_describe_attempt(attempt, call) for attempt in call.attempts],
+        "asked": sorted(call.search.checked),
+        "after_ms": round(elapsed * MS_PER_S, 1),
+        "time_given_ms": round((call.deadline - call.arrived) * MS_PER_S),
+        "repeats_left": round(policy.retries_left, 1),
+        **({"workspace": call.workspace} if call.workspace else {}),
+        **({"passed_on": call.detours} if call.detours else {}),
+        **({"received_from": call.received_from} if call.received_from else {}),
+        **_identity_facts(call),
+    }
 
 
 def _line_of_answer(call):
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -14,6 +14,7 @@
 from cairnferry.entry._ports import CallerLimits, Records
 from cairnferry.entry.callers import (
     CrashGuard,
+    CutLog,
     StartupHold,
     quarantine_note_registry,
 )
@@ -126,6 +127,7 @@
         self._listeners = []
         self._tasks = []
         self._leaving = Event()
+        self.cut_log = CutLog(self.metrics)
         self.leave_hooks: list[Callable[[], None]] = []
         self.on_store_doubted: Callable[[], None] = lambda: None
         self.reload = Event()
@@ -205,11 +207,13 @@
         app = callers_app(self, self.steering if serve_steering else None)
         self.callers_app = app
         self.detour_server = detour_server(self)
+        self.detour_server.on_cut = self.cut_log.observe(self.detour_server.application)
         self.peer_server.on_requests = self.detour_server.handle
         address = cfg.callers.as_tuple()
         self.callers_server = PipelinedServer(
             address, app, cfg.caller_limits, self.link, self.body_budget, listener
         )
+        self.callers_server.on_cut = self.cut_log.observe(app)
         self._listeners.append(self.callers_server)
         self.state_view = StateView(
             self.cluster,
@@ -300,6 +304,7 @@
         gevent.killall(self._tasks)
         for server in self._listeners:
             server.stop(timeout=0)
+        self.detour_server.cut()
         self.peer_server.stop()
         self.upstreams.close()
 
@@ -368,6 +373,7 @@
 
     def leave(self) -> None:
         """Start to leave; further calls have no effect."""
+        self.cut_log.note_stop()
         self._leaving.set()
 
     def _drain(self):
@@ -393,7 +399,7 @@
         others = [each for each in self._listeners if each is not self.callers_server]
         gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
         self.stop()
-        log.info("left", extra={"every_request_answered": all_answered})
+        self.cut_log.log_end(all_answered)
         return 0 if all_answered else 1
 
     def apply_caller_limits(self, limits: CallerLimits) -> None:
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -33,6 +33,7 @@
     PipelinedHandler,
     PipelinedServer,
 )
+from cairnferry.entry.http._progress import Progress
 from cairnferry.entry.http._small_apps import JSON, TEXT, Page, PagesApp
 
 __all__ = [
@@ -54,6 +55,7 @@
     "PipelinedHandler",
     "PipelinedServer",
     "Problem",
+    "Progress",
     "RequestHead",
     "TEXT",
     "TIMEOUT_HEADER",
--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 
 from cairnferry.entry.http._bodies import HeldBody
+from cairnferry.entry.http._progress import Progress
 
 # Requests of one connection that are read and not yet answered. Reading from a caller
 # that sends more, or that does not read its answers, stops until some are answered, so
@@ -111,6 +112,11 @@
     turn: Event = attrs.field(factory=Event)
     task: gevent.Greenlet | None = None
 
+    @property
+    def progress(self) -> Progress:
+        """How far the request is: whether its answer is known."""
+        return Progress.ANSWERING if self.handler.status else Progress.WAITING
+
     def release_body(self) -> None:
         """Release the memory of the body; a second call does nothing."""
         if self.held is not None:
@@ -160,6 +166,10 @@
         """Whether every request that was read is finished."""
         return not self._exchanges
 
+    def unanswered(self) -> list[Exchange]:
+        """Return the requests that were read and are not finished."""
+        return list(self._exchanges)
+
     def wait_for_capacity(self) -> None:
         """Wait until one more request may be read."""
         while not self._has_capacity():
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import copy
 import time
+from collections.abc import Callable, Iterator
 
 import gevent
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
@@ -29,6 +30,7 @@
     Lookahead,
     Pipeline,
 )
+from cairnferry.entry.http._progress import Progress
 from cairnferry.wire import Link
 
 # Bytes of an answer that are handed to the socket, and recorded on the link, at once.
@@ -54,11 +56,14 @@
         The whole body.
     arrived : float
         Monotonic time in seconds at which the request began to arrive.
+    work : Work or None
+        What the application knows of the request while it is at work.
     """
 
     problem = None
     body = b""
     arrived = 0.0
+    work = None
     _exchange = None
     _refused_body = None
     _is_reading = False
@@ -73,6 +78,23 @@
         """Whether a request is being read or is not yet answered."""
         return self._is_reading or not self._pipeline.is_idle
 
+    def unanswered(self) -> Iterator[tuple["PipelinedHandler", Progress]]:
+        """Yield the requests that are read or not answered, and how far each is."""
+        for exchange in self._pipeline.unanswered():
+            yield exchange.handler, exchange.progress
+        # A request that is queued no longer holds its body here.
+        if self._is_reading and self._held is not None:
+            yield self, Progress.READING
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether all earlier requests of the connection are finished."""
+        return self._exchange is None or self._exchange.turn.is_set()
+
+    def cut(self) -> None:
+        """Discard or kill the requests that are not answered."""
+        self._pipeline.close()
+
     # -- reading ------------------------------------------------------------------
 
     def handle(self):
@@ -324,6 +346,11 @@
     refusal, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
     others of its connection do.
+
+    Attributes
+    ----------
+    on_cut : callable
+        Called with each request that the end of the listener cuts, and how far it is.
     """
 
     handler_class = PipelinedHandler
@@ -335,6 +362,26 @@
         self.lookahead = Lookahead()
         self.link = link or Link()
         self.bodies = bodies or BodyBudget()
+        self.on_cut: Callable[[PipelinedHandler, Progress], None] = _ignore
+
+    def stop(self, timeout: float | None = None) -> None:
+        """Stop listening, and cut what is left after a time in seconds."""
+        self.close()
+        seconds = self.stop_timeout if timeout is None else timeout
+        if seconds:
+            self.pool.join(timeout=seconds)
+        self.cut()
+        super().stop(timeout=0)
+
+    def cut(self) -> None:
+        """Report each request that is not answered, and end it.
+
+        No other task runs in between, so that none is reported and answered too.
+        """
+        for handler in list(self._handlers):
+            for req, progress in handler.unanswered():
+                self.on_cut(req, progress)
+            handler.cut()
 
 
 class AdoptedServer(PipelinedServer):
@@ -350,3 +397,7 @@
             while self.busy:
                 gevent.sleep(0.01)
         return not self.busy
+
+
+def _ignore(req, progress):
+    """Report nothing."""
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -110,6 +110,7 @@
     yield "repeats_left", "gauge", _by_service(services, "retry_tokens")
     detours = _counted(metrics["detours"], "direction", "outcome")
     yield "detours_total", "counter", detours
+    yield "requests_cut_total", "counter", _counted(metrics["cut"], "stage")
     yield "paths_broken_seconds", "gauge", _by_paths(services, "broken_s")
     yield "paths_quiet_seconds", "gauge", _by_paths(services, "quiet_s")
     yield "target_connections_opened_total", "counter", [Sample(targets["opened"])]
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -87,6 +87,8 @@
         cannot be parsed.
     detours : Counter
         Requests passed on to peers, and received from them, by outcome.
+    cut : Counter
+        Requests that the end of this daemon cut, by how far they were.
     latency : dict of str to Durations
         Time from a request's arrival to its answer, by service.
     waits : dict of str to Durations
@@ -108,6 +110,7 @@
     limits: collections.Counter = attrs.field(factory=collections.Counter)
     target_advisories: collections.Counter = attrs.field(factory=collections.Counter)
     detours: collections.Counter = attrs.field(factory=collections.Counter)
+    cut: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=_by_service)
     waits: dict[str, Durations] = attrs.field(factory=_by_service)
     store_era: int = 0
@@ -159,6 +162,7 @@
             "quarantine": dict(sorted(self.quarantine.items())),
             "limits": dict(sorted(self.limits.items())),
             "detours": _joined_keys(self.detours),
+            "cut": dict(sorted(self.cut.items())),
             "target_words": dict(sorted(self.target_advisories.items())),
             "latency_us": {
                 service: durations.quantiles()
--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -77,6 +77,42 @@
     assert len(runs(targets, "order-1")) == 1
 
 
+def test_request_that_two_stopping_daemons_cut_is_logged_at_both(
+    daemons, cut_off, targets, caplog
+):
+    """Guards against requests of peers' callers that a stop cuts without a trace."""
+    hold(targets)
+    caller = gevent.spawn(cut_off.call, request_id="order-1", **ORDER)
+    wait_for(lambda: runs(targets, "order-1"))
+    peer = at_work(daemons)
+    cut_off.core.stop()
+    peer.core.stop()
+    caller.get()
+    lines = [each for each in caplog.records if each.message == "request cut by a stop"]
+    at_first = [each for each in lines if each.stage == "at-peer"]
+    assert [each.request_id for each in at_first] == ["order-1"]
+    assert cut_off.core.metrics.cut == {"at-peer": 1}
+
+
+def test_request_of_a_peer_that_a_stop_cuts_is_logged_with_its_target(
+    daemons, cut_off, targets, caplog
+):
+    """Guards against requests of peers' callers that a stop cuts without a trace."""
+    hold(targets)
+    caller = gevent.spawn(cut_off.call, request_id="order-1", **ORDER)
+    wait_for(lambda: runs(targets, "order-1"))
+    peer = at_work(daemons)
+    peer.core.stop()
+    assert caller.get().status == 502
+    lines = [each for each in caplog.records if each.message == "request cut by a stop"]
+    assert [(each.request_id, each.stage) for each in lines] == [
+        ("order-1", "at-target")
+    ]
+    assert lines[0].received_from == cut_off.cfg.name
+    assert len(lines[0].at_work) == 1
+    assert peer.core.metrics.cut == {"at-target": 1}
+
+
 def test_lookup_whose_peer_is_lost_is_served_by_another(daemons, cut_off, targets):
     cut_off.earn_retries()
     held = hold(targets)
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -29,6 +29,9 @@
 # Size of the smallest pipe buffer that the kernel allows.
 SMALLEST_PIPE_BYTES = 4096
 DUMPS = 12
+# Requests whose log lines exceed the pipe's buffer.
+CUT = 8
+MS_PER_S = 1000
 DUMP_MESSAGE = b'"dump"'
 
 
@@ -91,8 +94,11 @@
     return program, read_host_settings(text).ok
 
 
-def send_request(cfg):
-    headers = [("Cairnferry-Request-Id", "r"), ("Cairnferry-Deadline-Ms", "20000")]
+def send_request(cfg, request_id="r"):
+    headers = [
+        ("Cairnferry-Request-Id", request_id),
+        ("Cairnferry-Deadline-Ms", "20000"),
+    ]
     client = Client(INSTANCE, cfg.callers.port, host_name="shop.example")
     return client.call("GET", "/a/x", timeout=30, headers=headers)
 
@@ -118,6 +124,72 @@
     assert program.logged("left")[0]["every_request_answered"] is True
 
 
+def shortened(text):
+    """Return settings with which a stop is short."""
+    short = text.replace("bounds.grace=6s", "bounds.grace=2s")
+    return short.replace("bounds.ttl_max=5s", "bounds.ttl_max=200ms")
+
+
+def read_to_end(fd):
+    """Return what is written to a pipe until all its writers are gone."""
+    os.set_blocking(fd, False)
+    text = b""
+    while True:
+        gevent.select.select([fd], [], [])
+        part = os.read(fd, 65536)
+        if not part:
+            return text.decode()
+        text += part
+
+
+def test_request_that_a_stop_cuts_is_logged_before_the_exit(
+    store, tmp_path, start_target
+):
+    """Guards against a stop after which nothing tells which requests it has cut.
+
+    The pipe is small, so that most lines are still queued as the process ends.
+    """
+    store.put("op", "config", configuration())
+    targets = [start_target(f"i-{n}", lambda number: Event()) for n in range(CUT)]
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE_BYTES)
+    text = shortened(settings_text(store.port, host=INSTANCE))
+    cfg = read_host_settings(text).ok
+    program = Program(tmp_path, text, writing)
+    try:
+        output = gevent.spawn(read_to_end, reading)
+        ready = Client(INSTANCE, cfg.ready.port)
+        wait_for(lambda: is_ready(ready))
+        callers = [gevent.spawn(send_request, cfg, f"r-{n}") for n in range(CUT)]
+        wait_for(lambda: sum(len(target.seen) for target in targets) == CUT)
+        program.process.send_signal(signal.SIGTERM)
+        program.output.close()
+        lines = [json.loads(line) for line in output.get().splitlines()]
+        assert program.process.wait() == 1
+        assert not any(isinstance(each.get(), Reply) for each in callers)
+    finally:
+        program.stop()
+        os.close(reading)
+    cut = [line for line in lines if line["message"] == "request cut by a stop"]
+    assert sorted(line["request_id"] for line in cut) == sorted(
+        f"r-{n}" for n in range(CUT)
+    )
+    for line in cut:
+        assert line["level"] == "WARNING"
+        assert line["stage"] == "at-target"
+        assert line["at_work"][0].startswith("i-")
+        assert line["after_ms"] >= MS_PER_S * line["since_stop_s"]
+    (left,) = [line for line in lines if line["message"] == "left"]
+    assert left["level"] == "WARNING"
+    assert left["cut"] == {"at-target": CUT}
+    assert left["every_request_answered"] is False
+
+
+def is_ready(client):
+    reply = client.call("GET", "/api/ready", timeout=10)
+    return isinstance(reply, Reply) and reply.status == 200
+
+
 def test_stalled_log_reader_blocks_no_requests(store, tmp_path, start_target):
     """Guards against instances that stop answering when the log collector hangs.
 
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -38,6 +38,7 @@
     metrics.target_crashes["svc"] = 4
     metrics.quarantine["blocked"] = 2
     metrics.limits["named"] = 3
+    metrics.cut["at-target"] = 9
     waits = Durations()
     waits.record(0.01)
     return {
@@ -105,6 +106,7 @@
         ("paths_broken_seconds", "svc"): 0,
         ("paths_quiet_seconds", "svc"): 0.25,
         ("repeats_left", "svc"): 1.5,
+        ("requests_cut_total", "at-target"): 9,
         ("target_connections_opened_total",): 2,
         ("target_connections_lost_total",): 3,
         ("caller_connections",): 7,
--- a/tests/entry/test_command.py
+++ b/tests/entry/test_command.py
@@ -1,5 +1,6 @@
 """Command line of the daemon: faults in the settings are reported, one per line."""
 
+import json
 import signal
 import socket
 import subprocess
@@ -88,6 +89,36 @@
     assert '"every_request_answered": true' in log.read_text()
 
 
+def test_request_that_a_stop_cuts_is_logged_before_the_exit(settings, tmp_path):
+    """Guards against a stop after which nothing tells which requests it has cut."""
+    path, ports = settings
+    log = tmp_path / "log"
+    changes = ("callers.answer_ttl_s=0.1", "drain.margin_s=0", "drain.limit_s=0.3")
+    options = [part for change in changes for part in ("--set", change)]
+    with log.open("w") as file:
+        command = [sys.executable, "-m", MODULE, "--config", path, *options]
+        process = start_child(command, stderr=file)
+    wait_for(lambda: '"serving"' in log.read_text())
+    with socket.create_connection(("127.0.0.1", ports["callers"])) as caller:
+        # The answer to the first request shows that the daemon has got the second one.
+        caller.sendall(
+            b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"POST /a HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 9\r\n\r\nabc"
+        )
+        assert caller.recv(100).startswith(b"HTTP/1.1 503")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait() == 1
+    lines = [json.loads(text) for text in log.read_text().splitlines()]
+    (cut,) = [line for line in lines if line["message"] == "request cut by a stop"]
+    assert (cut["level"], cut["stage"]) == ("WARNING", "reading")
+    # Callers of this interface assign no IDs.
+    assert (cut["request_id"], cut["at_work"]) == (None, [])
+    assert cut["since_stop_s"] > 0
+    (left,) = [line for line in lines if line["message"] == "left"]
+    assert (left["level"], left["cut"]) == ("WARNING", {"reading": 1})
+
+
 @pytest.mark.parametrize(
     ("command", "line"),
     [
