Explain a request that a stop cut from its ID

`cairnferry explain` puts `leaving` and `left` of the stop around the line of a request that it cut, and says in a sentence when the request arrived, counted from the beginning of the stop, which targets were at work on it, and whether it may have run.

--- a/packages/ctl/src/cairnferry/ctl/_commands.py
+++ b/packages/ctl/src/cairnferry/ctl/_commands.py
@@ -264,7 +264,11 @@
             file=sys.stderr,
         )
         sys.exit(ExitCode.REFUSED)
-    sentences = [*_sentences.explain_refusals(lines), *_explain.sentences(lines)]
+    sentences = [
+        *_sentences.explain_refusals(lines),
+        *_sentences.explain_cuts(lines),
+        *_explain.sentences(lines),
+    ]
     print("\n".join([*_explain.format_lines(lines), *sentences]))
 
 
--- a/packages/ctl/src/cairnferry/ctl/_explain.py
+++ b/packages/ctl/src/cairnferry/ctl/_explain.py
@@ -49,6 +49,11 @@
 # Messages on the paths of an instance to the targets of a service. They are in effect
 # until the next one.
 PATH_MESSAGES = ("no target reachable", "targets reachable")
+# Message on a request that the end of an instance cut, and those on its stop.
+CUT_MESSAGE = "request cut by a stop"
+STOP_MESSAGES = ("leaving", "left")
+# Seconds around a stop within which its lines are looked for.
+STOP_MARGIN_S = 5.0
 # Cause in the line of a request for which all targets were throttled by their limits.
 THROTTLED_CAUSE = "target-limit"
 # Cause in the line of a request for which all targets were backing off.
@@ -109,6 +114,14 @@
         in_hand = {text.split(" ")[0] for text in self.fields.get("in_hand", ())}
         return in_hand | {self.fields.get("content", "")} - {""}
 
+    def is_stop_of(self, cut: "LogLine") -> bool:
+        """Return whether the line is about the stop that cut a request."""
+        if self.message not in STOP_MESSAGES or self.instance != cut.instance:
+            return False
+        begin = cut.time - timedelta(seconds=cut.fields.get("since_stop_s") or 0.0)
+        margin = timedelta(seconds=STOP_MARGIN_S)
+        return begin - margin <= self.time <= cut.time + margin
+
     def target_names(self) -> set[str]:
         """Return the names of the targets that the line is about."""
         found = set()
@@ -198,6 +211,7 @@
     targets = set().union(*(_targets_of(line) for line in own))
     causes = {line.fields.get("cause") for line in own}
     services = {line.fields.get("service") for line in own}
+    cuts = [line for line in own if line.message == CUT_MESSAGE]
     begin = min(_arrival_time(line) for line in own) - timedelta(seconds=before_s)
     end = max(line.time for line in own)
 
@@ -208,6 +222,8 @@
             return line.time <= end and bool(line.digests() & digests)
         if line.request_id is not None or line.instance not in instances:
             return line.request_id == request_id
+        if any(line.is_stop_of(cut) for cut in cuts):
+            return True
         if line.message in ZONE_MESSAGES:
             return line.time <= end
         if line.message in PATH_MESSAGES:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cairnferry.ctl._explain import explain, format_lines, read_log, sentences
-from cairnferry.ctl._sentences import explain_refusals
+from cairnferry.ctl._sentences import explain_cuts, explain_refusals
 
 ID = "9c41d07b"
 
@@ -234,6 +234,61 @@
     assert explain_refusals(lines) == []
 
 
+CUT = {
+    "request_id": ID,
+    "service": "svc",
+    "attempts": ["first t1 at 1.0 ms"],
+    "asked": ["t1"],
+    "after_ms": 2300.0,
+    "stage": "at-target",
+    "since_stop_s": 5.4,
+    "at_work": ["t1 for 2299.0 ms"],
+    "why": "its target had not answered",
+}
+
+
+def test_request_that_a_stop_cut_is_explained_by_the_stop():
+    """Guards against a cut request whose cause is not found from its ID."""
+    texts = [
+        line(20.0, "leaving"),
+        line(20.0, "leaving", instance="front-2"),
+        line(25.4, "request cut by a stop", **CUT),
+        line(25.5, "left", every_request_answered=False, cut={"at-target": 1}),
+        line(45.0, "leaving"),
+        line(50.0, "left", every_request_answered=True, cut={}),
+    ]
+    lines = explain(read_log(texts), ID, before_s=2.0)
+    assert [(each.message, each.instance) for each in lines] == [
+        ("leaving", "front-1"),
+        ("request cut by a stop", "front-1"),
+        ("left", "front-1"),
+    ]
+    (sentence,) = explain_cuts(lines)
+    assert sentence == (
+        "front-1 ended 5.4 s after its stop began and cut it, as its target had not "
+        "answered; it had arrived 3.1 s after the beginning of the stop, was at work "
+        "at t1 for 2299.0 ms, and its connection was closed without a whole answer: "
+        "it may have run"
+    )
+
+
+@pytest.mark.parametrize(
+    ("changed", "expected"),
+    [
+        ({"after_ms": 6400.0}, "arrived 1.0 s before the stop"),
+        ({"stage": "reading", "attempts": [], "at_work": []}, "it did not run"),
+        ({"stage": "waiting", "at_work": []}, "an earlier attempt may have run"),
+        ({"since_stop_s": None}, "arrived 2.3 s before its end"),
+    ],
+)
+def test_sentence_on_a_cut_request_says_when_it_arrived_and_whether_it_ran(
+    changed, expected
+):
+    texts = [line(25.4, "request cut by a stop", **(CUT | changed))]
+    (sentence,) = explain_cuts(explain(read_log(texts), ID, 2.0))
+    assert expected in sentence
+
+
 def test_refusal_by_the_limit_of_a_workspace_is_explained_in_a_sentence():
     refused = {
         "request_id": ID,
