Requests that are left at the end of a stop are answered

Cause: at the end everything that is left was cut by closing connections, so that not even what had not run could be said.

Change: 0.1 s before the end each request that was read gets an answer: 502 unknown if a target or a peer may have run it, 503 not run else. The former leave a line and count as cut. The exit code is 1 if any was cut.

Beside it, from the same question (what is left of a phase?): the life of steering answers and the margin before the kill are shares of the time to stop where that is short, and pages end with the callers' requests, not after them.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -34,8 +34,10 @@
     PipelinedHandler,
     Problem,
     RequestHead,
+    StopReached,
     not_run_answer,
     problem_answer,
+    unknown_answer,
 )
 from cairnferry.entry.members import Steering
 from cairnferry.entry.targets import (
@@ -51,7 +53,15 @@
     WorkspaceRegistry,
     digest_of,
 )
-from cairnferry.policy import Call, Cause, DeclaredTimeouts, Departure, Relay
+from cairnferry.policy import (
+    Call,
+    Cause,
+    DeclaredTimeouts,
+    Departure,
+    GiveUp,
+    Refuse,
+    Relay,
+)
 from cairnferry.records import Route, Workspace
 from cairnferry.wire import HeaderInvalid
 
@@ -61,6 +71,9 @@
 # Bounds in seconds of Retry-After if the bodies that are held leave no room. A large
 # body takes about this time on its way to a target.
 BODIES_RETRY_S = (0.2, 0.6)
+# Retry-After in seconds of a daemon that stops while no other one is known to serve:
+# about the time of a restart.
+LEAVING_RETRY_S = 0.5
 
 
 @attrs.define
@@ -163,6 +176,8 @@
             answer = self._answer(handler)
         except BadRequest as exc:
             answer = self._problem(exc.problem, handler, exc.workspace)
+        except StopReached:
+            answer = self._problem(Problem.LEAVING, handler)
         except CallerGone:
             handler.close_connection = True
             start_response(CALLER_GONE_STATUS, [])
@@ -309,12 +324,23 @@
         except CallerGone:
             self._request_log.note_caller_gone(runtime.policy, call, head.request_id)
             raise
+        except StopReached:
+            forwarded = self._give_up(handler, call)
         self._note_time(call)
         self._request_log.note_answered(
             runtime.policy, call, forwarded, head.request_id
         )
         return self.finish_answer(forwarded, head, runtime)
 
+    def _give_up(self, handler, call):
+        """Return the answer to a request that is not answered at the end of a stop."""
+        retry_after = 0.0 if self.has_usable_peer() else LEAVING_RETRY_S
+        if call.attempts or handler.work.peers_asked:
+            decision = GiveUp(Cause.LEAVING, retry_after)
+            return Forwarded(unknown_answer(Cause.LEAVING, retry_after), decision)
+        decision = Refuse(Cause.LEAVING, retry_after)
+        return Forwarded(not_run_answer(Cause.LEAVING, retry_after), decision)
+
     def _note_time(self, call):
         if self.departure is not None and call.attempts:
             now = time.monotonic()
@@ -412,8 +438,9 @@
                 workspace,
                 lambda: self._detour(handler, req, call, runtime.policy.service.name),
             )
-        if cause is Cause.LEAVING and self.has_usable_peer():
-            refused = runtime.policy.refuse_with_delay(cause, 0.0)
+        if cause is Cause.LEAVING:
+            retry_after = 0.0 if self.has_usable_peer() else LEAVING_RETRY_S
+            refused = runtime.policy.refuse_with_delay(cause, retry_after)
         else:
             refused = runtime.policy.refuse(cause)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -409,10 +409,13 @@
             gevent.spawn(self.callers_server.finish, limit_s, KEEP_IDLE_S),
             gevent.spawn(self.detour_server.finish, limit_s),
         ]
-        self.spawn(self._refuse_waiting)
-        all_answered = all(end.get() for end in ends)
-        others = [each for each in self._listeners if each is not self.callers_server]
-        gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
+        self.spawn(self._give_up_requests)
+        pages_end_at = self.departure.ends_at - PAGES_FINISH_S
+        gevent.joinall(ends, timeout=max(0.0, pages_end_at - time.monotonic()))
+        pages = [each for each in self._listeners if each is not self.callers_server]
+        ends += [gevent.spawn(each.finish, PAGES_FINISH_S) for each in pages]
+        gevent.joinall(ends)
+        all_answered = all(end.get() for end in ends[:2]) and not self.metrics.cut
         self.stop()
         self.cut_log.log_end(all_answered)
         return 0 if all_answered else 1
@@ -420,11 +423,13 @@
     def _wait_until(self, moment):
         gevent.sleep(max(0.0, moment - time.monotonic()))
 
-    def _refuse_waiting(self):
-        """Refuse the requests that would still wait when the daemon ends."""
+    def _give_up_requests(self):
+        """Answer the requests that would be cut when the daemon ends."""
         self._wait_until(self.departure.ends_at - ANSWER_S)
         for runtime in self.services.active().values():
             runtime.give_up_waiting(Cause.LEAVING)
+        self.callers_server.give_up()
+        self.detour_server.give_up()
 
     def set_leaving_times(self, times: LeavingTimes) -> None:
         """Change the phases of a departure that has not begun."""
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -13,12 +13,15 @@
 # Seconds for which callers cache a steering answer. Callers continue to try a lost
 # daemon for this time.
 ANSWER_TTL_S = 0.9
+# Largest share of the time to stop that this may take. Callers with old answers are
+# served for three times as long, and the rest is for requests in progress.
+MAX_TTL_SHARE = 0.15
 # Multiple of that time for which some callers use an answer.
 STALE_ANSWER_FACTOR = 3
-# Seconds between the end of the drain and the time at which the process is killed.
+# Seconds between the end of the drain and the time at which the process is killed, and
+# their largest share of the time to stop.
 STOP_MARGIN_S = 0.6
-# Minimum seconds for requests in progress to finish.
-MIN_FINISH_S = 0.5
+MAX_MARGIN_SHARE = 0.1
 # Limits of callers until the rules set others: seconds for a request's head to arrive,
 # seconds between two requests, and bytes of a body.
 HEAD_S = 3.0
@@ -47,8 +50,8 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-def _answer_ttl_s(max_ttl_s):
-    return min(ANSWER_TTL_S, max_ttl_s)
+def _answer_ttl_s(max_ttl_s, stop_s):
+    return min(ANSWER_TTL_S, max_ttl_s, MAX_TTL_SHARE * stop_s)
 
 
 def leaving_times(max_ttl_s: float, stop_s: float) -> LeavingTimes:
@@ -61,8 +64,9 @@
     stop_s : float
         Seconds from the request to stop until the process is killed.
     """
-    serve_s = STALE_ANSWER_FACTOR * _answer_ttl_s(max_ttl_s)
-    return LeavingTimes(serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S))
+    serve_s = STALE_ANSWER_FACTOR * _answer_ttl_s(max_ttl_s, stop_s)
+    margin_s = min(STOP_MARGIN_S, MAX_MARGIN_SHARE * stop_s)
+    return LeavingTimes(serve_s, stop_s - serve_s - margin_s)
 
 
 def ephemeral_instance_settings(
@@ -102,7 +106,7 @@
     memory_bytes : float or None, optional
         Memory of the instance in bytes; None for all that the machine has.
     """
-    ttl = _answer_ttl_s(max_ttl_s)
+    ttl = _answer_ttl_s(max_ttl_s, stop_s)
     callers_limit = max(MIN_CALLER_CONNECTIONS, max_files - RESERVED_FILES)
     return CoreSettings(
         name=name,
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -27,7 +27,7 @@
     HttpServer,
     ListenerLimits,
 )
-from cairnferry.entry.http._pipeline import CallerGone
+from cairnferry.entry.http._pipeline import CallerGone, StopReached
 from cairnferry.entry.http._pipelined_server import (
     AdoptedServer,
     PipelinedHandler,
@@ -57,6 +57,7 @@
     "Problem",
     "Progress",
     "RequestHead",
+    "StopReached",
     "TEXT",
     "TIMEOUT_HEADER",
     "WORKSPACE_HEADER",
--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -14,6 +14,7 @@
 import gevent
 from gevent.event import Event
 
+from cairnferry.entry.http._answers import Problem
 from cairnferry.entry.http._bodies import HeldBody
 from cairnferry.entry.http._progress import Progress
 
@@ -33,6 +34,10 @@
     """The caller closed its connection before it received its answer."""
 
 
+class StopReached(Exception):
+    """The time of a stop is used up, and the request is not answered."""
+
+
 class ConnectionEnds(BaseException):
     """Ends the reading of a connection whose last answer was written."""
 
@@ -235,7 +240,16 @@
         self._discard_unstarted()
         loop = gevent.get_hub().loop
         for exchange in self._exchanges:
-            loop.run_callback(_cancel, exchange)
+            loop.run_callback(_cancel, exchange, CallerGone)
+
+    def give_up(self) -> None:
+        """Answer all requests at once, because the listener ends."""
+        loop = gevent.get_hub().loop
+        for exchange in self._exchanges:
+            if exchange.task is None:
+                exchange.handler.problem = exchange.handler.problem or Problem.LEAVING
+            else:
+                loop.run_callback(_cancel, exchange, StopReached)
 
     def close(self) -> None:
         """Discard or kill the remaining requests when the connection is closed."""
@@ -312,11 +326,11 @@
                 self._remove(exchange)
 
 
-def _cancel(exchange):
-    """Raise `CallerGone` in a request's task; runs in the hub.
+def _cancel(exchange, error):
+    """Raise an error in a request's task; runs in the hub.
 
     The flag is checked only here, because the task may have continued in the meantime.
     An exception while it writes its answer would be treated as a program error.
     """
     if exchange.is_cancellable:
-        exchange.task.throw(CallerGone)
+        exchange.task.throw(error)
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -89,11 +89,20 @@
         if self._is_reading and self._held is not None:
             yield self, Progress.READING
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a target or a peer may be at work on the request."""
+        return self.work is not None and self.work.progress() is not Progress.WAITING
+
     @property
     def has_turn(self) -> bool:
         """Whether all earlier requests of the connection are finished."""
         return self._exchange is None or self._exchange.turn.is_set()
 
+    def give_up(self) -> None:
+        """Answer the requests that were read and are not answered."""
+        self._pipeline.give_up()
+
     def cut(self) -> None:
         """Discard or kill the requests that are not answered."""
         self._pipeline.close()
@@ -413,6 +422,17 @@
         self.cut()
         super().stop(timeout=0)
 
+    def give_up(self) -> None:
+        """Report each request that is at work, and answer all that were read.
+
+        A caller that gets an answer knows at once whether to send its request again.
+        """
+        for handler in list(self._handlers):
+            for req, progress in handler.unanswered():
+                if progress is Progress.WAITING and req.has_begun:
+                    self.on_cut(req, progress)
+            handler.give_up()
+
     def cut(self) -> None:
         """Report each request that is not answered, and end it.
 
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -113,6 +113,27 @@
     assert len(target.seen) == 1
 
 
+def test_requests_that_are_left_at_the_end_are_answered(
+    daemon, target, kept, read_to_end
+):
+    """Guards against an order that was read behind a long request, and then dropped."""
+    kept.sendall(request("/a/long") + request("/b/behind", "POST", b"order"))
+    wait_for(lambda: len(target.seen) == 2)
+    stop(daemon)
+    received = read_to_end(kept)
+    first, second = received.split(b"HTTP/1.1 ")[1:]
+    assert first.startswith(b"502 ")
+    assert b"unknown" in first
+    assert second.startswith(b"503 ")
+    assert b"not-run" in second
+    assert b"Connection: close" in second
+    assert len(target.seen) == 2
+    assert daemon.process.wait() == 1
+    (line,) = daemon.logged("request cut by a stop")
+    assert (line["request_id"], line["stage"]) == ("/a/long", "at-target")
+    assert daemon.logged("left")[0]["cut"] == {"at-target": 1}
+
+
 def test_late_order_is_refused_before_its_body_has_arrived(
     daemon, target, kept, read_until
 ):
