A stall in a stop does not move its end

Requests are taken by what is left until the end of the departure, and the time to finish counted from the moment at which the daemon noticed that it had served for long enough. A process that stood still in between ended later than it had decided by, up to its SIGKILL: no line `left`, and requests cut without a word.

Evidence: test_stall_in_a_stop_does_not_move_its_end failed before, 60 s in place of at most 30 of 60 s.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -398,7 +398,7 @@
             # The hooks run concurrently, so that no hook delays the shutdown.
             self.spawn(hook)
         self._wait_until(self.departure.serves_until)
-        limit_s = self.departure.times.limit_s
+        limit_s = self._time_to_finish()
         ends = [
             gevent.spawn(self.callers_server.finish, limit_s, KEEP_IDLE_S),
             gevent.spawn(self.detour_server.finish, limit_s),
@@ -411,6 +411,10 @@
         log.info("left", extra={"every_request_answered": all_answered})
         return 0 if all_answered else 1
 
+    def _time_to_finish(self):
+        """Return the seconds that are left, also after a stall of the process."""
+        return max(ANSWER_S, self.departure.ends_at - time.monotonic())
+
     def _wait_until(self, moment):
         gevent.sleep(max(0.0, moment - time.monotonic()))
 
