A peer's request is not taken by a daemon that ends before its time

What callers of a peer saw: nothing yet; found by a review. A daemon without requests doesn't use all of its time, but what it takes was decided by the end of that time. The end of the detours was awaited once, beside that of the callers: an order that a peer passed on later, as it had not heard of the stop, was taken, and cut as soon as the callers and the pages were done. Its outcome is unknown to its caller.

Evidence: test_order_of_a_peer_is_declined_once_the_last_request_is_finished failed before (relayed by the daemon while its pages finish). Change: detours finish after the callers, and from that moment, without a turn of the event loop in between, the departure takes nothing; peers are declined and ask another daemon.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -398,13 +398,11 @@
             # The hooks run concurrently, so that no hook delays the shutdown.
             self.spawn(hook)
         self._wait_until(self.departure.serves_until)
-        limit_s = self._time_to_finish()
-        ends = [
-            gevent.spawn(self.callers_server.finish, limit_s, KEEP_IDLE_S),
-            gevent.spawn(self.detour_server.finish, limit_s),
-        ]
         self.spawn(self._refuse_waiting)
-        all_answered = all(end.get() for end in ends)
+        all_answered = self.callers_server.finish(self._time_to_finish(), KEEP_IDLE_S)
+        all_answered &= self.detour_server.finish(self._time_to_finish())
+        # No other task has run since, so that no request of a peer is in progress.
+        self.departure.end()
         others = [each for each in self._listeners if each is not self.callers_server]
         gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in others])
         self.stop()
--- a/packages/policy/src/cairnferry/policy/departure/_departure.py
+++ b/packages/policy/src/cairnferry/policy/departure/_departure.py
@@ -59,11 +59,14 @@
     ----------
     began_at : float
         Time in seconds at which the daemon was told to stop; infinite before.
+    has_ended : bool
+        Whether the last request is finished, so that the daemon ends before its time.
     """
 
     times: LeavingTimes
     longest: LongestTimes = attrs.field(factory=LongestTimes)
     began_at: float = math.inf
+    has_ended: bool = False
 
     @property
     def has_begun(self) -> bool:
@@ -90,6 +93,10 @@
         """
         self.began_at = min(self.began_at, now)
 
+    def end(self) -> None:
+        """Take no further request."""
+        self.has_ended = True
+
     def is_late(self, is_first: bool, now: float) -> bool:
         """Return whether a request that was read now is late.
 
@@ -112,6 +119,8 @@
         now : float
             Time in seconds.
         """
+        if self.has_ended:
+            return False
         if not self.has_begun:
             return True
         finish_by = self.ends_at - ANSWER_S
--- a/tests/adapter/test_stop_elsewhere.py
+++ b/tests/adapter/test_stop_elsewhere.py
@@ -2,7 +2,17 @@
 
 import time
 
+import gevent
+import pytest
+from gevent.event import Event
+
+from cairnferry.entry.detours import DetourClient
 from cairnferry.policy import LeavingTimes
+from cairnferry.standins import wait_for
+
+from ._standins import HOST, configuration
+from .conftest import POST, UNSAFE, outcome
+from .partitions.conftest import LostPaths
 
 # -- the end ---------------------------------------------------------------------------
 
@@ -26,3 +36,56 @@
     daemon.core.leave()
     assert daemon.core.run_to_end() == 0
     assert 0 < seconds[0] <= 30.0
+
+
+@pytest.fixture
+def refusing_address():
+    """Return an address that refuses connections."""
+    with gevent.socket.create_server((HOST, 0)) as listener:
+        return listener.getsockname()
+
+
+@pytest.fixture
+def two(store, start_daemon, start_target):
+    """Return two daemons that know each other and a target."""
+    store.put("op", "config", configuration(rules=UNSAFE))
+    start_target()
+    daemons = [start_daemon(name) for name in ("front-1", "front-2")]
+    for each in daemons:
+        wait_for(lambda d=each: len(d.core.cluster.membership.live()) == 2)
+        wait_for(lambda d=each: d.core.services.targets())
+    return daemons
+
+
+def test_order_of_a_peer_is_declined_once_the_last_request_is_finished(
+    two, refusing_address, monkeypatch
+):
+    """Guards against an order that a daemon takes and cuts, as it ends before its time.
+
+    A daemon without requests does not wait for the end of its time. A peer that has not
+    heard of its stop may still pass a request on.
+    """
+    sender, stopping = two
+    peer = sender.core.detours.next_peer("svc", set())
+    monkeypatch.setattr(
+        DetourClient, "next_peer", lambda self, name, tried: None if tried else peer
+    )
+    monkeypatch.setattr(DetourClient, "has_peers", lambda self: True)
+    finishing, may_end = Event(), Event()
+
+    def finish_pages(seconds):
+        finishing.set()
+        may_end.wait()
+
+    pages = stopping.core._listeners[-1]
+    monkeypatch.setattr(pages, "finish", finish_pages)
+    stopping.core.set_leaving_times(LeavingTimes(0.0, 60.0))
+    stopping.core.leave()
+    leaving = gevent.spawn(stopping.core.run_to_end)
+    finishing.wait()
+    sender.core.upstreams._pools = LostPaths(refusing_address)
+    reply = sender.call(**POST, deadline_ms=3_000)
+    may_end.set()
+    assert leaving.get() == 0
+    assert outcome(reply) == "not-run"
+    assert stopping.core.metrics.detours["received", "declined"] == 1
--- a/tests/policy/departure/test_departure.py
+++ b/tests/policy/departure/test_departure.py
@@ -65,6 +65,13 @@
     assert departure.is_late(is_first, at) is is_late
 
 
+def test_nothing_is_taken_once_the_last_request_is_finished(departure):
+    """Guards against requests that are taken by a daemon that ends before its time."""
+    assert departure.takes(call(1.0, 1.0), 1.0)
+    departure.end()
+    assert not departure.takes(call(1.0, 1.0), 1.0)
+
+
 def test_second_signal_does_not_prolong_the_stop(departure):
     departure.begin(2.0)
     assert departure.ends_at == 6.0
