A daemon with little time to stop is not killed while it serves

With a grace below 3.8 s and answers of the directory that may be kept for a second, the daemon served for 2.7 s and finished for 0.5 s, whatever it had: with 2 s it got SIGKILL while it accepted connections, and requests were taken by an end that it never reached.

Change: at most half of the usable time, the time to stop less 0.6 s, is for serving; answers live for a third of that at most. With 6 s and more the times are as before; with 4 s, answers live for 0.57 s in place of 0.9.

--- a/packages/entry/src/cairnferry/entry/adapter.py
+++ b/packages/entry/src/cairnferry/entry/adapter.py
@@ -27,6 +27,7 @@
     CoreSettings,
     PeerSettings,
     SettingsWatch,
+    answer_ttl_s,
     ephemeral_instance_settings,
     leaving_times,
 )
@@ -106,6 +107,7 @@
     "Steering",
     "Steps",
     "TargetConvention",
+    "answer_ttl_s",
     "configure_logs",
     "end_to_end_headers",
     "ephemeral_instance_settings",
--- a/packages/entry/src/cairnferry/entry/core/__init__.py
+++ b/packages/entry/src/cairnferry/entry/core/__init__.py
@@ -7,7 +7,11 @@
     PeerSettings,
     default_bodies_bytes,
 )
-from cairnferry.entry.core._ephemeral import ephemeral_instance_settings, leaving_times
+from cairnferry.entry.core._ephemeral import (
+    answer_ttl_s,
+    ephemeral_instance_settings,
+    leaving_times,
+)
 from cairnferry.entry.core._settings_watch import SettingsWatch
 
 __all__ = [
@@ -17,6 +21,7 @@
     "PeerSettings",
     "SettingsWatch",
     "default_bodies_bytes",
+    "answer_ttl_s",
     "ephemeral_instance_settings",
     "leaving_times",
 ]
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -17,8 +17,9 @@
 STALE_ANSWER_FACTOR = 3
 # Seconds between the end of the drain and the time at which the process is killed.
 STOP_MARGIN_S = 0.6
-# Minimum seconds for requests in progress to finish.
-MIN_FINISH_S = 0.5
+# Share of the time to stop in which new connections are accepted at most. A daemon with
+# little time would else be killed while it serves.
+SERVE_SHARE = 0.5
 # Limits of callers until the rules set others: seconds for a request's head to arrive,
 # seconds between two requests, and bytes of a body.
 HEAD_S = 3.0
@@ -47,22 +48,38 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-def _answer_ttl_s(max_ttl_s):
-    return min(ANSWER_TTL_S, max_ttl_s)
+def answer_ttl_s(max_ttl_s: float, stop_s: float) -> float:
+    """Return the time in seconds for which callers cache a steering answer.
 
+    Parameters
+    ----------
+    max_ttl_s : float
+        Longest time in seconds that the platform allows.
+    stop_s : float
+        Seconds from the request to stop until the process is killed. A daemon serves
+        for a multiple of the result after that request.
+    """
+    longest = SERVE_SHARE * _usable_s(stop_s) / STALE_ANSWER_FACTOR
+    return min(ANSWER_TTL_S, max_ttl_s, longest)
 
-def leaving_times(max_ttl_s: float, stop_s: float) -> LeavingTimes:
+
+def leaving_times(ttl_s: float, stop_s: float) -> LeavingTimes:
     """Return the phases of a departure.
 
     Parameters
     ----------
-    max_ttl_s : float
-        Longest time in seconds for which callers may cache a steering answer.
+    ttl_s : float
+        Time in seconds for which callers cache a steering answer.
     stop_s : float
         Seconds from the request to stop until the process is killed.
     """
-    serve_s = STALE_ANSWER_FACTOR * _answer_ttl_s(max_ttl_s)
-    return LeavingTimes(serve_s, max(MIN_FINISH_S, stop_s - serve_s - STOP_MARGIN_S))
+    usable_s = _usable_s(stop_s)
+    serve_s = min(STALE_ANSWER_FACTOR * ttl_s, SERVE_SHARE * usable_s)
+    return LeavingTimes(serve_s, usable_s - serve_s)
+
+
+def _usable_s(stop_s):
+    return max(0.0, stop_s - STOP_MARGIN_S)
 
 
 def ephemeral_instance_settings(
@@ -102,7 +119,7 @@
     memory_bytes : float or None, optional
         Memory of the instance in bytes; None for all that the machine has.
     """
-    ttl = _answer_ttl_s(max_ttl_s)
+    ttl = answer_ttl_s(max_ttl_s, stop_s)
     callers_limit = max(MIN_CALLER_CONNECTIONS, max_files - RESERVED_FILES)
     return CoreSettings(
         name=name,
@@ -125,7 +142,7 @@
         policy=settings_for("ask-first"),
         checks_per_s=checks_per_s,
         workspace_limits=workspace_limits,
-        leaving=leaving_times(max_ttl_s, stop_s),
+        leaving=leaving_times(ttl, stop_s),
         hold_s=HOLD_S,
         bodies_bytes=default_bodies_bytes(memory_bytes),
     )
