--- a/tests/adapter/test_stop_elsewhere.py
+++ b/tests/adapter/test_stop_elsewhere.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 import gevent
 import pytest
 from gevent.event import Event
@@ -14,6 +15,19 @@
 from .conftest import POST, UNSAFE, outcome
 from .partitions.conftest import LostPaths
 
+# -- decisions ----------------------------------------------------------------------
+
+
+def test_reload_changes_the_answers_for_which_a_stop_serves(daemon):
+    """Guards against a listener that closes while callers use its steering answers."""
+    built, core = daemon.built, daemon.core
+    first_ttl_s = core.steering.ttl
+    built.apply(attrs.evolve(daemon.cfg, max_ttl_s=0.2))
+    assert core.steering.ttl == 0.2
+    # Callers may still use answers of before the reload.
+    assert core.departure.times.serve_s >= 3 * first_ttl_s
+
+
 # -- the end ---------------------------------------------------------------------------
 
 
