The service of a request is selected once

What callers saw, on routes that split their requests among services by weight: with two equal parts, all requests with a body over 64 KB went to one part, at any time, and in a stop those with any body. The check of the head selected a service by weight, and the request then selected the next one.

Evidence: test_large_bodies_keep_the_shares_of_a_route and test_orders_of_a_stopping_daemon_keep_the_shares_of_a_route: 10 and 0 in place of 5 and 5. Change: the selection is kept with the request, unless its route changes meanwhile.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -342,11 +342,17 @@
     def find_route(
         self, handler: PipelinedHandler
     ) -> tuple[Route | None, ServiceRuntime | None]:
-        """Return the route of a request, and the runtime of its service."""
+        """Return the route of a request, and the runtime of its service.
+
+        The service is selected once for each request: a second selection by weights
+        would change the shares of the services.
+        """
         route = self.services.route(handler.path, handler.headers.get("host"))
         if route is None:
             return None, None
-        return route, self.services.runtime(self.services.service_for(route))
+        if handler.selected is None or handler.selected[0] is not route:
+            handler.selected = (route, self.services.service_for(route))
+        return route, self.services.runtime(handler.selected[1])
 
     def _call(self, handler, route, runtime, head, key_check):
         call = build_call(
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -56,12 +56,16 @@
         Monotonic time in seconds at which the request began to arrive.
     is_first : bool
         Whether it is the first request of its connection.
+    selected : tuple of (Route, str) or None
+        Route of the request, and the name of the service that was selected for it; set
+        by the application.
     """
 
     problem = None
     body = b""
     arrived = 0.0
     is_first = True
+    selected = None
     _exchange = None
     _refused_body = None
     _is_reading = False
@@ -151,6 +155,7 @@
         """Read head and body; a fault is answered in the order of the requests."""
         self.arrived = time.monotonic()
         self.problem = None
+        self.selected = None
         self.body = b""
         self.command = self.path = None
         self.headers = HeadFields([])
--- a/tests/adapter/test_stop_elsewhere.py
+++ b/tests/adapter/test_stop_elsewhere.py
@@ -11,13 +11,64 @@
 from cairnferry.policy import LeavingTimes
 from cairnferry.standins import wait_for
 
-from ._standins import HOST, configuration
+from ._standins import HOST, configuration, rule
 from .conftest import POST, UNSAFE, outcome
 from .partitions.conftest import LostPaths
 
+LONG = LeavingTimes(60.0, 60.0)
+BACKENDS = [
+    {"service": "svc", "weight": 50},
+    {"service": "other", "weight": 50},
+]
+
+
+def leave(daemon, times=LONG):
+    """Let a daemon of this process stop; return the task, which gives its exit code."""
+    daemon.core.set_leaving_times(times)
+    daemon.core.leave()
+    stopping = gevent.spawn(daemon.core.run_to_end)
+    wait_for(lambda: daemon.core.callers_server.closing)
+    return stopping
+
+
 # -- decisions ----------------------------------------------------------------------
 
 
+def test_orders_of_a_stopping_daemon_keep_the_shares_of_a_route(
+    store, start_daemon, start_target, wait_for_targets
+):
+    """Guards against a service that gets all orders of a route while a daemon stops.
+
+    The failure occurs if the check of a head selects a service by weight, and the
+    request then selects another one.
+    """
+    rules = [rule(kind="unsafe", backends=BACKENDS)]
+    clusters = ("svc", "other")
+    store.put("op", "config", configuration(rules=rules, clusters=clusters))
+    targets = [start_target("i-1"), start_target("i-2", service="other")]
+    daemon = start_daemon()
+    wait_for_targets(daemon, "i-1", "i-2")
+    leave(daemon)
+    for _ in range(10):
+        assert daemon.call(**POST).status == 200
+    assert [len(target.seen) for target in targets] == [5, 5]
+
+
+def test_large_bodies_keep_the_shares_of_a_route(
+    store, start_daemon, start_target, wait_for_targets
+):
+    """Guards against a service that gets all large orders of a route."""
+    rules = [rule(kind="unsafe", backends=BACKENDS)]
+    clusters = ("svc", "other")
+    store.put("op", "config", configuration(rules=rules, clusters=clusters))
+    targets = [start_target("i-1"), start_target("i-2", service="other")]
+    daemon = start_daemon()
+    wait_for_targets(daemon, "i-1", "i-2")
+    for _ in range(10):
+        assert daemon.call(method="POST", body=bytes(80_000)).status == 200
+    assert [len(target.seen) for target in targets] == [5, 5]
+
+
 def test_reload_changes_the_answers_for_which_a_stop_serves(daemon):
     """Guards against a listener that closes while callers use its steering answers."""
     built, core = daemon.built, daemon.core
