--- a/tests/adapter/partitions/test_detours.py
+++ b/tests/adapter/partitions/test_detours.py
@@ -12,6 +12,7 @@
 from cairnferry.entry.detours import DetourClient
 from cairnferry.entry.workspaces import WorkspaceLimiter
 from cairnferry.peers import PeerRequestPool
+from cairnferry.policy import LeavingTimes
 from cairnferry.standins import wait_for
 from cairnferry.wire import Client, ConnectFailed, ConnectionPool, Reply, connect
 from tests.adapter._standins import HOST, configuration, rule
@@ -119,6 +120,20 @@
     assert stopping.core.metrics.detours["received", "relayed"] == 0
 
 
+def test_a_daemon_that_stops_passes_on_only_what_is_answered_in_time(
+    daemons, cut_off, targets
+):
+    """Guards against orders whose answers would come back after their daemon's end."""
+    departure = cut_off.core.departure
+    cut_off.core.set_leaving_times(LeavingTimes(60.0, 60.0))
+    departure.begin(time.monotonic())
+    reply = cut_off.call(request_id="in-time", **ORDER)
+    assert (reply.status, len(runs(targets, "in-time"))) == (200, 1)
+    departure.begin(time.monotonic() - 117.0)
+    reply = cut_off.call(request_id="too-long", deadline_ms=20_000, **ORDER)
+    assert (reply.status, runs(targets, "too-long")) == (503, [])
+
+
 def test_requests_are_refused_at_once_if_nobody_reaches_a_target(
     daemons, cut, silent_address, targets
 ):
