--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -137,6 +137,7 @@
         self._listeners = []
         self._tasks = []
         self._leaving = Event()
+        self._requests_finished = Event()
         self.departure = Departure(cfg.leaving)
         self.cut_log = CutLog(self.metrics)
         self.leave_hooks: list[Callable[[], None]] = []
@@ -404,22 +405,30 @@
             # The hooks run concurrently, so that no hook delays the shutdown.
             self.spawn(hook)
         self._wait_until(self.departure.serves_until)
-        limit_s = self.departure.times.limit_s
-        ends = [
-            gevent.spawn(self.callers_server.finish, limit_s, KEEP_IDLE_S),
-            gevent.spawn(self.detour_server.finish, limit_s),
-        ]
         self.spawn(self._give_up_requests)
-        pages_end_at = self.departure.ends_at - PAGES_FINISH_S
-        gevent.joinall(ends, timeout=max(0.0, pages_end_at - time.monotonic()))
-        pages = [each for each in self._listeners if each is not self.callers_server]
-        ends += [gevent.spawn(each.finish, PAGES_FINISH_S) for each in pages]
-        gevent.joinall(ends)
-        all_answered = all(end.get() for end in ends[:2]) and not self.metrics.cut
+        pages = gevent.spawn(self._finish_pages)
+        all_answered = self.callers_server.finish(self._time_to_finish(), KEEP_IDLE_S)
+        all_answered &= self.detour_server.finish(self._time_to_finish())
+        # No other task has run since, so that no request of a peer is in progress.
+        self.departure.end()
+        self._requests_finished.set()
+        pages.join()
+        all_answered &= not self.metrics.cut
         self.stop()
         self.cut_log.log_end(all_answered)
         return 0 if all_answered else 1
 
+    def _time_to_finish(self):
+        """Return the seconds that are left, also after a stall of the process."""
+        return max(ANSWER_S, self.departure.ends_at - time.monotonic())
+
+    def _finish_pages(self):
+        """Finish the pages with the last request, or in time before the end."""
+        left = self.departure.ends_at - PAGES_FINISH_S - time.monotonic()
+        self._requests_finished.wait(max(0.0, left))
+        pages = [each for each in self._listeners if each is not self.callers_server]
+        gevent.joinall([gevent.spawn(each.finish, PAGES_FINISH_S) for each in pages])
+
     def _wait_until(self, moment):
         gevent.sleep(max(0.0, moment - time.monotonic()))
 
--- a/packages/entry/src/cairnferry/entry/core/_ephemeral.py
+++ b/packages/entry/src/cairnferry/entry/core/_ephemeral.py
@@ -13,15 +13,15 @@
 # Seconds for which callers cache a steering answer. Callers continue to try a lost
 # daemon for this time.
 ANSWER_TTL_S = 0.9
-# Largest share of the time to stop that this may take. Callers with old answers are
-# served for three times as long, and the rest is for requests in progress.
-MAX_TTL_SHARE = 0.15
 # Multiple of that time for which some callers use an answer.
 STALE_ANSWER_FACTOR = 3
 # Seconds between the end of the drain and the time at which the process is killed, and
 # their largest share of the time to stop.
 STOP_MARGIN_S = 0.6
 MAX_MARGIN_SHARE = 0.1
+# Share of the time to stop in which new connections are accepted at most. A daemon with
+# little time would else be killed while it serves.
+SERVE_SHARE = 0.5
 # Limits of callers until the rules set others: seconds for a request's head to arrive,
 # seconds between two requests, and bytes of a body.
 HEAD_S = 3.0
@@ -50,23 +50,38 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-def _answer_ttl_s(max_ttl_s, stop_s):
-    return min(ANSWER_TTL_S, max_ttl_s, MAX_TTL_SHARE * stop_s)
+def answer_ttl_s(max_ttl_s: float, stop_s: float) -> float:
+    """Return the time in seconds for which callers cache a steering answer.
 
+    Parameters
+    ----------
+    max_ttl_s : float
+        Longest time in seconds that the platform allows.
+    stop_s : float
+        Seconds from the request to stop until the process is killed. A daemon serves
+        for a multiple of the result after that request.
+    """
+    longest = SERVE_SHARE * _usable_s(stop_s) / STALE_ANSWER_FACTOR
+    return min(ANSWER_TTL_S, max_ttl_s, longest)
 
-def leaving_times(max_ttl_s: float, stop_s: float) -> LeavingTimes:
+
+def leaving_times(ttl_s: float, stop_s: float) -> LeavingTimes:
     """Return the phases of a departure.
 
     Parameters
     ----------
-    max_ttl_s : float
-        Longest time in seconds for which callers may cache a steering answer.
+    ttl_s : float
+        Time in seconds for which callers cache a steering answer.
     stop_s : float
         Seconds from the request to stop until the process is killed.
     """
-    serve_s = STALE_ANSWER_FACTOR * _answer_ttl_s(max_ttl_s, stop_s)
-    margin_s = min(STOP_MARGIN_S, MAX_MARGIN_SHARE * stop_s)
-    return LeavingTimes(serve_s, stop_s - serve_s - margin_s)
+    usable_s = _usable_s(stop_s)
+    serve_s = min(STALE_ANSWER_FACTOR * ttl_s, SERVE_SHARE * usable_s)
+    return LeavingTimes(serve_s, usable_s - serve_s)
+
+
+def _usable_s(stop_s):
+    return stop_s - min(STOP_MARGIN_S, MAX_MARGIN_SHARE * stop_s)
 
 
 def ephemeral_instance_settings(
@@ -106,7 +121,7 @@
     memory_bytes : float or None, optional
         Memory of the instance in bytes; None for all that the machine has.
     """
-    ttl = _answer_ttl_s(max_ttl_s, stop_s)
+    ttl = answer_ttl_s(max_ttl_s, stop_s)
     callers_limit = max(MIN_CALLER_CONNECTIONS, max_files - RESERVED_FILES)
     return CoreSettings(
         name=name,
@@ -129,7 +144,7 @@
         policy=settings_for("ask-first"),
         checks_per_s=checks_per_s,
         workspace_limits=workspace_limits,
-        leaving=leaving_times(max_ttl_s, stop_s),
+        leaving=leaving_times(ttl, stop_s),
         hold_s=HOLD_S,
         bodies_bytes=default_bodies_bytes(memory_bytes),
     )
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -58,6 +58,9 @@
         Monotonic time in seconds at which the request began to arrive.
     is_first : bool
         Whether it is the first request of its connection.
+    selected : tuple of (Route, str) or None
+        Route of the request, and the name of the service that was selected for it; set
+        by the application.
     work : Work or None
         What the application knows of the request while it is at work.
     """
@@ -66,6 +69,7 @@
     body = b""
     arrived = 0.0
     is_first = True
+    selected = None
     work = None
     _exchange = None
     _refused_body = None
@@ -182,6 +186,7 @@
         """Read head and body; a fault is answered in the order of the requests."""
         self.arrived = time.monotonic()
         self.problem = None
+        self.selected = None
         self.body = b""
         self.command = self.path = None
         self.headers = HeadFields([])
