--- a/bench/stopping/_experiment.py
+++ b/bench/stopping/_experiment.py
@@ -13,7 +13,7 @@
 from bench.stopping._counting import FAULTS, Counts, Judge
 from bench.stopping._setup import Setup
 from bench.stopping._system import running_system
-from bench.stopping._ways import SECOND_SIGTERM_AT, SIGHUP_AT, WAYS, Run
+from bench.stopping._ways import SECOND_SIGTERM_AT, SIGHUP_AT, WAYS, Run, send_history
 from cairnferry.standins import unique_loopback_host
 
 # Seconds between the opening of connections and SIGTERM, and between two SIGTERMs.
@@ -86,6 +86,8 @@
 
 
 def _stop_all(run, way, stopped):
+    for daemon in stopped:
+        send_history(run, daemon)
     starts = [way.prepare(run, daemon) for daemon in stopped]
     first_at = time.monotonic() + LEAD_S * max(1.0, run.setup.scale)
     for number, (daemon, start) in enumerate(zip(stopped, starts, strict=True)):
--- a/bench/stopping/_setup.py
+++ b/bench/stopping/_setup.py
@@ -35,6 +35,9 @@
         Seconds that callers wait; None for 8 s, scaled as the work is.
     work_s : tuple of (float, float) or None
         Shortest and longest work of a request in seconds, in place of the way's.
+    history : int
+        Requests with the longest work that each route gets before the stop. With none,
+        a daemon has seen requests that take no time.
     """
 
     way: str
@@ -44,6 +47,7 @@
     timeout_s: float | None = None
     deadline_s: float | None = None
     work_s: tuple[float, float] | None = None
+    history: int = 0
 
     @property
     def scale(self) -> float:
--- a/bench/stopping/_ways.py
+++ b/bench/stopping/_ways.py
@@ -91,6 +91,19 @@
     signals: bool = False
 
 
+def send_history(run, daemon):
+    """Send requests with the longest work on each route, and wait for the answers."""
+    work_s = run.setup.work_s or [run.setup.work_scale * each for each in LONG_WORK_S]
+
+    def send(is_safe):
+        body = b"" if is_safe else b"order"
+        sent = run.callers.begin(daemon, is_safe)
+        run.callers.connect(daemon).exchange(sent, max(work_s), body)
+
+    count = 2 * run.setup.history
+    gevent.joinall([gevent.spawn(send, number % 2 == 0) for number in range(count)])
+
+
 def prepare_kept(run, daemon):
     """Send each request on an idle connection that has been used."""
     moments = run.moments(LATE, EACH_S)
--- a/bench/stops.py
+++ b/bench/stops.py
@@ -49,6 +49,7 @@
             options.timeout,
             options.deadline_ms and options.deadline_ms / 1000,
             options.work,
+            options.history,
         )
         for seed in range(options.seed, options.seed + options.seeds)
         for way in options.way or WAYS
@@ -71,6 +72,7 @@
     parser.add_argument("--timeout", type=float, help="timeout of routes in seconds")
     parser.add_argument("--deadline-ms", type=float, help="time of callers")
     parser.add_argument("--work", type=_bounds, help="seconds of work, as MIN,MAX")
+    parser.add_argument("--history", type=int, default=0, help="requests before")
     parser.add_argument("--only", help=argparse.SUPPRESS)
     return parser.parse_args()
 
