--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import copy
 import time
+from collections.abc import Callable, Iterator
 
 import gevent
 from gevent.pywsgi import MAX_REQUEST_LINE, Input
@@ -29,6 +30,7 @@
     Lookahead,
     Pipeline,
 )
+from cairnferry.entry.http._progress import Progress
 from cairnferry.wire import Link
 
 # Bytes of an answer that are handed to the socket, and recorded on the link, at once.
@@ -56,12 +58,15 @@
         Monotonic time in seconds at which the request began to arrive.
     is_first : bool
         Whether it is the first request of its connection.
+    work : Work or None
+        What the application knows of the request while it is at work.
     """
 
     problem = None
     body = b""
     arrived = 0.0
     is_first = True
+    work = None
     _exchange = None
     _refused_body = None
     _is_reading = False
@@ -76,6 +81,23 @@
         """Whether a request is being read or is not yet answered."""
         return self._is_reading or not self._pipeline.is_idle
 
+    def unanswered(self) -> Iterator[tuple["PipelinedHandler", Progress]]:
+        """Yield the requests that are read or not answered, and how far each is."""
+        for exchange in self._pipeline.unanswered():
+            yield exchange.handler, exchange.progress
+        # A request that is queued no longer holds its body here.
+        if self._is_reading and self._held is not None:
+            yield self, Progress.READING
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether all earlier requests of the connection are finished."""
+        return self._exchange is None or self._exchange.turn.is_set()
+
+    def cut(self) -> None:
+        """Discard or kill the requests that are not answered."""
+        self._pipeline.close()
+
     # -- reading ------------------------------------------------------------------
 
     def handle(self):
@@ -88,13 +110,16 @@
     def handle_one_request(self):
         """Read one request and enqueue it; return whether to continue."""
         try:
-            self._pipeline.wait_for_capacity()
+            self._wait_for_capacity()
             if not self._wait_for_input():
                 return self._cancel_and_wait()
             self._is_reading = True
             self._held = HeldBody(self.server.bodies)
             try:
                 self._read_request()
+                if self._pipeline.is_ending:
+                    return self._discard_rest()
+                self._refuse_if_finishing()
                 self._enqueue_request()
                 if self._refused_body and not self._discard_refused_body():
                     return self._discard_rest()
@@ -113,6 +138,17 @@
         self._pipeline.cancel()
         self._pipeline.wait_until_idle()
 
+    def _wait_for_capacity(self):
+        """Wait until one more request may be read.
+
+        Only refusals may be unanswered when a listener finishes. Nothing is read behind
+        them, because a caller that always sends another request would keep its
+        connection open for ever.
+        """
+        self._pipeline.wait_for_capacity()
+        if self.server.finishing and not self._pipeline.has_accepted:
+            self._pipeline.wait_until_idle()
+
     def _wait_for_input(self):
         """Wait for the next request, up to the idle time; return whether it came.
 
@@ -148,7 +184,7 @@
             if self.headers.get("expect") is not None:
                 # "100 Continue" is only sent after all earlier answers. The caller
                 # would otherwise take it for the answer to an earlier request.
-                self._pipeline.wait_until_idle()
+                self._pipeline.wait_until_writable()
             limits = self.server.application.limits
             self.body = self.read_body(limits.size, limits.seconds)
         except BadRequest as exc:
@@ -233,6 +269,15 @@
         self.request_version = "HTTP/1.1"
         self.close_connection = True
 
+    def _refuse_if_finishing(self):
+        """Refuse a request behind unanswered ones if the listener finishes.
+
+        It is read nevertheless: callers do not send an unsafe request again that gets
+        no answer, unless it was not read.
+        """
+        if self.server.finishing and not self._pipeline.is_idle:
+            self.problem = self.problem or Problem.LEAVING
+
     def _enqueue_request(self):
         request = copy.copy(self)
         # The body has been read, so the next input is the next request.
@@ -288,8 +333,21 @@
         super().write(data)
 
     def is_last(self) -> bool:
-        """Return whether the connection ends with this answer."""
-        return super().is_last() and self._pipeline.is_last_started()
+        """Return whether the connection ends with this answer.
+
+        A closing listener answers every request that it has read, because the caller
+        cannot know whether one without an answer has run. Requests may also be left in
+        the input buffer while the reader waits.
+        """
+        if not super().is_last() or not self._pipeline.is_last_read():
+            return False
+        return self.server.finishing or not self._pipeline.is_reader_waiting
+
+    def finalize_headers(self):
+        """Complete the headers; let nothing run behind an answer that is the last."""
+        super().finalize_headers()
+        if self.close_connection:
+            self._pipeline.is_ending = True
 
     def _sendall(self, data):
         # Without a timeout, a caller that does not read its answers would occupy the
@@ -328,6 +386,11 @@
     refusal, or None. `may_run_concurrently` is
     called with each request that was read; it returns whether the request may run while
     others of its connection do.
+
+    Attributes
+    ----------
+    on_cut : callable
+        Called with each request that the end of the listener cuts, and how far it is.
     """
 
     handler_class = PipelinedHandler
@@ -339,6 +402,26 @@
         self.lookahead = Lookahead()
         self.link = link or Link()
         self.bodies = bodies or BodyBudget()
+        self.on_cut: Callable[[PipelinedHandler, Progress], None] = _ignore
+
+    def stop(self, timeout: float | None = None) -> None:
+        """Stop listening, and cut what is left after a time in seconds."""
+        self.close()
+        seconds = self.stop_timeout if timeout is None else timeout
+        if seconds:
+            self.pool.join(timeout=seconds)
+        self.cut()
+        super().stop(timeout=0)
+
+    def cut(self) -> None:
+        """Report each request that is not answered, and end it.
+
+        No other task runs in between, so that none is reported and answered too.
+        """
+        for handler in list(self._handlers):
+            for req, progress in handler.unanswered():
+                self.on_cut(req, progress)
+            handler.cut()
 
 
 class AdoptedServer(PipelinedServer):
@@ -349,8 +432,12 @@
 
     def finish(self, seconds: float, keep_idle_s: float = 0.0) -> bool:
         """Wait until no request is in progress; see `HttpServer.finish`."""
-        self.start_closing()
+        self.start_finishing()
         with gevent.Timeout(max(0.0, seconds), False):
             while self.busy:
                 gevent.sleep(0.01)
         return not self.busy
+
+
+def _ignore(req, progress):
+    """Report nothing."""
