Requests behind one that the end of a daemon cuts are answered

What callers saw: of pipelined requests, those behind one that was at a target up to the end got no answer: orders that were read and not run, seconds before, and the answers to lookups whose targets were done.

Cause: answers are written in order, and the end closed the connection with the first.

Change: 0.1 s before the end, requests in progress that others of their connection wait for are broken off and answered with 502, unknown outcome, cause leaving; what follows is answered or refused. A request with none behind it works on up to the end.

--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -13,7 +13,7 @@
 from cairnferry.entry.callers._calls import build_call, build_detour
 from cairnferry.entry.callers._cut_log import Work
 from cairnferry.entry.callers._detouring_forwarder import DetouringForwarder
-from cairnferry.entry.callers._forward import Forwarded, Forwarder
+from cairnferry.entry.callers._forward import Forwarded, Forwarder, broken_off
 from cairnferry.entry.callers._key_check import KeyCheck
 from cairnferry.entry.callers._limited_forwarder import LimitedForwarder
 from cairnferry.entry.callers._request_log import RequestLog
@@ -30,6 +30,7 @@
     Answer,
     BadDeadline,
     BadRequest,
+    BrokenOff,
     CallerGone,
     PipelinedHandler,
     Problem,
@@ -163,6 +164,8 @@
             answer = self._answer(handler)
         except BadRequest as exc:
             answer = self._problem(exc.problem, handler, exc.workspace)
+        except BrokenOff:
+            answer = self._problem(Problem.LEAVING, handler)
         except CallerGone:
             handler.close_connection = True
             start_response(CALLER_GONE_STATUS, [])
@@ -304,6 +307,8 @@
                 forwarded = self.forward_call(
                     handler, req, call, runtime, key_check.workspace
                 )
+        except BrokenOff:
+            forwarded = broken_off()
         except HeaderInvalid as exc:
             raise BadRequest(Problem.MALFORMED) from exc
         except CallerGone:
--- a/packages/entry/src/cairnferry/entry/callers/_forward.py
+++ b/packages/entry/src/cairnferry/entry/callers/_forward.py
@@ -45,6 +45,9 @@
 
 # Retry-After in seconds if neither this daemon nor a peer reaches a target.
 UNREACHABLE_RETRY_S = 0.5
+# Retry-After in seconds of a request that the end of this daemon breaks off. Other
+# daemons are ready, but a target may still work on it.
+BROKEN_OFF_RETRY_S = 0.5
 
 
 @attrs.frozen
@@ -316,6 +319,12 @@
                     self.guard.recheck(call)
 
 
+def broken_off() -> Forwarded:
+    """Return the result of a request that the end of the daemon breaks off."""
+    decision = GiveUp(Cause.LEAVING, BROKEN_OFF_RETRY_S)
+    return Forwarded(unknown_answer(decision.cause, decision.retry_after), decision)
+
+
 def relayed_answer(reply: Reply) -> Answer:
     """Return the answer of a target, or of a peer, for the caller."""
     phrase = responses.get(reply.status, "Status")
--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -427,6 +427,7 @@
         self._wait_until(self.departure.ends_at - ANSWER_S)
         for runtime in self.services.active().values():
             runtime.give_up_waiting(Cause.LEAVING)
+        self.callers_server.break_off()
 
     def set_leaving_times(self, times: LeavingTimes) -> None:
         """Change the phases of a departure that has not begun."""
--- a/packages/entry/src/cairnferry/entry/http/__init__.py
+++ b/packages/entry/src/cairnferry/entry/http/__init__.py
@@ -27,7 +27,7 @@
     HttpServer,
     ListenerLimits,
 )
-from cairnferry.entry.http._pipeline import CallerGone
+from cairnferry.entry.http._pipeline import BrokenOff, CallerGone
 from cairnferry.entry.http._pipelined_server import (
     AdoptedServer,
     PipelinedHandler,
@@ -44,6 +44,7 @@
     "BadDeadline",
     "BadRequest",
     "BodyBudget",
+    "BrokenOff",
     "CallerGone",
     "FieldNames",
     "HANDLER_KEY",
--- a/packages/entry/src/cairnferry/entry/http/_pipeline.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipeline.py
@@ -33,6 +33,10 @@
     """The caller closed its connection before it received its answer."""
 
 
+class BrokenOff(Exception):
+    """The daemon ends, and requests behind this one would get no answer."""
+
+
 class ConnectionEnds(BaseException):
     """Ends the reading of a connection whose last answer was written."""
 
@@ -233,9 +237,20 @@
         """
         self.is_caller_gone = True
         self._discard_unstarted()
+        self._raise_in_requests(CallerGone)
+
+    def break_off(self) -> None:
+        """Let requests in progress be answered at once if others are behind them.
+
+        The answers to those cannot be written before.
+        """
+        if len(self._exchanges) > 1:
+            self._raise_in_requests(BrokenOff)
+
+    def _raise_in_requests(self, exception):
         loop = gevent.get_hub().loop
         for exchange in self._exchanges:
-            loop.run_callback(_cancel, exchange)
+            loop.run_callback(_raise, exchange, exception)
 
     def close(self) -> None:
         """Discard or kill the remaining requests when the connection is closed."""
@@ -312,11 +327,11 @@
                 self._remove(exchange)
 
 
-def _cancel(exchange):
-    """Raise `CallerGone` in a request's task; runs in the hub.
+def _raise(exchange, exception):
+    """Raise an exception in a request's task; runs in the hub.
 
     The flag is checked only here, because the task may have continued in the meantime.
     An exception while it writes its answer would be treated as a program error.
     """
     if exchange.is_cancellable:
-        exchange.task.throw(CallerGone)
+        exchange.task.throw(exception)
--- a/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
+++ b/packages/entry/src/cairnferry/entry/http/_pipelined_server.py
@@ -98,6 +98,10 @@
         """Whether all earlier requests of the connection are finished."""
         return self._exchange is None or self._exchange.turn.is_set()
 
+    def break_off(self) -> None:
+        """Let requests in progress be answered if others are behind them."""
+        self._pipeline.break_off()
+
     def cut(self) -> None:
         """Discard or kill the requests that are not answered."""
         self._pipeline.close()
@@ -323,7 +327,10 @@
 
     @contextlib.contextmanager
     def cancellable(self):
-        """Raise `CallerGone` in this context once the caller is gone."""
+        """Raise `CallerGone` in this context once the caller is gone.
+
+        `BrokenOff` may be raised in it at the end of the daemon.
+        """
         if self._pipeline.is_caller_gone:
             raise CallerGone
         self._exchange.is_cancellable = True
@@ -418,6 +425,11 @@
         self.cut()
         super().stop(timeout=0)
 
+    def break_off(self) -> None:
+        """Let requests in progress be answered that others of a connection wait for."""
+        for handler in list(self._handlers):
+            handler.break_off()
+
     def cut(self) -> None:
         """Report each request that is not answered, and end it.
 
--- a/tests/adapter/test_stop_elsewhere.py
+++ b/tests/adapter/test_stop_elsewhere.py
@@ -1,5 +1,6 @@
 """What else may cut, keep or lose a request while a daemon stops."""
 
+import re
 import signal
 import time
 
@@ -289,6 +290,33 @@
     assert stopping.core.metrics.detours["received", "declined"] == 1
 
 
+@pytest.mark.parametrize("first", [1, 2])
+def test_requests_behind_one_that_the_end_cuts_are_answered(
+    store, start_daemon, start_target, wait_for_targets, read_to_end, first
+):
+    """Guards against orders that a daemon has read, and drops as it ends.
+
+    They wait for a request before them, which is at a target up to the end. So does the
+    answer to a second lookup, although its target is done.
+    """
+    rules = [rule(timeout="60s"), rule("r-2", "/b/", kind="unsafe", timeout="60s")]
+    store.put("op", "config", configuration(rules=rules))
+    daemon = start_daemon()
+    target = start_target(behave=lambda number: Event() if number == first else None)
+    wait_for_targets(daemon, "i-1")
+    sock = connect((HOST, daemon.cfg.callers.port), 10).sock
+    sock.sendall(request("/a/1") + request("/a/2") + request("/b/3", "POST", b"x"))
+    wait_for(lambda: daemon.core.callers_server.lookahead.total == 2)
+    wait_for(lambda: len(target.seen) == 2)
+    stopping = leave(daemon, LeavingTimes(0.0, 1.0))
+    received = read_to_end(sock)
+    stopping.get()
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", received)
+    assert sorted(statuses[:2]) == [b"200", b"502"]
+    assert statuses[2:] == [b"503"]
+    assert len(target.seen) == 2
+
+
 # -- processes -------------------------------------------------------------------------
 
 
