The longest time of a route without requests is kept

A route that is used once in minutes was unknown to a departure after 30 to 60 s in which only other routes are used, and so its requests counted as short. test_longest_time_of_a_route_without_requests_is_kept fails on the parent (0.0).

--- a/packages/policy/src/cairnferry/policy/departure/_longest_times.py
+++ b/packages/policy/src/cairnferry/policy/departure/_longest_times.py
@@ -13,7 +13,7 @@
 
 @attrs.define
 class LongestTimes:
-    """Longest time of a request by route, over the latest window or two."""
+    """Longest time of a request by route, over its latest window or two."""
 
     _current: dict[str, float] = attrs.field(factory=dict)
     _previous: dict[str, float] = attrs.field(factory=dict)
@@ -32,11 +32,16 @@
             Time in seconds.
         """
         if now >= self._ends_at or len(self._current) >= MAX_ROUTES:
-            self._previous, self._current = self._current, {}
-            self._ends_at = now + WINDOW_S
+            self._start_window(now)
         if seconds > self._current.get(route, 0.0):
             self._current[route] = seconds
 
+    def _start_window(self, now):
+        known = {**self._previous, **self._current}
+        self._previous = known if len(known) <= MAX_ROUTES else self._current
+        self._current = {}
+        self._ends_at = now + WINDOW_S
+
     def seconds(self, route: str) -> float:
         """Return the longest time of a route in seconds; 0 if none is known."""
         return max(self._current.get(route, 0.0), self._previous.get(route, 0.0))
--- a/tests/policy/departure/test_departure.py
+++ b/tests/policy/departure/test_departure.py
@@ -96,6 +96,15 @@
     assert longest.seconds("reads") == 0.2
 
 
+def test_longest_time_of_a_route_without_requests_is_kept():
+    """Guards against long work of a rare route that counts as unknown, and so short."""
+    longest = LongestTimes()
+    longest.note("reports", 2.5, 0.0)
+    for now in range(0, 300, 10):
+        longest.note("reads", 0.1, float(now))
+    assert longest.seconds("reports") == 2.5
+
+
 def test_longest_times_of_many_routes_are_bounded():
     longest = LongestTimes()
     for number in range(10_000):
