--- a/tests/adapter/test_directory.py
+++ b/tests/adapter/test_directory.py
@@ -15,7 +15,7 @@
     def lists_both():
         reply = daemon.get(daemon.cfg.directory, path)
         document = json.loads(reply.body)
-        assert document["ttl"] == "1s"
+        assert document["ttl"] == "0.9s"
         expected = {str(daemon.cfg.callers), str(other.cfg.callers)}
         return set(document["addresses"]) == expected
 
