--- a/packages/ctl/src/cairnferry/ctl/_sentences.py
+++ b/packages/ctl/src/cairnferry/ctl/_sentences.py
@@ -21,8 +21,8 @@
 
 _CUT = (
     "{instance} ended{since_stop} and cut it, as {why}; it "
-    "had arrived {arrival}{at_work}, and its connection was closed without a whole "
-    "answer"
+    "had arrived {arrival}{at_work}, and its caller got no whole answer of a "
+    "target"
 )
 _OUTCOMES = {
     "reading": "it did not run",
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -334,13 +334,17 @@
 
     def _give_up(self, handler, call):
         """Return the answer to a request that is not answered at the end of a stop."""
-        retry_after = 0.0 if self.has_usable_peer() else LEAVING_RETRY_S
+        retry_after = self._retry_elsewhere_s()
         if call.attempts or handler.work.peers_asked:
             decision = GiveUp(Cause.LEAVING, retry_after)
             return Forwarded(unknown_answer(Cause.LEAVING, retry_after), decision)
         decision = Refuse(Cause.LEAVING, retry_after)
         return Forwarded(not_run_answer(Cause.LEAVING, retry_after), decision)
 
+    def _retry_elsewhere_s(self):
+        """Return Retry-After in seconds for callers of a daemon that stops."""
+        return 0.0 if self.has_usable_peer() else LEAVING_RETRY_S
+
     def _note_time(self, call):
         if self.departure is not None and call.attempts:
             now = time.monotonic()
@@ -445,8 +449,7 @@
                 lambda: self._detour(handler, req, call, runtime.policy.service.name),
             )
         if cause is Cause.LEAVING:
-            retry_after = 0.0 if self.has_usable_peer() else LEAVING_RETRY_S
-            refused = runtime.policy.refuse_with_delay(cause, retry_after)
+            refused = runtime.policy.refuse_with_delay(cause, self._retry_elsewhere_s())
         else:
             refused = runtime.policy.refuse(cause)
         return Forwarded(not_run_answer(refused.cause, refused.retry_after), refused)
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -267,7 +267,7 @@
     assert sentence == (
         "front-1 ended 5.4 s after its stop began and cut it, as its target had not "
         "answered; it had arrived 3.1 s after the beginning of the stop, was at work "
-        "at t1 for 2299.0 ms, and its connection was closed without a whole answer: "
+        "at t1 for 2299.0 ms, and its caller got no whole answer of a target: "
         "it may have run"
     )
 
