--- a/review/standins_2/_system.py
+++ b/review/standins_2/_system.py
@@ -34,10 +34,11 @@
     """Start a deployment; yield its store, its daemons and its upstreams.
 
     `build` is the class of the upstreams, and `options` are passed to it. The option
-    `services` names the services, which get the upstreams in turn.
+    `services` names the services, which get the upstreams in turn; `store` is a store
+    to use.
     """
     services = options.pop("services", (SERVICE,))
-    store = Store()
+    store = options.pop("store", None) or Store()
     await store.start(loopback_host(STORE_HOST))
     running = []
     with tempfile.TemporaryDirectory() as folder:
