--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import random
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -22,10 +24,12 @@
 from standins_2._upstreams import Upstream  # noqa: E402
 
 DAEMONS, UPSTREAMS, SLOTS, WORK_S = 2, 8, 6, 0.1
-PER_S, TIMEOUT_MS = 150, 3000
-# Outages as in the site file: `platform_down` for 4.5 s. They leave the store calm for
-# longer than `contact` (3 s) in between and before the change.
-OUTAGES, OUTAGE_S, CALM_S = 8, 4.5, 5.5
+# Deployments that are played side by side, each with a store of its own.
+DEPLOYMENTS = 4
+PER_S, TIMEOUT_MS = 50, 3000
+# Outages as in the site file: `platform_down`, silent, for 8 s. They leave the store
+# calm for longer than `contact` (3 s) in between and before the change.
+OUTAGES, OUTAGE_S, CALM_S = 5, 8.0, 6.5
 # Requests count that are sent this long after the ack of the change: `config_apply`
 # (2 s) and `max_stretch` (5 s), although the store is calm.
 APPLY_S = 7.0
@@ -37,25 +41,34 @@
 
 
 class SilentStore(Store):
-    """Store that answers nothing while it is silent, and then what has waited."""
+    """Store that sends no answer while it is silent, and then all that have waited."""
 
     def __init__(self):
         super().__init__()
-        self._goes_on = asyncio.Event()
-        self._goes_on.set()
-
-    def set_silent(self, is_silent):
-        """Begin or end an outage."""
-        if is_silent:
-            self._goes_on.clear()
-        else:
-            self._goes_on.set()
-
-    async def _call(self, method, path, query, message):
-        await self._goes_on.wait()
-        result = await super()._call(method, path, query, message)
-        await self._goes_on.wait()
-        return result
+        self._is_silent = False
+        self._held = []
+
+    def begin_silence(self):
+        """Begin an outage."""
+        self._is_silent = True
+
+    def end_silence(self):
+        """End an outage; the answers are sent in any order, as by several threads."""
+        self._is_silent = False
+        held, self._held = self._held, []
+        random.shuffle(held)
+        for writer, data, sent in held:
+            if not writer.is_closing():
+                writer.write(data)
+            sent.set()
+
+    async def _send(self, writer, data):
+        if not self._is_silent:
+            await super()._send(writer, data)
+            return
+        sent = asyncio.Event()
+        self._held.append((writer, data, sent))
+        await sent.wait()
 
 
 class QuietUpstream(Upstream):
@@ -81,8 +94,17 @@
 
 
 async def play(record):
-    """Play the case; return the exit code."""
+    """Play the case in each deployment; return the exit code."""
+    codes = await asyncio.gather(
+        *(play_one(record, 1 + number * DAEMONS) for number in range(DEPLOYMENTS))
+    )
+    return BROKEN if BROKEN in codes else HELD
+
+
+async def play_one(record, first_host):
+    """Play the case in one deployment; return its code."""
     options = {"slots": SLOTS, "work_s": WORK_S, "store": SilentStore()}
+    options |= {"first_host": first_host, "prefix": f"i-{first_host}"}
     async with running_system(
         record, rules(DROPPED), DAEMONS, UPSTREAMS, QuietUpstream, **options
     ) as (store, daemons, upstreams):
@@ -93,11 +115,15 @@
         )
         for _ in range(OUTAGES):
             await asyncio.sleep(CALM_S)
-            store.set_silent(is_in_trouble())
+            if is_in_trouble():
+                store.begin_silence()
             record.note("store", silent=is_in_trouble())
             await asyncio.sleep(OUTAGE_S)
-            store.set_silent(False)
+            store.end_silence()
             record.note("store", silent=False)
+        # A machine leaves for good. What it knows, it can tell no more.
+        usual.drop(daemons[0])
+        daemons[0].signal(signal.SIGTERM)
         await asyncio.sleep(CALM_S)
         store.put("op", "config", manifest(2, rules(ADDED), [SERVICE]))
         # The upstream has lost its path to the store, and serves on.
@@ -105,7 +131,7 @@
         store.drop("servers", gone.name)
         acked = record.note("ack", version="r2", removed=gone.name)
         await asyncio.sleep(APPLY_S)
-        probes = Requesters(record, daemons)
+        probes = Requesters(record, daemons[1:])
         await asyncio.gather(
             *(
                 probes.run(PROBE_S, PROBES_PER_S, path, "GET", path + "a", TIMEOUT_MS)
@@ -119,7 +145,7 @@
 
 
 def judge(record, usual, probes, gone, acked):
-    """Report what was seen; return the exit code."""
+    """Report what was seen in a deployment; return its code."""
     statuses = Counter((each.kind, each.status) for each in probes.sent)
     record.say(f"usual requests: {dict(Counter(each.status for each in usual.sent))}")
     record.say(f"requests on the added and the dropped route: {dict(statuses)}")
--- a/review/standins_2/_callers.py
+++ b/review/standins_2/_callers.py
@@ -57,6 +57,10 @@
             task.add_done_callback(self._drop)
             await asyncio.sleep(self._rng.expovariate(per_s))
 
+    def drop(self, daemon) -> None:
+        """Send no further request to a daemon."""
+        self._daemons = [each for each in self._daemons if each is not daemon]
+
     def _drop(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/review/standins_2/_store.py
+++ b/review/standins_2/_store.py
@@ -59,13 +59,17 @@
                 document = {"ver": self._ver, "now": now, **document}
                 await asyncio.sleep(ANSWER_S)
                 headers = {"Content-Type": "application/json", "Store-Era": "1"}
-                writer.write(answer(status, headers, json.dumps(document).encode()))
-                await writer.drain()
+                body = json.dumps(document).encode()
+                await self._send(writer, answer(status, headers, body))
         except OSError:
             pass
         finally:
             writer.close()
 
+    async def _send(self, writer, data):
+        writer.write(data)
+        await writer.drain()
+
     async def _call(self, method, path, query, message):
         match method, path:
             case "GET", "/api/rows-get":
--- a/review/standins_2/_system.py
+++ b/review/standins_2/_system.py
@@ -35,8 +35,11 @@
 
     `build` is the class of the upstreams, and `options` are passed to it. The option
     `services` names the services, which get the upstreams in turn; `store` is a store
-    to use.
+    to use, `first_host` the number of the first daemon's address, and `prefix` begins
+    the names of the upstreams.
     """
+    first_host = options.pop("first_host", 1)
+    prefix = options.pop("prefix", "i")
     services = options.pop("services", (SERVICE,))
     store = options.pop("store", None) or Store()
     await store.start(loopback_host(STORE_HOST))
@@ -47,7 +50,7 @@
             for number in range(upstreams):
                 service = services[number % len(services)]
                 zone = ZONES[number // len(services) % len(ZONES)]
-                name = f"i-{number}"
+                name = f"{prefix}-{number}"
                 each = build(store, record, name, service, zone, **options)
                 await each.start(loopback_host(UPSTREAMS_HOST))
                 started.append(each)
@@ -55,9 +58,9 @@
             for number in range(daemons):
                 zone = ZONES[number % len(ZONES)]
                 seeds = [each.control for each in running]
-                name = f"front-{number}"
+                name = f"front-{first_host - 1 + number}"
                 each = Daemon(
-                    record, Path(folder), name, zone, number + 1, store, seeds
+                    record, Path(folder), name, zone, first_host + number, store, seeds
                 )
                 running.append(each)
                 each.start()
