A call to the store is aborted, and not the task that follows a table

What callers saw: after outages of the store, a daemon used removed targets, ran requests by dropped routes and answered 404 on added ones, for as long as it lived. It stayed ready and logged nothing but a traceback.

Cause: as an outage ends, and when another daemon does not reach the store, a follower aborts the calls of the others by raising `_Restart` in their tasks. gevent raises it at the next point at which the task waits. A second abort in the same turn had the same effect without any answer.

Why this works: a call runs in a task of its own, and an abort ends that task alone. Ending a task that is over has no effect, so that an answer that came first is used. An aborted call has not moved the position in the feed; the next call, without a wait, gets the same changes. Which call verifies the store is told by the times at which calls began, not by a flag that any answer clears. Aborted calls are counted in `store_calls_total` as `aborted`.

--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -18,6 +18,7 @@
 )
 from cairnferry.entry._ports import ChangeFeed, FeedUnavailable, HistoryLost
 from cairnferry.entry.following import _table
+from cairnferry.entry.following._abortable_call import AbortableCall, CallAborted
 from cairnferry.entry.following._split_table import SplitTable
 from cairnferry.entry.following._table import FollowedTable
 
@@ -63,10 +64,6 @@
     return False
 
 
-class _Restart(BaseException):
-    """Aborts a call that may wait for a lost answer."""
-
-
 @attrs.define(eq=False)
 class Follower:
     """Follows one feed while this daemon is a watcher of the store.
@@ -122,10 +119,11 @@
     confirmed_at: float | None = None
     partners: list["Follower"] = attrs.field(factory=list)
     table: FollowedTable | SplitTable = attrs.field(init=False)
-    _task: gevent.Greenlet | None = None
+    _call: AbortableCall = attrs.field(factory=AbortableCall)
     _called_at: float = 0.0
-    _is_calling: bool = False
-    _was_aborted: bool = False
+    # Time from which a call has to begin to show that the store answers.
+    _verify_from: float = -math.inf
+    _answered_call_at: float = -math.inf
     # Version from which the feed resumes; None to use the version of the copy or to
     # list all rows.
     _position: int | None = None
@@ -148,13 +146,8 @@
 
     def run(self) -> None:
         """Follow the feed forever."""
-        self._task = gevent.getcurrent()
         while True:
-            if self.is_watcher():
-                pause = self._poll_or_restart()
-            else:
-                pause = self._stand_by()
-            gevent.sleep(pause)
+            gevent.sleep(self.poll_once() if self.is_watcher() else self._stand_by())
 
     def _stand_by(self):
         """Leave the calls to other daemons; return the seconds to pause.
@@ -170,14 +163,6 @@
             self._failures = 0
         return ROLE_CHECK_S * (0.5 + self.rng.random())
 
-    def _poll_or_restart(self):
-        try:
-            return self.poll_once()
-        except _Restart:
-            self._is_calling = False
-            self._was_aborted = True
-            return 0.0
-
     def abort_calls_before(self, moment: float) -> None:
         """Abort a call that began before a moment at which the store was unreachable.
 
@@ -189,8 +174,8 @@
         moment : float
             Monotonic time in seconds.
         """
-        if self._is_calling and self._called_at < moment:
-            self._task.kill(_Restart, block=False)
+        if self._call.is_running and self._called_at < moment:
+            self._call.abort()
 
     def verify(self) -> None:
         """Call the store without delay, as another daemon did not reach it.
@@ -202,7 +187,7 @@
             return
         now = time.monotonic()
         self.continuity.doubt(now)
-        self._was_aborted = True
+        self._verify_from = now
         self.abort_calls_before(now)
 
     def poll_once(self) -> float:
@@ -210,23 +195,24 @@
         called_at = self._called_at = time.monotonic()
         position = self._next_position()
         wait = 0.0 if position is None else self._wait()
-        self._is_calling = True
-        if position is None:
-            result = self.feed.list_all()
-        else:
-            result = self.feed.wait_for_changes(position, wait)
-        self._is_calling = False
+        called = self._call.run(lambda: self._call_feed(position, wait))
+        result = called.bind(lambda answer: answer)
         kind = "list" if position is None else "feed"
         self.note_call(f"{self.name}-{kind}", _outcome(result))
         if result.is_error():
             return self._handle_failure(result.error)
-        self._was_aborted = False
+        self._answered_call_at = called_at
         self._handle_success()
         self.confirmed_at = self._confirmed_time(result.ok, called_at, wait)
         self._settle(result.ok, wait)
         self._apply(result.ok, position)
         return self.coalesce_s * (0.8 + 0.4 * self.rng.random())
 
+    def _call_feed(self, position, wait):
+        if position is None:
+            return self.feed.list_all()
+        return self.feed.wait_for_changes(position, wait)
+
     def _confirmed_time(self, batch, called_at, wait):
         """Return the time up to which an answer confirms the copy.
 
@@ -273,13 +259,16 @@
 
     def _wait(self):
         """Return the seconds to wait for changes; 0 if the store may be unreachable."""
-        if self._failures or self._was_aborted:
+        if self._failures or self._answered_call_at < self._verify_from:
             return 0.0
         share = MIN_WAIT_SHARE + (1 - MIN_WAIT_SHARE) * self.rng.random()
         return MAX_WAIT_S * share
 
     def _handle_failure(self, fault):
         match fault:
+            case CallAborted():
+                self._verify_from = time.monotonic()
+                return 0.0
             case HistoryLost():
                 log.info("history lost", extra={"feed": self.name})
                 self._must_list = True
@@ -321,4 +310,10 @@
     """Return the outcome of a call as a label of a metric."""
     if result.is_ok():
         return "rows" if result.ok.items else "nothing"
-    return "history-lost" if isinstance(result.error, HistoryLost) else "failed"
+    match result.error:
+        case CallAborted():
+            return "aborted"
+        case HistoryLost():
+            return "history-lost"
+        case _:
+            return "failed"
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -7,6 +7,8 @@
 import gevent
 import pytest
 from expression import Error, Ok
+from gevent.event import Event
+from gevent.queue import Queue
 
 from cairnferry.coordination import (
     Batch,
@@ -379,6 +381,82 @@
     assert not follower.table.settled
 
 
+class HeldFeed(ScriptedFeed):
+    """Holds the answer to each call for changes until it is released."""
+
+    def __init__(self, *results):
+        super().__init__(*results)
+        self.held = Queue()
+
+    def wait_for_changes(self, version, wait_s):
+        released = Event()
+        self.held.put(released)
+        released.wait()
+        return super().wait_for_changes(version, wait_s)
+
+
+ABORTS = {
+    "answer, abort": ["answer", "abort"],
+    "answer, two aborts": ["answer", "abort", "abort"],
+    "answer between aborts": ["abort", "answer", "abort"],
+    "abort, answer": ["abort", "answer"],
+    "two aborts, answer": ["abort", "abort", "answer"],
+    "verification, answer": ["verify", "answer"],
+    "answer, verification": ["answer", "verify"],
+    "all at once": ["verify", "answer", "abort", "verify"],
+}
+
+
+@pytest.mark.parametrize("steps", ABORTS.values(), ids=ABORTS)
+def test_a_follower_goes_on_if_its_call_is_aborted_as_the_answer_comes(steps):
+    """Guards against a daemon that follows a table no longer after an outage.
+
+    The exception that aborted the call ended the task, as the call was over by then.
+    """
+    row = batch(6, put("a", 6))
+    feed = HeldFeed(batch(5), *[row] * 3, batch(7, put("b", 7)), *[batch(7)] * 9)
+    seen = []
+    follower = Follower("rows", feed, seen.append, random.Random(1), coalesce_s=0.01)
+    task = gevent.spawn(follower.run)
+    released = feed.held.get(timeout=5)
+    for step in steps:
+        match step:
+            case "answer":
+                released.set()
+            case "abort":
+                follower.abort_calls_before(math.inf)
+            case "verify":
+                follower.verify()
+    with gevent.Timeout(5):
+        while not seen or set(seen[-1]) != {"a", "b"}:
+            feed.held.get().set()
+    assert not task.ready()
+    task.kill()
+    versions = [call for call in feed.calls if call != "all"]
+    assert versions == sorted(versions)
+
+
+@pytest.mark.parametrize("is_answered_first", [True, False])
+def test_a_verification_is_a_call_of_its_own(is_answered_first):
+    """Guards against a silent store that is noticed only after a full wait.
+
+    The call before the doubt was answered in the same moment, and its answer counted.
+    """
+    feed = HeldFeed(batch(5), *[batch(5)] * 9)
+    follower = Follower(
+        "rows", feed, lambda rows: None, random.Random(1), coalesce_s=0.01
+    )
+    task = gevent.spawn(follower.run)
+    released = feed.held.get(timeout=5)
+    if is_answered_first:
+        released.set()
+    follower.verify()
+    feed.held.get(timeout=5).set()
+    feed.held.get(timeout=5)
+    task.kill()
+    assert feed.waits[-1] == 0.0
+
+
 class WaitingFeed(ScriptedFeed):
     """Waits for the requested time before each answer."""
 
