A task that ends early is started again, whatever ended it

Cause: tasks were started again after an `Exception` alone. `gevent.Timeout` and every other BaseException ended them for good, as did a kill. The tasks that release waiting requests and that write the rows of joined daemons left a mark behind that they run, so that they were not started by the next use either.

Why this works: `RestartingTask` is told by gevent of each end of its greenlet, and starts the function again unless it has returned or the daemon stops it. It also does so if the greenlet is killed before it began, or in the pause before a restart. What runs is told by the greenlet itself, not by a flag beside it. A request for permits marks its targets inside the `try` that clears the marks.

The check of `test_handler_survives_the_end_of_its_reader` that the writer has not died now compares the greenlet itself, as the task would start another one.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -12,6 +12,7 @@
 
 from cairnferry.coordination import Note, NoteRegistry, lowest_ranked
 from cairnferry.entry._ports import CallerLimits, Records
+from cairnferry.entry._restarting_task import RestartingTask
 from cairnferry.entry.callers import (
     CrashGuard,
     CutLog,
@@ -78,9 +79,6 @@
 # Timeout of a call to a peer in seconds. Zones are some milliseconds apart, but a busy
 # peer answers late.
 PEER_TIMEOUT_S = 0.8
-# Seconds before a task is restarted after an unexpected error, so that a task that
-# fails at each start fills neither the CPU nor the log.
-TASK_RETRY_S = 1.0
 # Seconds for which callers' idle connections are kept once the listener is closed. A
 # caller that does not notice the end of a connection gets an answer instead.
 KEEP_IDLE_S = 0.5
@@ -328,7 +326,8 @@
 
     def stop(self) -> None:
         """Stop all tasks, listeners and connections at once."""
-        gevent.killall(self._tasks)
+        for task in self._tasks:
+            task.stop()
         for server in self._listeners:
             server.stop(timeout=0)
         self.detour_server.cut()
@@ -336,23 +335,10 @@
         self.upstreams.close()
 
     def spawn(self, function: Callable[[], None]) -> None:
-        """Run a function in a greenlet for the daemon's lifetime."""
-        self._tasks.append(gevent.spawn(self._run_forever, function))
-
-    def _run_forever(self, function):
-        """Run a task; after an unexpected error, log it and restart the task.
-
-        Without the task, the daemon would still serve and seem healthy, but might not
-        receive changes any more.
-        """
-        while True:
-            try:
-                function()
-                return
-            except Exception:
-                name = getattr(function, "__qualname__", str(function))
-                log.exception("task failed", extra={"task": name})
-                gevent.sleep(TASK_RETRY_S)
+        """Run a function for the daemon's lifetime, or until it returns."""
+        task = RestartingTask(function, self.metrics.note_task_restart)
+        self._tasks.append(task)
+        task.ensure_running()
 
     def _update_shares_forever(self):
         while True:
--- a/packages/entry/src/cairnferry/entry/members/_enrolment.py
+++ b/packages/entry/src/cairnferry/entry/members/_enrolment.py
@@ -14,6 +14,7 @@
 
 from cairnferry.coordination import MemberState
 from cairnferry.entry._ports import EntryRow, KeyExists, Registry
+from cairnferry.entry._restarting_task import RestartingTask
 from cairnferry.entry.http import Page
 from cairnferry.entry.members._cluster import Cluster, ListedInstance
 from cairnferry.entry.members._gossip import Gossip
@@ -115,7 +116,11 @@
     _removed: set[str] = attrs.field(factory=set)
     _entries: dict[str, EntryRow] = attrs.field(factory=dict)
     _pending: dict[str, EntryRow] = attrs.field(factory=dict)
-    _is_writing: bool = False
+    _writing: RestartingTask = attrs.field(
+        default=attrs.Factory(
+            lambda self: RestartingTask(self._write_joining), takes_self=True
+        )
+    )
     # Whether the followed table lists this instance. Its own read at the enrolment does
     # not tell what the store still holds later.
     _is_in_table: bool = False
@@ -226,9 +231,7 @@
         if not self.keys.is_set:
             return None
         self._pending[joining.name] = joining
-        if not self._is_writing:
-            self._is_writing = True
-            gevent.spawn(self._write_joining)
+        self._writing.ensure_running()
         entries = self._entries | self._pending
         others = entries.values()
         selected = self._select(others, joining, same_zone=True, count=REPLY_SAME_ZONE)
@@ -281,7 +284,6 @@
             for name, row in rows.items():
                 if self._pending[name] is row:
                     del self._pending[name]
-        self._is_writing = False
 
     # -- outdated rows -------------------------------------------------------------
 
--- a/packages/entry/src/cairnferry/entry/targets/_permits.py
+++ b/packages/entry/src/cairnferry/entry/targets/_permits.py
@@ -236,9 +236,9 @@
     def _request(self, peer, requested):
         now = time.monotonic()
         is_cross_zone = peer.zone != self.services.zone
-        link = self.links.link_to(peer.peer_address, is_cross_zone)
-        messages = tuple(self._message(each, now) for each in requested)
         try:
+            link = self.links.link_to(peer.peer_address, is_cross_zone)
+            messages = tuple(self._message(each, now) for each in requested)
             granted = link.request_permits(self.name, messages)
             self._apply_grants(granted, time.monotonic())
         except PeerCallFailed as exc:
--- a/packages/entry/src/cairnferry/entry/targets/_runtime.py
+++ b/packages/entry/src/cairnferry/entry/targets/_runtime.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import AsyncResult
 
+from cairnferry.entry._restarting_task import RestartingTask
 from cairnferry.entry.telemetry import RateLimit
 from cairnferry.policy import (
     Attempt,
@@ -37,7 +38,7 @@
     def __init__(self, policy: ServicePolicy):
         self.policy = policy
         self._waiting: dict[Call, AsyncResult] = {}
-        self._release_task = None
+        self._release_task = RestartingTask(self._release_loop)
         self._log_limit = RateLimit()
 
     def arrive(self, call: Call) -> Decision:
@@ -129,12 +130,10 @@
     def _track_waiting(self, call, decision):
         if isinstance(decision, Wait):
             self._waiting[call] = AsyncResult()
-            if self._release_task is None:
-                self._release_task = gevent.spawn(self._release_loop)
+            self._release_task.ensure_running()
         return decision
 
     def _release_loop(self):
         while self._waiting:
             gevent.sleep(RELEASE_INTERVAL_S)
             self.release_waiting()
-        self._release_task = None
--- a/packages/entry/src/cairnferry/entry/telemetry/_log_lines.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_log_lines.py
@@ -10,6 +10,8 @@
 from gevent.event import Event
 from gevent.os import nb_write
 
+from cairnferry.entry._restarting_task import RestartingTask
+
 # Total size in bytes of the lines that may wait for the reader of the log. A line has
 # some 300 bytes, so a reader may stall for a minute at the highest rate of lines. Above
 # MAX_SUCCESS_BYTES only warnings and errors are kept, as operators look for these.
@@ -53,7 +55,8 @@
         mode = os.fstat(fd).st_mode
         if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(fd, False)
-        self._task = gevent.spawn(self._run)
+        self._task = RestartingTask(self._run)
+        self._task.ensure_running()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or drop it if the queue is full."""
@@ -76,7 +79,7 @@
         end = time.monotonic() + CLOSE_WAIT_S
         while self._lines and self._has_reader and time.monotonic() < end:
             gevent.sleep(CLOSE_CHECK_S)
-        self._task.kill(block=False)
+        self._task.stop(block=False)
         super().close()
 
     def _run(self):
--- a/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_metrics.py
@@ -93,6 +93,8 @@
         Time from a request's arrival to its answer, by service.
     waits : dict of str to Durations
         Time from a request's arrival to its first attempt, by service.
+    task_restarts : Counter
+        Tasks that ended early and were started again, by name.
     store_era : int
         Latest era of the platform's store; 0 if it reported none.
     started : float
@@ -111,6 +113,7 @@
     target_advisories: collections.Counter = attrs.field(factory=collections.Counter)
     detours: collections.Counter = attrs.field(factory=collections.Counter)
     cut: collections.Counter = attrs.field(factory=collections.Counter)
+    task_restarts: collections.Counter = attrs.field(factory=collections.Counter)
     latency: dict[str, Durations] = attrs.field(factory=_by_service)
     waits: dict[str, Durations] = attrs.field(factory=_by_service)
     store_era: int = 0
@@ -140,6 +143,10 @@
         """Count a call to the platform's store."""
         self.store_calls[kind, result] += 1
 
+    def note_task_restart(self, name: str) -> None:
+        """Count a task that ended early and is started again."""
+        self.task_restarts[name] += 1
+
     def note_era(self, era: int) -> None:
         """Record the store's era, which changes when it is restored from a copy."""
         self.store_era = era
@@ -163,6 +170,7 @@
             "limits": dict(sorted(self.limits.items())),
             "detours": _joined_keys(self.detours),
             "cut": dict(sorted(self.cut.items())),
+            "task_restarts": dict(sorted(self.task_restarts.items())),
             "target_words": dict(sorted(self.target_advisories.items())),
             "latency_us": {
                 service: durations.quantiles()
--- a/tests/entry/members/test_joining.py
+++ b/tests/entry/members/test_joining.py
@@ -7,6 +7,7 @@
 import pytest
 from expression import Ok
 
+from cairnferry.entry import _restarting_task
 from cairnferry.entry._ports import EntryRow
 from cairnferry.entry.http._http_server import HttpServer, ListenerLimits
 from cairnferry.entry.http._small_apps import PagesApp
@@ -111,6 +112,27 @@
     assert len(registry.groups) == 4
 
 
+def test_rows_of_joined_daemons_are_written_although_the_task_for_it_ended(
+    registry, seed, monkeypatch
+):
+    """Guards against instances that are never found as one write failed."""
+    monkeypatch.setattr(_restarting_task, "RETRY_S", 0.01)
+    first, _ = seed
+    write_all, failures = registry.write_all, [ValueError("x")]
+
+    def fail_once(entries):
+        if failures:
+            raise failures.pop()
+        return write_all(entries)
+
+    registry.write_all = fail_once
+    first.accept(row("bb"))
+    wait_for(lambda: "bb" in registry.rows)
+    first.accept(row("cc"))
+    first._writing._greenlet.kill(block=False)
+    wait_for(lambda: "cc" in registry.rows)
+
+
 def test_a_joining_daemon_counts_instances_it_does_not_know_yet(seed):
     """Guards against retries above their budget after a restart of all instances.
 
--- a/tests/entry/targets/test_runtime.py
+++ b/tests/entry/targets/test_runtime.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from cairnferry.entry import _restarting_task
 from cairnferry.entry.http._pipeline import CallerGone
 from cairnferry.entry.targets._runtime import ServiceRuntime
 from cairnferry.policy import Answered, Call, Cause, Refuse, Send, ServicePolicy, Wait
@@ -45,6 +46,20 @@
     assert policy.in_flight == 0
 
 
+def test_waiting_requests_are_released_although_the_task_for_it_has_ended(monkeypatch):
+    """Guards against requests that wait until their deadline while a slot is free."""
+    monkeypatch.setattr(_restarting_task, "RETRY_S", 0.01)
+    runtime = runtime_with_one_slot()
+    now = time.monotonic()
+    calls = [Call(now, now + 0.2 * number, True) for number in (50, 1)]
+    runtime.arrive(calls[0])
+    assert isinstance(runtime.arrive(calls[1]), Wait)
+    waiting = gevent.spawn(runtime.wait, calls[1])
+    gevent.sleep(0)
+    runtime._release_task._greenlet.kill(ValueError("x"))
+    assert isinstance(waiting.get(timeout=5), Refuse)
+
+
 def test_requests_that_still_wait_at_the_end_of_a_daemon_are_refused():
     """Guards against requests that wait for a target and end without an answer."""
     runtime = runtime_with_one_slot()
--- a/tests/entry/telemetry/test_log_lines.py
+++ b/tests/entry/telemetry/test_log_lines.py
@@ -99,6 +99,7 @@
 
 def test_handler_survives_the_end_of_its_reader(pipe, handler):
     """Guards against a daemon that crashes when the log collector restarts."""
+    writer = handler._task._greenlet
     os.close(pipe[0])
     while not handler.dropped:
         # gevent closes a descriptor in a later turn of its loop.
@@ -108,7 +109,8 @@
     emit(handler, "two")
     gevent.sleep(0)
     assert handler.dropped == before + 1
-    assert not handler._task.dead
+    assert handler._task._greenlet is writer
+    assert not writer.dead
 
 
 def test_lines_are_written_to_a_file(tmp_path):
