A daemon tells which tables it follows without success, and applies all rows

A change whose application ended with an unexpected error was missing until the next change of the same table, as the feed had moved past it.

Cause: each table has a time up to which it is confirmed, and nobody looked at it. `FollowedTable` took rows for published before they were applied.

Evidence: `test_a_table_that_is_followed_without_success_is_reported` and `test_rows_that_cannot_be_applied_are_applied_later`; the methods that they call are new.

The daemon stays ready: if the store is away, that is so for all daemons at once, and no change can be made; if it is this daemon alone, what it knows serves callers better than a refusal, and the others send it updates. Rows that could not be applied are reported to the part that uses them every half second until it takes them.

--- a/packages/entry/src/cairnferry/entry/core/_core.py
+++ b/packages/entry/src/cairnferry/entry/core/_core.py
@@ -147,6 +147,7 @@
         self.departure = Departure(cfg.leaving)
         self.cut_log = CutLog(self.metrics)
         self.leave_hooks: list[Callable[[], None]] = []
+        self.table_ages: Callable[[], dict[str, float]] = dict
         self.on_store_doubted: Callable[[], None] = lambda: None
         self.reload = Event()
         self.startup_hold = StartupHold(Event(), time.monotonic() + cfg.hold_s)
@@ -251,6 +252,7 @@
             self.workspaces,
             self.workspace_limits.limiter,
             self.memory,
+            lambda: self.table_ages(),
         )
         return self.callers_server
 
--- a/packages/entry/src/cairnferry/entry/core/_state_view.py
+++ b/packages/entry/src/cairnferry/entry/core/_state_view.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -45,6 +46,9 @@
         Limits of workspaces.
     memory : Memory
         Memory that is held for callers.
+    table_ages : callable
+        Returns the seconds since each table that this daemon follows in the platform's
+        store was confirmed, by its name.
     """
 
     cluster: Cluster
@@ -60,6 +64,7 @@
     workspaces: WorkspaceRegistry
     workspace_limiter: WorkspaceLimiter
     memory: Memory
+    table_ages: Callable[[], dict[str, float]]
 
     def status(self) -> dict:
         """Return this daemon's view of all daemons."""
@@ -90,6 +95,9 @@
                 "targets": self.upstreams.counts(),
             },
             "memory": self.memory.snapshot(),
+            "table_ages_s": {
+                name: round(age, 3) for name, age in self.table_ages().items()
+            },
             "peers": {
                 "sent_bytes": meter.sent,
                 "received_bytes": meter.received,
--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -21,6 +21,7 @@
 )
 from cairnferry.entry.following._rules_puller import RulesPuller
 from cairnferry.entry.following._table import FollowedTable
+from cairnferry.entry.following._table_watch import TableWatch
 from cairnferry.entry.following._target_installer import TargetInstaller
 from cairnferry.entry.following._target_rows import TargetRows
 from cairnferry.entry.http import Page
@@ -32,9 +33,9 @@
 # still receive requests for two seconds.
 TARGETS_COALESCE_S = 0.6
 
-# Seconds between two updates of the age of the confirmed rules: a small part of the
-# 10 s after which a daemon considers itself stale.
-CONFIRM_S = 0.5
+# Seconds between two updates of the age of the confirmed rules, and between two looks
+# at all tables: a small part of the 10 s after which a daemon considers itself stale.
+MAINTENANCE_S = 0.5
 # Minimum seconds between two calls that verify that the store answers, as daemons that
 # do not reach it report that again and again.
 VERIFY_S = 3.0
@@ -93,6 +94,7 @@
     _verified_at: float = -math.inf
     _rules_follower: Follower = attrs.field(init=False)
     _followers: list[Follower] = attrs.field(factory=list)
+    _watch: TableWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         rate_limit = DocumentRateLimit(self.core.cfg.peers.link_bytes_per_s)
@@ -117,6 +119,8 @@
             is_doubted=self._is_doubted,
         )
         self._followers.append(self._rules_follower)
+        self._watch = TableWatch(self._followers)
+        self.core.table_ages = lambda: self._watch.ages(time.monotonic())
         self.core.on_store_doubted = self._verify_store
         evacuations = Evacuations(self.decoders.evacuated, self._evacuate)
         # Listed before the targets, so that a starting daemon has the evacuated zones
@@ -211,13 +215,16 @@
         for follower in self._followers:
             others = [each for each in self._followers if each is not follower]
             follower.partners.extend(others)
-        return [self._confirm, *(follower.run for follower in self._followers)]
+        return [self._maintain, *(follower.run for follower in self._followers)]
 
-    def _confirm(self):
-        """Report the time of the last confirmation to the cluster periodically."""
+    def _maintain(self):
+        """Report the last confirmation, and look after the tables, periodically."""
         while True:
-            gevent.sleep(CONFIRM_S)
+            gevent.sleep(MAINTENANCE_S)
             self._report_confirmation()
+            self._watch.check(time.monotonic())
+            for table in (self._rules_follower.table.main, *self.tables.values()):
+                table.retry_unapplied()
 
     def _report_confirmation(self):
         confirmed_at = self._rules_follower.confirmed_at
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -121,6 +121,8 @@
     table: FollowedTable | SplitTable = attrs.field(init=False)
     _call: AbortableCall = attrs.field(factory=AbortableCall)
     _called_at: float = 0.0
+    # Time since which this daemon watches; None while others do.
+    _watches_since: float | None = None
     # Time from which a call has to begin to show that the store answers.
     _verify_from: float = -math.inf
     _answered_call_at: float = -math.inf
@@ -147,7 +149,30 @@
     def run(self) -> None:
         """Follow the feed forever."""
         while True:
-            gevent.sleep(self.poll_once() if self.is_watcher() else self._stand_by())
+            gevent.sleep(self._watch() if self.is_watcher() else self._stand_by())
+
+    def age(self, now: float) -> float | None:
+        """Return the seconds since the copy was confirmed, or this daemon watches.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float or None
+            The shorter of the two times; None while other daemons watch.
+        """
+        if self._watches_since is None:
+            return None
+        return now - max(self._watches_since, self.confirmed_at or -math.inf)
+
+    def _watch(self):
+        """Make one call; return the seconds to pause."""
+        if self._watches_since is None:
+            self._watches_since = time.monotonic()
+        return self.poll_once()
 
     def _stand_by(self):
         """Leave the calls to other daemons; return the seconds to pause.
@@ -156,6 +181,7 @@
         """
         self._position = None
         self._must_list = False
+        self._watches_since = None
         if not self._is_resuming:
             self._is_resuming = True
             self.continuity.interrupt()
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -69,6 +69,7 @@
     _reverted: dict[str, "_RevertedRow"] = attrs.field(factory=dict)
     _reverted_until: float = 0.0
     _published: dict[str, Row] = attrs.field(factory=dict)
+    _has_unapplied_rows: bool = False
 
     def apply_listing(self, batch: Batch) -> None:
         """Apply all rows as listed by the store."""
@@ -228,4 +229,22 @@
                 published[key] = reverted.previous
         if published != self._published:
             self._published = published
-            self.on_change(published)
+            self._notify()
+
+    def retry_unapplied(self) -> None:
+        """Apply the rows again if they could not be applied before."""
+        if self._has_unapplied_rows:
+            self._has_unapplied_rows = False
+            self._notify()
+
+    def _notify(self):
+        """Report the rows; if they cannot be applied, they are reported again later.
+
+        The copy is not told apart from one whose rows are in force. Without a retry,
+        the change would be missing until the next one.
+        """
+        try:
+            self.on_change(self._published)
+        except Exception:
+            self._has_unapplied_rows = True
+            log.exception("rows cannot be applied", extra={"feed": self.name})
--- a/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
+++ b/packages/entry/src/cairnferry/entry/telemetry/_exposition.py
@@ -137,6 +137,8 @@
         yield f"peer_{name}_total", "counter", [Sample(count)]
     called = _counted(document["called_bytes"], "kind", "zone")
     yield "peer_called_bytes_total", "counter", called
+    table_ages = _counted(document["table_ages_s"], "table")
+    yield "table_age_seconds", "gauge", table_ages
     restarts = _counted(metrics["task_restarts"], "task")
     yield "task_restarts_total", "counter", restarts
     age = document["confirmed_head_age_s"]
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -20,8 +20,9 @@
     stamp,
 )
 from cairnferry.entry._ports import FeedUnavailable, HistoryLost
-from cairnferry.entry.following import _following, _table
+from cairnferry.entry.following import _following, _table, _table_watch
 from cairnferry.entry.following._following import Follower
+from cairnferry.entry.following._table_watch import TableWatch
 
 
 class ScriptedFeed:
@@ -502,3 +503,78 @@
     follower.poll_once()
     assert seen == [{"a": 3}]
     assert follower.table.grace_left > 0
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_rows_that_cannot_be_applied_are_applied_later(failures, caplog):
+    """Guards against a change that is missing until the next one.
+
+    An unexpected error ended its application, and the feed had moved past it.
+    """
+    seen, errors = [], [ValueError("x")] * failures
+
+    def apply(rows):
+        if errors:
+            raise errors.pop()
+        seen.append(set(rows))
+
+    feed = ScriptedFeed(batch(5), batch(6, put("a", 6)), batch(6))
+    follower = Follower("rows", feed, apply, random.Random(1))
+    poll(follower, 3)
+    assert not seen
+    for _ in range(failures):
+        follower.table.retry_unapplied()
+    assert seen == [{"a"}]
+    follower.table.retry_unapplied()
+    assert len(seen) == 1
+    lines = [line for line in caplog.records if line.exc_info]
+    assert [line.feed for line in lines] == ["rows"] * failures
+
+
+@pytest.fixture
+def watched():
+    """Return two followers of which one gets no answers, and their watch."""
+    hanging = Follower("targets", HeldFeed(batch(5)), len, random.Random(1))
+    other = Follower("rules", WaitingFeed(*[batch(5)] * 9), len, random.Random(1))
+    tasks = [gevent.spawn(each.run) for each in (hanging, other)]
+    hanging.feed.held.get(timeout=5)
+    yield TableWatch([hanging, other]), hanging
+    gevent.killall(tasks)
+
+
+def messages(caplog):
+    return [(line.message, line.feed) for line in caplog.records]
+
+
+def test_a_table_that_is_followed_without_success_is_reported(watched, caplog):
+    """Guards against a daemon that follows a table no longer, and nobody notices."""
+    caplog.set_level("INFO")
+    watch, hanging = watched
+    now = time.monotonic()
+    watch.check(now)
+    assert set(watch.ages(now)) == {"targets", "rules"}
+    hanging._watches_since = hanging.confirmed_at = now - _table_watch.OLD_TABLE_S
+    for _ in range(2):
+        watch.check(now)
+    assert messages(caplog) == [("table is old", "targets")]
+    hanging.confirmed_at = now
+    watch.check(now)
+    assert messages(caplog)[1:] == [("table is no longer old", "targets")]
+
+
+def test_a_table_that_others_watch_has_no_age(watched):
+    """Guards against a report on a table that this daemon does not follow itself."""
+    watch, hanging = watched
+    hanging._stand_by()
+    assert set(watch.ages(time.monotonic())) == {"rules"}
+
+
+def test_the_age_of_a_table_begins_when_this_daemon_watches(follow):
+    """Guards against a report on a table that other daemons have watched for long."""
+    follower, _, _ = follow(batch(5), *[batch(5)] * 9)
+    follower._watch()
+    follower._stand_by()
+    follower.confirmed_at -= 60.0
+    follower.feed.results.insert(0, DOWN)
+    follower._watch()
+    assert follower.age(time.monotonic()) < 5.0
--- a/tests/entry/telemetry/test_exposition.py
+++ b/tests/entry/telemetry/test_exposition.py
@@ -39,6 +39,7 @@
     metrics.quarantine["blocked"] = 2
     metrics.limits["named"] = 3
     metrics.cut["at-target"] = 9
+    metrics.task_restarts["Follower.run"] = 2
     waits = Durations()
     waits.record(0.01)
     return {
@@ -49,6 +50,7 @@
             "requests_ahead": 5,
             "targets": {"idle": 1, "opened": 2, "lost": 3},
         },
+        "table_ages_s": {"targets": 21.5},
         "memory": {
             "held": {"body": 11, "answer": 13},
             "refused": {"body": 12, "answer": 14},
