Routes are told apart by host and prefix, not by their names

What callers saw: requests of one host ran at the services of another host's route, with signed answers of status 200, and so did those of several routes of one name under one host. Unsafe requests too.

Cause: the shares of routes with several services were kept by the name of the route. Nothing says that a name is unique; host and prefix select a route. The shares of the last route of a name were used for all of them, whatever their own services. Work times, declared time-outs and longest times were kept by the name as well, and handed from one route to another as names changed.

Why this works: `RouteIdentity` holds what selects a route: the host, how the prefix is compared, and the text that is compared. The table of routes is built from it, and all state by route uses it as key, so that two routes that can be selected have two keys, and a route keeps its key whatever else changes. A route without shares never looks for any. Logs show the name, and host and prefix beside it. In the own format a name is the key of the record and so unique.

--- a/packages/entry/src/cairnferry/entry/_ports.py
+++ b/packages/entry/src/cairnferry/entry/_ports.py
@@ -171,7 +171,8 @@
         for route in self.routes:
             for name in route.service_names():
                 if name not in names:
-                    return Error(DecodeFault(f"route {route.name}", f"no {name}"))
+                    where = f"route {route.name} ({route.identity})"
+                    return Error(DecodeFault(where, f"no {name}"))
         return Ok(self)
 
 
--- a/packages/entry/src/cairnferry/entry/callers/_callers.py
+++ b/packages/entry/src/cairnferry/entry/callers/_callers.py
@@ -341,7 +341,7 @@
             raise BadRequest(Problem.BAD_DEADLINE) from exc
         call = self._call(handler, route, runtime, head, key_check)
         if key_check.workspace is not None and head.timeout_ms is not None:
-            call.spent = self._timeouts.note(route.name, head.timeout_ms)
+            call.spent = self._timeouts.note(route.identity, head.timeout_ms)
         req = self._outbound(handler, head, call, key_check)
         handler.work = Work(runtime.policy, call, head.request_id)
         try:
--- a/packages/entry/src/cairnferry/entry/callers/_calls.py
+++ b/packages/entry/src/cairnferry/entry/callers/_calls.py
@@ -53,7 +53,8 @@
         max_attempts=route.max_attempts,
         objective=objective,
         rank=_rank(route, workspace),
-        route=route.name,
+        route=route.identity,
+        route_name=route.name,
         identity=_identity(handler, route, head, workspace, address),
         workspace=workspace.name if workspace else "",
     )
--- a/packages/entry/src/cairnferry/entry/callers/_cut_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_cut_log.py
@@ -165,6 +165,7 @@
         "request_id": app.request_id(handler),
         "service": " or ".join(route.service_names()) if route else None,
         "route": route.name if route else None,
+        "route_prefix": str(route.identity) if route else None,
         "revision": app.services.revision,
         "at_work": [],
         "after_ms": round((now - handler.arrived) * MS_PER_S, 1),
--- a/packages/entry/src/cairnferry/entry/callers/_request_log.py
+++ b/packages/entry/src/cairnferry/entry/callers/_request_log.py
@@ -169,7 +169,8 @@
     elapsed = time.monotonic() - call.arrived
     return {
         "service": policy.service.name,
-        "route": call.route,
+        "route": call.route_name,
+        "route_prefix": str(call.route),
         "revision": services.revision,
         "attempts": [_describe_attempt(attempt, call) for attempt in call.attempts],
         "asked": sorted(call.search.checked),
--- a/packages/entry/src/cairnferry/entry/targets/_route_table.py
+++ b/packages/entry/src/cairnferry/entry/targets/_route_table.py
@@ -64,10 +64,10 @@
         """
         grouped = {}
         for route in routes:
-            name = route.host and route.host.removesuffix(".")
-            by_match = grouped.setdefault(name, {})
-            group = by_match.setdefault(route.path_match, {})
-            group[_compared_prefix(route)] = route
+            identity = route.identity
+            by_match = grouped.setdefault(identity.host, {})
+            group = by_match.setdefault(identity.path_match, {})
+            group[identity.prefix] = route
         tables = {
             host: {match: _PrefixTable.build(group) for match, group in groups.items()}
             for host, groups in grouped.items()
@@ -94,15 +94,6 @@
         return found
 
 
-def _compared_prefix(route):
-    """Return the text with which a compared path has to start."""
-    match route.path_match:
-        case PathMatch.TEXT:
-            return route.path_prefix
-        case PathMatch.SEGMENTS:
-            return route.path_prefix.rstrip("/") + "/"
-
-
 def _compared_path(path, path_match):
     """Return a path with a slash after its last segment if segments are compared."""
     match path_match:
--- a/packages/entry/src/cairnferry/entry/targets/_services.py
+++ b/packages/entry/src/cairnferry/entry/targets/_services.py
@@ -15,7 +15,14 @@
     ServicePolicy,
     TargetLimits,
 )
-from cairnferry.records import Kind, RecordSet, Route, Service, Target
+from cairnferry.records import (
+    Kind,
+    RecordSet,
+    Route,
+    RouteIdentity,
+    Service,
+    Target,
+)
 
 
 @attrs.define
@@ -58,7 +65,7 @@
     evacuated: frozenset[str] = frozenset()
     _services: dict[str, Service] = attrs.field(factory=dict)
     _routes: RouteTable = attrs.field(factory=RouteTable)
-    _rotations: dict[str, WeightedRoundRobin] = attrs.field(factory=dict)
+    _rotations: dict[RouteIdentity, WeightedRoundRobin] = attrs.field(factory=dict)
     _targets: dict[str, list[Target]] = attrs.field(factory=dict)
     _runtimes: dict[str, ServiceRuntime] = attrs.field(factory=dict)
 
@@ -81,7 +88,9 @@
         self._services = {service.name: service for service in services}
         self._routes = RouteTable.build(routes)
         self._rotations = {
-            route.name: self._rotation_for(route) for route in routes if route.backends
+            route.identity: self._rotation_for(route)
+            for route in routes
+            if route.backends
         }
 
     def _rotation_for(self, route):
@@ -90,7 +99,7 @@
         A restart at each change would give the first backend more than its share if
         changes follow each other quickly.
         """
-        existing = self._rotations.get(route.name)
+        existing = self._rotations.get(route.identity)
         if existing is not None and existing.backends == route.backends:
             return existing
         return WeightedRoundRobin.start(route.backends, self.rng)
@@ -137,8 +146,9 @@
 
     def service_for(self, route: Route) -> str:
         """Return the service for the next request of a route."""
-        rotation = self._rotations.get(route.name)
-        return rotation.next_service() if rotation else route.service
+        if not route.backends:
+            return route.service
+        return self._rotations[route.identity].next_service()
 
     def runtime(self, name: str) -> ServiceRuntime | None:
         """Return the runtime of a service; None if there is no such service."""
--- a/packages/policy/src/cairnferry/policy/admission/_declared_timeouts.py
+++ b/packages/policy/src/cairnferry/policy/admission/_declared_timeouts.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from cairnferry.records import RouteIdentity
+
 # Requests of a route that are remembered, and how many of them must declare the same
 # time for it to count as the time limit of first attempts.
 MAX_REMEMBERED = 32
@@ -41,15 +43,15 @@
 class DeclaredTimeouts:
     """Time limits that callers declare for the requests of each route."""
 
-    _routes: dict[str, _RouteTimeouts] = attrs.field(factory=dict)
+    _routes: dict[RouteIdentity, _RouteTimeouts] = attrs.field(factory=dict)
 
-    def note(self, route: str, timeout_ms: int) -> float:
+    def note(self, route: RouteIdentity, timeout_ms: int) -> float:
         """Record a request; return the seconds that its caller has already spent.
 
         Parameters
         ----------
-        route : str
-            Name of the route.
+        route : RouteIdentity
+            Identity of its route.
         timeout_ms : int
             Time limit that the caller declares, in milliseconds.
 
--- a/packages/policy/src/cairnferry/policy/choice/_work.py
+++ b/packages/policy/src/cairnferry/policy/choice/_work.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cairnferry.records import RouteIdentity
+
 # Weight of a new sample, 0 to 1. The estimate reflects about the last ten responses,
 # which a route gets in one second.
 SAMPLE_GAIN = 0.1
@@ -21,20 +23,22 @@
     would admit requests that take too long and refuse short ones.
     """
 
-    _seconds: dict[str, float] = attrs.field(factory=dict)
-    _route_ranks: dict[str, int] = attrs.field(factory=dict)
+    _seconds: dict[RouteIdentity, float] = attrs.field(factory=dict)
+    _route_ranks: dict[RouteIdentity, int] = attrs.field(factory=dict)
     # Number of the last arrival by rank, for requests of workspaces.
     _workspace_ranks: dict[int, int] = attrs.field(factory=dict)
     _arrivals: int = 0
     _most_urgent_rank: int | None = None
 
-    def note_arrival(self, route: str, rank: int, workspace: str = "") -> None:
+    def note_arrival(
+        self, route: RouteIdentity, rank: int, workspace: str = ""
+    ) -> None:
         """Record the arrival of a request and its rank.
 
         Parameters
         ----------
-        route : str
-            Name of its route.
+        route : RouteIdentity
+            Identity of its route.
         rank : int
             Its rank, which is that of the route or of the workspace.
         workspace : str, optional
@@ -66,13 +70,13 @@
         """Return whether no requests of the service have a more urgent rank."""
         return self._most_urgent_rank is None or rank <= self._most_urgent_rank
 
-    def record(self, route: str, elapsed: float, cost: float) -> None:
+    def record(self, route: RouteIdentity, elapsed: float, cost: float) -> None:
         """Record the time that a request took.
 
         Parameters
         ----------
-        route : str
-            Name of its route.
+        route : RouteIdentity
+            Identity of its route.
         elapsed : float
             Time in seconds from the start of the attempt to the response.
         cost : float
@@ -87,6 +91,6 @@
             min(sample, MAX_SAMPLE_FACTOR * estimate) - estimate
         )
 
-    def seconds(self, route: str) -> float:
+    def seconds(self, route: RouteIdentity) -> float:
         """Return the time in seconds at an idle target of usual speed; 0 if unknown."""
         return self._seconds.get(route, 0.0)
--- a/packages/policy/src/cairnferry/policy/departure/_longest_times.py
+++ b/packages/policy/src/cairnferry/policy/departure/_longest_times.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cairnferry.records import RouteIdentity
+
 # Seconds of requests that are remembered at least, and at most twice that while
 # requests come. A route without requests keeps its longest time.
 WINDOW_S = 30.0
@@ -15,17 +17,17 @@
 class LongestTimes:
     """Longest time of a request by route, over its latest window or two."""
 
-    _current: dict[str, float] = attrs.field(factory=dict)
-    _previous: dict[str, float] = attrs.field(factory=dict)
+    _current: dict[RouteIdentity, float] = attrs.field(factory=dict)
+    _previous: dict[RouteIdentity, float] = attrs.field(factory=dict)
     _ends_at: float = -math.inf
 
-    def note(self, route: str, seconds: float, now: float) -> None:
+    def note(self, route: RouteIdentity, seconds: float, now: float) -> None:
         """Record the time that a request took.
 
         Parameters
         ----------
-        route : str
-            Name of its route.
+        route : RouteIdentity
+            Identity of its route.
         seconds : float
             Time in seconds from its arrival to its answer.
         now : float
@@ -42,6 +44,6 @@
         self._current = {}
         self._ends_at = now + WINDOW_S
 
-    def seconds(self, route: str) -> float:
+    def seconds(self, route: RouteIdentity) -> float:
         """Return the longest time of a route in seconds; 0 if none is known."""
         return max(self._current.get(route, 0.0), self._previous.get(route, 0.0))
--- a/packages/policy/src/cairnferry/policy/requests/_model.py
+++ b/packages/policy/src/cairnferry/policy/requests/_model.py
@@ -6,7 +6,7 @@
 
 from cairnferry.policy.shared import RequestIdentity
 from cairnferry.policy.targets import TargetState
-from cairnferry.records import Priority, RefusalContract, Target
+from cairnferry.records import Priority, RefusalContract, RouteIdentity, Target
 
 
 class Cause(enum.StrEnum):
@@ -63,8 +63,11 @@
         Time in seconds by which a response is useful to the caller; None if not set.
     rank : int
         Urgency; 0 is the most urgent.
-    route : str
-        Name of the route. Requests of one route take a similar amount of work.
+    route : RouteIdentity or str
+        What tells the route apart from others. Requests of one route take a similar
+        amount of work.
+    route_name : str
+        Name of the route for people, which several routes may have.
     search : Search
         State of the search for the target of the next attempt.
     identity : RequestIdentity or None
@@ -100,7 +103,8 @@
     max_attempts: int | None = None
     objective: float | None = None
     rank: int = 0
-    route: str = ""
+    route: RouteIdentity | str = ""
+    route_name: str = ""
     search: "Search" = attrs.field(factory=lambda: Search())
     identity: RequestIdentity | None = None
     is_suspect: bool = False
--- a/packages/records/src/cairnferry/records/_model.py
+++ b/packages/records/src/cairnferry/records/_model.py
@@ -200,6 +200,41 @@
     TEXT = "text"
 
 
+@attrs.frozen(cache_hash=True)
+class RouteIdentity:
+    """What selects a route, and so tells it apart from all others.
+
+    Names of routes need not be unique, and a route may change everything else.
+
+    Attributes
+    ----------
+    host : str or None
+        Host of the requests, without the dot of an absolute name; None matches any
+        host.
+    path_match : PathMatch
+        How the prefix is compared with a path.
+    prefix : str
+        Text with which a compared path has to start.
+    """
+
+    host: str | None
+    path_match: PathMatch
+    prefix: str
+
+    def __str__(self):
+        return f"{'*' if self.host is None else self.host}{self.prefix}"
+
+
+def _identify(route):
+    host = route.host and route.host.removesuffix(".")
+    match route.path_match:
+        case PathMatch.TEXT:
+            prefix = route.path_prefix
+        case PathMatch.SEGMENTS:
+            prefix = route.path_prefix.rstrip("/") + "/"
+    return RouteIdentity(host, route.path_match, prefix)
+
+
 @attrs.frozen
 class Route:
     """Rule that sends a path prefix to a service.
@@ -237,6 +272,8 @@
         Whether a request needs no key although workspaces are configured.
     path_match : PathMatch
         How the prefix is compared with a path.
+    identity : RouteIdentity
+        What tells the route apart from others, also in other revisions.
     """
 
     name: str
@@ -254,6 +291,12 @@
     max_deadline_ms: int | None = None
     anonymous: bool = False
     path_match: PathMatch = PathMatch.SEGMENTS
+    identity: RouteIdentity = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(_identify, takes_self=True),
+    )
 
     def service_names(self) -> list[str]:
         """List the services that may receive the requests."""
