--- a/packages/coordination/src/cairnferry/coordination/_documents.py
+++ b/packages/coordination/src/cairnferry/coordination/_documents.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cairnferry.decoding import decode_object
+from cairnferry.decoding import decode_object, decompress
 
 # Number of versions kept as bases of deltas. Several changes can be made before a
 # version has reached all daemons.
@@ -106,11 +106,11 @@
         """
         try:
             if not update.base:
-                return zlib.decompress(update.packed)
+                return decompress(update.packed)
             return apply_delta(self._get(update.base), update.packed)
         except KeyError as exc:
             raise DocumentFault(f"revision {update.base} is not held") from exc
-        except zlib.error as exc:
+        except ValueError as exc:
             raise DocumentFault(f"revision {update.revision}: {exc}") from exc
 
 
@@ -152,7 +152,7 @@
     ------
     DocumentFault
         If the delta was made from another document, or cannot be decoded.
-    zlib.error
+    ValueError
         If the delta is not compressed.
     """
     pieces = _PIECE.findall(old)
@@ -161,7 +161,7 @@
         parts = [_decode_step(step, pieces) for step in document["steps"]]
         return b"".join(parts), document["crc"]
 
-    decoded = decode_object(zlib.decompress(packed), read)
+    decoded = decode_object(decompress(packed), read)
     if decoded.is_error():
         raise DocumentFault(f"malformed delta: {decoded.error}")
     new, expected = decoded.ok
--- a/packages/decoding/src/cairnferry/decoding/_decoding.py
+++ b/packages/decoding/src/cairnferry/decoding/_decoding.py
@@ -2,11 +2,15 @@
 
 import json
 import re
+import zlib
 from collections.abc import Callable
 
 import attrs
 from expression import Error, Ok, Result
 
+# Maximum size in bytes of a document: the largest answer that the client of the store
+# reads.
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 # Characters of a reason that are kept, as it may quote the document.
 MAX_REASON_CHARS = 300
 # Code points that no encoding of Unicode has. JSON can hold one as an escape sequence.
@@ -97,6 +101,31 @@
     return document
 
 
+def decompress(data: bytes, max_bytes: int = MAX_DOCUMENT_BYTES) -> bytes:
+    """Return data that zlib has compressed.
+
+    Parameters
+    ----------
+    data : bytes
+        The compressed data.
+    max_bytes : int, optional
+        Maximum size of the data in bytes.
+
+    Raises
+    ------
+    ValueError
+        If the data is not complete, not compressed, or larger.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        found = decompressor.decompress(data, max_bytes)
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from exc
+    if not decompressor.eof:
+        raise ValueError("the data is cut short or too large")
+    return found
+
+
 def decode_text(data: bytes) -> str:
     """Return the text of a JSON document, whose encoding its first bytes tell.
 
--- a/packages/entry/src/cairnferry/entry/detours/_client.py
+++ b/packages/entry/src/cairnferry/entry/detours/_client.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cairnferry.decoding import decode
 from cairnferry.entry.detours._fields import (
     CAUSE,
     DECISION,
@@ -329,4 +330,5 @@
     except ValueError:
         # A peer of a later release may have other causes.
         cause = Cause.RETRIES_EXHAUSTED
-    return cause, int(reply.header(RETRY_MS) or 0) / MS_PER_S
+    retry_ms = decode(lambda: int(reply.header(RETRY_MS) or 0))
+    return cause, retry_ms.default_value(0) / MS_PER_S
--- a/packages/entry/src/cairnferry/entry/following/_handover.py
+++ b/packages/entry/src/cairnferry/entry/following/_handover.py
@@ -20,7 +20,7 @@
 from expression import Result
 
 from cairnferry.coordination import Row, TableUpdate
-from cairnferry.decoding import decode, is_text, load_lenient_json
+from cairnferry.decoding import decode, decompress, is_text, load_lenient_json
 from cairnferry.entry._ports import DecodeFault
 from cairnferry.entry.http import JSON, Page
 from cairnferry.settings import Address
@@ -85,7 +85,7 @@
 
     @classmethod
     def _read(cls, data):
-        text = data if data.startswith(b"{") else zlib.decompress(data)
+        text = data if data.startswith(b"{") else decompress(data)
         document = load_lenient_json(text)
         decode_value = _from_text if document.get(AS_TEXT) else base64.b64decode
         return cls(
--- a/packages/peers/src/cairnferry/peers/_packed_tables.py
+++ b/packages/peers/src/cairnferry/peers/_packed_tables.py
@@ -13,6 +13,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from cairnferry.coordination import TableUpdate
+from cairnferry.decoding import decompress
 from cairnferry.peers._generated.peer import ttypes
 from cairnferry.peers._messages import table_update_from_wire, table_update_to_wire
 
@@ -70,13 +71,10 @@
     """
     if message.packed is None:
         return table_update_from_wire(message)
-    decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(message.packed, MAX_BYTES)
-        if not decompressor.eof:
-            raise ValueError("table is too large or cut short")
+        data = decompress(message.packed, MAX_BYTES)
         unpacked = deserialize(ttypes.TableNews(), data, _FACTORY)
         unpacked.validate()
-    except (zlib.error, EOFError, TypeError, TException) as exc:
-        raise ValueError("table cannot be read") from exc
+    except (ValueError, EOFError, TypeError, TException) as exc:
+        raise ValueError(f"table cannot be read: {exc}") from exc
     return table_update_from_wire(unpacked)
--- a/packages/records/src/cairnferry/records/_recordset.py
+++ b/packages/records/src/cairnferry/records/_recordset.py
@@ -6,7 +6,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from cairnferry.decoding import decode, load_json
+from cairnferry.decoding import decode, decompress, load_json
 from cairnferry.records._changes import Change, Put, Withdraw
 from cairnferry.records._errors import (
     DuplicateKeyDigest,
@@ -97,7 +97,7 @@
     @classmethod
     def from_snapshot(cls, data: bytes) -> Result["RecordSet", RecordError]:
         """Return the set that `to_snapshot` encoded."""
-        decoded = decode(lambda: _read_snapshot(load_json(zlib.decompress(data))))
+        decoded = decode(lambda: _read_snapshot(load_json(decompress(data))))
         if decoded.is_error():
             return Error(MalformedChange("snapshot", "cannot be decoded"))
         revision, pairs = decoded.ok
--- a/tests/decoding/test_decoding.py
+++ b/tests/decoding/test_decoding.py
@@ -1,6 +1,7 @@
 """Documents of any form: each is decoded, or becomes a typed error."""
 
 import json
+import zlib
 
 import pytest
 from expression import Ok
@@ -11,6 +12,7 @@
     Malformed,
     decode,
     decode_object,
+    decompress,
     is_text,
     load_json,
     load_lenient_json,
@@ -104,3 +106,24 @@
     assert start > key
     if is_text(other) and other > key:
         assert other >= start
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        zlib.compress(bytes(100_000_000)),
+        zlib.compress(b"text")[:-1],
+        b"no compressed data",
+        b"",
+    ],
+    ids=["too large", "cut short", "not compressed", "empty"],
+)
+def test_data_that_cannot_be_uncompressed_is_rejected(data):
+    """Guards against a few bytes that fill the memory."""
+    with pytest.raises(ValueError):
+        decompress(data)
+
+
+def test_compressed_data_is_returned():
+    assert decompress(zlib.compress(b"text")) == b"text"
+    assert decompress(zlib.compress(bytes(10)), max_bytes=10) == bytes(10)
