Rules that could not be put in force as a whole are installed again

A revision whose installation ended with an unexpected error counted as held, so that neither the feed nor a peer brought it again: the old limits or targets stayed until the next revision.

Cause: a revision was recorded before it was installed.

--- a/packages/entry/src/cairnferry/entry/following/_followed.py
+++ b/packages/entry/src/cairnferry/entry/following/_followed.py
@@ -82,6 +82,8 @@
     in_force: Event = attrs.field(factory=Event)
     _rules: Rules | None = None
     _has_handover: bool = False
+    # Whether the rules that are held could be put in force as a whole.
+    _is_installed: bool = False
     _workspaces: WorkspaceIndex = attrs.field(factory=WorkspaceIndex)
     _document: bytes = b""
     _exchange: RulesExchange = attrs.field(init=False)
@@ -225,6 +227,8 @@
             self._watch.check(time.monotonic())
             for table in (self._rules_follower.table.main, *self.tables.values()):
                 table.retry_unapplied()
+            if self.in_force.is_set() and not self._is_installed:
+                self._install(self.revision)
 
     def _report_confirmation(self):
         confirmed_at = self._rules_follower.confirmed_at
@@ -294,6 +298,7 @@
         self._install(before=0)
 
     def _install(self, before):
+        self._is_installed = False
         # Peers would steer callers away from a daemon that reports no confirmation yet.
         self._report_confirmation()
         rules = self._rules
@@ -302,6 +307,7 @@
         services.install_rules(rules.revision, rules.services, rules.routes)
         self._installer.install(rules.services)
         self.core.apply_caller_limits(rules.limits)
+        self._is_installed = True
         log.info(
             "in force",
             extra={
--- a/tests/adapter/test_updates.py
+++ b/tests/adapter/test_updates.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from cairnferry.coordination import NO_DOCUMENT_NEWS
+from cairnferry.entry import _restarting_task
 from cairnferry.entry.following import _followed
 from cairnferry.entry.following._handover import Handover
 from cairnferry.entry.following._rules_exchange import MAX_BUSY_RETRIES
@@ -36,6 +37,28 @@
     assert daemon.call().body.startswith(b"i-2")
 
 
+@pytest.mark.parametrize("failures", [1, 3])
+def test_configuration_that_could_not_be_installed_takes_effect_later(
+    failures, daemon, store, start_target, wait_for_targets, monkeypatch
+):
+    """Guards against rules that count as held and are not in force until the next."""
+    start_target()
+    wait_for_targets(daemon, "i-1")
+    monkeypatch.setattr(_restarting_task, "RETRY_S", 0.01)
+    install, errors = daemon.core.update_shares, [ValueError("x")] * failures
+
+    def fail_at_first():
+        if errors:
+            raise errors.pop()
+        install()
+
+    monkeypatch.setattr(daemon.core, "update_shares", fail_at_first)
+    store.put("op", "config", configuration(9, max_header_bytes=20_000))
+    wait_for(lambda: daemon.core.cfg.caller_limits.head_bytes == 20_000)
+    assert daemon.core.services.revision == 9
+    assert daemon.call().status == 200
+
+
 def test_older_configuration_is_ignored(daemon, store):
     store.put("op", "config", configuration(2, rules=[rule(prefix="/old/")]))
     store.put("op", "other", {"x": 1})
