Drawn sequences of revisions with equal names of routes

`test_whatever_their_names_routes_keep_to_their_services` draws revisions whose routes have one of two names, three hosts and three prefixes.

--- a/tests/entry/targets/test_route_names.py
+++ b/tests/entry/targets/test_route_names.py
@@ -5,6 +5,8 @@
 
 import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cairnferry.entry.targets import Services
 from cairnferry.records import Backend, PathMatch, Priority, Route
@@ -143,3 +145,30 @@
     assert plain.identity not in {each.identity for each in other}
     assert str(plain.identity) == "shop.example/a/"
     assert str(other[1].identity) == "*/a/"
+
+
+SERVICES = ("s1", "s2", "s3", "s4")
+drawn_routes = st.builds(
+    lambda host, prefix, used, name, match: route(
+        host, prefix, *used, name=name, match=match
+    ),
+    st.sampled_from([SHOP, DESK, None]),
+    st.sampled_from(["/", "/a/", "/a/b/"]),
+    st.lists(st.sampled_from(SERVICES), min_size=1, max_size=2, unique=True),
+    st.sampled_from(["orders", "reads"]),
+    st.sampled_from(PathMatch),
+)
+
+
+@settings(deadline=None, max_examples=200)
+@given(st.lists(st.lists(drawn_routes, max_size=6), max_size=6))
+def test_whatever_their_names_routes_keep_to_their_services(revisions):
+    """Guards against requests at services that the route in force does not allow."""
+    services = Services("hall", random.Random(1), lambda policy: None)
+    for revision, routes in enumerate(revisions, 1):
+        services.install_rules(revision, [], routes)
+        for host in (SHOP, DESK, "other.example"):
+            for path in ("/x", "/a/x", "/a/b/x"):
+                found = services.route(path, host)
+                if found is not None:
+                    assert services.service_for(found) in found.service_names()
