--- a/tests/adapter/crowds/test_seeded_crowds.py
+++ b/tests/adapter/crowds/test_seeded_crowds.py
@@ -20,11 +20,7 @@
 
 
 def pytest_generate_tests(metafunc):
-    seeds = []
-    for part in metafunc.config.getoption("--crowd-seeds").split(","):
-        first, _, last = part.partition("-")
-        seeds += range(int(first), int(last or first) + 1)
-    metafunc.parametrize("seed", seeds)
+    metafunc.parametrize("seed", metafunc.config.getoption("--crowd-seeds"))
 
 
 def test_daemon_outlasts_drawn_crowds(small_daemon, store, seed):
--- a/tests/adapter/test_silent_store.py
+++ b/tests/adapter/test_silent_store.py
@@ -20,6 +20,23 @@
 CALM_S = 3.5
 
 
+# Number of silences, and their shortest and longest time in seconds.
+SILENCES = [
+    (3, (7.0, 12.0)),
+    (8, (2.0, 6.0)),
+    (20, (0.3, 3.5)),
+    (100, (0.05, 0.4)),
+]
+# Pauses between silences are as long as these, up to two seconds.
+PAUSE_S = (0.3, 2.0)
+
+
+def pytest_generate_tests(metafunc):
+    if "silence_seed" in metafunc.fixturenames:
+        seeds = metafunc.config.getoption("--silence-seeds")
+        metafunc.parametrize("silence_seed", seeds)
+
+
 class SilentStore(StoreStandin):
     """Store that sends no answer while it is silent, and then all that have waited.
 
@@ -105,7 +122,7 @@
 
 def silence(each, rng, count, seconds, some_tables):
     for _ in range(count):
-        gevent.sleep(rng.uniform(0.3, 2.0))
+        gevent.sleep(min(rng.uniform(*PAUSE_S), seconds[1]))
         tables = {"op", "servers", TABLE}
         if some_tables:
             tables = set(rng.sample(sorted(tables), rng.randint(1, 3)))
@@ -142,7 +159,10 @@
     assert play(deployments, seed=1, count=3, seconds=(7.0, 12.0)) == []
 
 
-def test_daemons_follow_the_store_after_silences_of_some_tables(deployments):
-    """Guards against the same fault if one table's calls are answered meanwhile."""
-    blind = play(deployments, 2, 6, (2.0, 6.0), spread_s=0.05, some_tables=True)
-    assert blind == []
+def test_daemons_follow_the_store_after_drawn_silences(deployments, silence_seed):
+    """Guards against the same fault after silences that nobody has thought of."""
+    rng = random.Random(silence_seed)
+    count, seconds = rng.choice(SILENCES)
+    spread_s = rng.choice([0.0, 0.05])
+    some_tables = rng.choice([True, False])
+    assert play(deployments, silence_seed, count, seconds, spread_s, some_tables) == []
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -47,12 +47,25 @@
         default=None,
         help="INDEX/COUNT of this process; `alone` for the tests that run apart",
     )
+    for name, default, drawn in (
+        ("--crowd-seeds", "1-5,10,15", "crowds"),
+        ("--silence-seeds", "1-2", "silences of the store"),
+    ):
+        parser.addoption(
+            name,
+            default=default,
+            type=_read_seeds,
+            help=f"seeds of drawn {drawn}, as numbers and ranges FIRST-LAST",
+        )
 
-    parser.addoption(
-        "--crowd-seeds",
-        default="1-5,10,15",
-        help="seeds of the drawn crowds, as numbers and ranges FIRST-LAST",
-    )
+
+def _read_seeds(text):
+    """Return the seeds that an option lists."""
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
 
 
 def pytest_collection_modifyitems(config, items):
