--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -149,7 +149,9 @@
     def run(self) -> None:
         """Follow the feed forever."""
         while True:
-            gevent.sleep(self._watch() if self.is_watcher() else self._stand_by())
+            gevent.sleep(
+                self._call_as_watcher() if self.is_watcher() else self._stand_by()
+            )
 
     def age(self, now: float) -> float | None:
         """Return the seconds since the copy was confirmed, or this daemon watches.
@@ -168,7 +170,7 @@
             return None
         return now - max(self._watches_since, self.confirmed_at or -math.inf)
 
-    def _watch(self):
+    def _call_as_watcher(self):
         """Make one call; return the seconds to pause."""
         if self._watches_since is None:
             self._watches_since = time.monotonic()
--- a/tests/adapter/_processes.py
+++ b/tests/adapter/_processes.py
@@ -15,6 +15,7 @@
 from .test_process import ROOT
 
 METRICS_PORT = 9464
+STATUS_FILE = "/proc/{pid}/status"
 ROUNDS_METRIC = "cairnferry_peer_rounds_total"
 ALIVE_METRIC = 'cairnferry_members{state="alive"}'
 
@@ -73,6 +74,15 @@
         found = [json.loads(line) for line in lines if line.startswith("{")]
         return [line for line in found if line["message"] == message]
 
+    def is_alive(self):
+        return self.process.poll() is None
+
+    def peak_memory(self):
+        """Return the largest resident memory so far in bytes."""
+        with open(STATUS_FILE.format(pid=self.process.pid)) as file:
+            values = dict(line.split(":", 1) for line in file)
+        return int(values["VmHWM"].split()[0]) * 1024
+
     def kill(self):
         self.process.kill()
         self.process.wait()
--- a/tests/adapter/crowds/conftest.py
+++ b/tests/adapter/crowds/conftest.py
@@ -24,14 +24,13 @@
 LARGEST_BODY = 64 * 1024 * 1024
 TARGETS = 6
 SLOTS = 100
-STATUS_FILE = "/proc/{pid}/status"
 # Seconds for which a crowd is at it before an ordinary caller comes.
 CROWD_S = 3.0
 ANSWER_S = 40
 
 
 class WatchedDaemon(DaemonProcess):
-    """A daemon whose memory and descriptors are read from the kernel."""
+    """A daemon whose descriptors are read from the kernel."""
 
     _numbers = itertools.count()
 
@@ -44,19 +43,10 @@
                 return self.host, METRICS_PORT
         return getattr(self.cfg, listener).as_tuple()
 
-    def peak_memory(self):
-        """Return the largest resident memory so far in bytes."""
-        with open(STATUS_FILE.format(pid=self.process.pid)) as file:
-            values = dict(line.split(":", 1) for line in file)
-        return int(values["VmHWM"].split()[0]) * 1024
-
     def descriptors(self):
         """Return the number of open descriptors."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
-    def is_alive(self):
-        return self.process.poll() is None
-
     def ask(self, method, path, body=b"", pause_s=0.0, part=1 << 16):
         """Send a request on a new connection; return the status and the body's size.
 
--- a/tests/adapter/test_endless_bytes.py
+++ b/tests/adapter/test_endless_bytes.py
@@ -16,7 +16,6 @@
 from .test_endless_answers import FORMS, EndlessTarget
 
 MEMORY_MB = 300
-STATUS_FILE = "/proc/{pid}/status"
 # Seconds for which the store sends without end.
 ENDLESS_S = 4.0
 MANY = 8
@@ -124,13 +123,6 @@
         daemon.kill()
 
 
-def peak_mb(daemon):
-    """Return the largest resident memory of a process so far in megabytes."""
-    with open(STATUS_FILE.format(pid=daemon.process.pid)) as file:
-        values = dict(line.split(":", 1) for line in file)
-    return int(values["VmHWM"].split()[0]) / 1000
-
-
 @pytest.mark.parametrize("form", STORE_FORMS.values(), ids=STORE_FORMS)
 def test_answers_of_the_store_without_end_leave_the_daemon_whole(
     form, store, relay, start_process, start_target
@@ -149,8 +141,8 @@
     relay.set_form(None)
     store.put("op", "config", configuration(4, rules=[rule(prefix="/b/")]))
     wait_for(lambda: daemon.serves("/b/x"))
-    assert daemon.process.poll() is None
-    assert peak_mb(daemon) < MEMORY_MB
+    assert daemon.is_alive()
+    assert daemon.peak_memory() < MEMORY_MB * 1_000_000
     assert daemon.metric("cairnferry_task_restarts_total") is None
 
 
@@ -202,5 +194,5 @@
     others = [status for path, status in statuses if path == "/b/x"]
     assert set(others) == {200}
     assert {status for path, status in statuses if path == "/a/x"} <= {502, 503, 504}
-    assert daemon.process.poll() is None
-    assert peak_mb(daemon) < MEMORY_MB
+    assert daemon.is_alive()
+    assert daemon.peak_memory() < MEMORY_MB * 1_000_000
--- a/tests/entry/following/test_following.py
+++ b/tests/entry/following/test_following.py
@@ -572,9 +572,9 @@
 def test_the_age_of_a_table_begins_when_this_daemon_watches(follow):
     """Guards against a report on a table that other daemons have watched for long."""
     follower, _, _ = follow(batch(5), *[batch(5)] * 9)
-    follower._watch()
+    follower._call_as_watcher()
     follower._stand_by()
     follower.confirmed_at -= 60.0
     follower.feed.results.insert(0, DOWN)
-    follower._watch()
+    follower._call_as_watcher()
     assert follower.age(time.monotonic()) < 5.0
