Comments of the followed tables, and of the drawn silences

Text alone: why a call has a task of its own, what the two times of a follower mean, why a daemon with an old table stays ready, and what limits the pauses between drawn silences.

--- a/packages/entry/src/cairnferry/entry/following/_abortable_call.py
+++ b/packages/entry/src/cairnferry/entry/following/_abortable_call.py
@@ -16,8 +16,9 @@
 class AbortableCall:
     """Runs calls, one at a time, each in a task of its own.
 
-    An exception that ends the waiting task's call would be raised wherever that task
-    waits next. If the answer has just arrived, that is no longer the call.
+    Ending that task ends the call and nothing else. An exception in the waiting task
+    would be raised at the next point at which it waits. If the answer has just arrived,
+    this point is behind the call.
     """
 
     _task: gevent.Greenlet | None = None
--- a/packages/entry/src/cairnferry/entry/following/_following.py
+++ b/packages/entry/src/cairnferry/entry/following/_following.py
@@ -123,7 +123,8 @@
     _called_at: float = 0.0
     # Time since which this daemon watches; None while others do.
     _watches_since: float | None = None
-    # Time from which a call has to begin to show that the store answers.
+    # Time at or after which a call has to begin to show that the store answers, and
+    # begin of the latest call that was answered.
     _verify_from: float = -math.inf
     _answered_call_at: float = -math.inf
     # Version from which the feed resumes; None to use the version of the copy or to
--- a/packages/entry/src/cairnferry/entry/following/_table.py
+++ b/packages/entry/src/cairnferry/entry/following/_table.py
@@ -238,10 +238,10 @@
             self._notify()
 
     def _notify(self):
-        """Report the rows; if they cannot be applied, they are reported again later.
+        """Report the rows; if they cannot be applied, `retry_unapplied` does it again.
 
-        The copy is not told apart from one whose rows are in force. Without a retry,
-        the change would be missing until the next one.
+        The feed has moved past them. Without a retry, the change would be missing until
+        the next one.
         """
         try:
             self.on_change(self._published)
--- a/packages/entry/src/cairnferry/entry/following/_table_watch.py
+++ b/packages/entry/src/cairnferry/entry/following/_table_watch.py
@@ -18,9 +18,9 @@
 class TableWatch:
     """Reports tables that this daemon follows without success.
 
-    The daemon goes on to serve by what it knows. If the store is away, that holds for
-    all daemons, and no change can be made. If only this one is concerned, what it knows
-    is still better than no answer, and other daemons send it the updates.
+    The daemon stays ready. If the store is away, the tables of all daemons are old, and
+    no change can be made. If it is this daemon alone, what it knows still serves
+    callers better than a refusal, and other daemons send it the updates.
 
     Parameters
     ----------
--- a/tests/adapter/test_silent_store.py
+++ b/tests/adapter/test_silent_store.py
@@ -18,8 +18,6 @@
 FOLLOW_S = 7.0
 # Seconds without silences, after which the store counts as calm.
 CALM_S = 3.5
-
-
 # Number of silences, and their shortest and longest time in seconds.
 SILENCES = [
     (3, (7.0, 12.0)),
@@ -27,7 +25,8 @@
     (20, (0.3, 3.5)),
     (100, (0.05, 0.4)),
 ]
-# Pauses between silences are as long as these, up to two seconds.
+# Shortest and longest pause in seconds between two silences, which is no longer than
+# the longest of them.
 PAUSE_S = (0.3, 2.0)
 
 
